--- /dev/null
+++ b/cmake/Targets.cmake
@@ -0,0 +1,74 @@
+# fl_library(NAME DEPS ...): the library src/NAME, its test binary
+# NAMETests (tests/NAME/*Test.cpp) and its benchmark NAMEBench
+# (benchmarks/NAME/*.cpp). Folders without sources are skipped.
+function(fl_library name)
+  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS src/${name}/*.cpp)
+  if(sources)
+    add_library(fl${name} STATIC ${sources})
+    set(scope PUBLIC)
+  else()
+    add_library(fl${name} INTERFACE)
+    set(scope INTERFACE)
+  endif()
+  target_include_directories(fl${name} ${scope} ${CMAKE_SOURCE_DIR}/src)
+  # RESTinio runs on standalone Asio; msgpack-cxx must not pull in Boost.
+  target_compile_definitions(fl${name} ${scope}
+    RESTINIO_USE_STANDALONE_ASIO ASIO_STANDALONE BOOST_LOG_DYN_LINK)
+  foreach(dep ${ARG_DEPS})
+    if(TARGET fl${dep})
+      target_link_libraries(fl${name} ${scope} fl${dep})
+    else()
+      target_link_libraries(fl${name} ${scope} ${dep})
+    endif()
+  endforeach()
+
+  file(GLOB tests CONFIGURE_DEPENDS tests/${name}/*Test.cpp)
+  if(tests)
+    add_executable(${name}Tests ${tests} tests/TestMain.cpp)
+    target_include_directories(${name}Tests PRIVATE tests)
+    target_link_libraries(${name}Tests PRIVATE fl${name} doctest::doctest
+      rapidcheck)
+    add_test(NAME ${name} COMMAND ${name}Tests)
+    set_tests_properties(${name} PROPERTIES TIMEOUT 300
+      ENVIRONMENT "FESCUELINE_BIN=${CMAKE_BINARY_DIR}")
+  endif()
+
+  file(GLOB benches CONFIGURE_DEPENDS benchmarks/${name}/*.cpp)
+  if(benches)
+    add_executable(${name}Bench ${benches})
+    target_link_libraries(${name}Bench PRIVATE fl${name} benchmark::benchmark
+      benchmark::benchmark_main)
+  endif()
+endfunction()
+
+# Every .cpp directly in the folder is a program named for its file; programs
+# in tools/ are called fescueline-<name>.
+function(fl_programs folder)
+  file(GLOB mains CONFIGURE_DEPENDS ${folder}/*.cpp)
+  foreach(main ${mains})
+    get_filename_component(name ${main} NAME_WE)
+    string(REGEX REPLACE "([a-z])([A-Z])" "\\1-\\2" binary ${name})
+    string(TOLOWER ${binary} binary)
+    if(NOT folder STREQUAL apps)
+      set(binary fescueline-${binary})
+    endif()
+    file(GLOB parts CONFIGURE_DEPENDS ${folder}/${name}/*.cpp)
+    add_executable(${binary} ${main} ${parts})
+    target_include_directories(${binary} PRIVATE ${folder} ${folder}/${name})
+    target_link_libraries(${binary} PRIVATE flNode)
+  endforeach()
+endfunction()
+
+# Each models/NAME.pml is checked by spin as test model-NAME; a file
+# models/NAME-broken-*.pml must be rejected.
+function(fl_models)
+  file(GLOB models CONFIGURE_DEPENDS models/*.pml)
+  foreach(model ${models})
+    get_filename_component(name ${model} NAME_WE)
+    add_test(NAME model-${name}
+      COMMAND ${CMAKE_SOURCE_DIR}/scripts/check-model.sh ${model}
+        ${CMAKE_BINARY_DIR}/models/${name})
+    set_tests_properties(model-${name} PROPERTIES TIMEOUT 600)
+  endforeach()
+endfunction()
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Runs clang-tidy over the product's sources (src, apps and tools). A file
+# whose sources, headers and configuration are unchanged since its last clean
+# run is skipped.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+cache=${FESCUELINE_LINT_CACHE:-$build/lint-cache}
+mkdir -p "$cache"
+# A header can change the result of any file, so all headers are in the key.
+headers=$( (cat .clang-tidy; find src tools apps -name '*.h' -o -name '*.inl' | LC_ALL=C sort | xargs -r cat) | sha256sum | cut -c1-32)
+export build cache headers
+lint_one() {
+  local key
+  key=$(cat "$1" | sha256sum | cut -c1-32)-$headers-$(echo "$1" | tr / _)
+  [ -e "$cache/$key" ] && return 0
+  if clang-tidy --quiet -p "$build" "$1" >"$cache/$key.log" 2>/dev/null; then
+    rm -f "$cache/$key.log"
+    touch "$cache/$key"
+  else
+    cat "$cache/$key.log"
+    rm -f "$cache/$key.log"
+    return 1
+  fi
+}
+export -f lint_one
+find src apps tools -name '*.cpp' | LC_ALL=C sort | xargs -r -P "$(nproc)" -I{} bash -c 'lint_one {}'
--- /dev/null
+++ b/src/Core/RandomSource.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+
+namespace fescueline {
+
+/// Fast random numbers for load spreading and jitter; not for secrets.
+/// One thread at a time.
+class RandomSource {
+ public:
+  /// Seeds from the system.
+  RandomSource();
+  /// Seeds with a fixed value, for reproducible tests.
+  explicit RandomSource(uint64_t aSeed) : engine(aSeed) {}
+
+  /// Uniform in [0, aBound); aBound must be positive.
+  uint64_t Below(uint64_t aBound);
+  /// Uniform in [0, 1).
+  double Unit();
+  /// Uniform over all 64-bit values.
+  uint64_t Next() { return this->engine(); }
+
+ private:
+  /// Generator state.
+  std::mt19937_64 engine;
+};
+
+/// Random source of the calling thread.
+RandomSource& ThreadRandom();
+
+/// Unpredictable bytes for keys and identifiers. Any thread.
+std::string SecureRandomBytes(size_t aCount);
+
+}  // namespace fescueline
