--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -14,7 +14,8 @@
   target_include_directories(fl${name} ${scope} ${CMAKE_SOURCE_DIR}/src)
   # RESTinio runs on standalone Asio; msgpack-cxx must not pull in Boost.
   target_compile_definitions(fl${name} ${scope}
-    RESTINIO_USE_STANDALONE_ASIO ASIO_STANDALONE BOOST_LOG_DYN_LINK)
+    RESTINIO_USE_STANDALONE_ASIO ASIO_STANDALONE MSGPACK_NO_BOOST
+    BOOST_LOG_DYN_LINK)
   foreach(dep ${ARG_DEPS})
     if(TARGET fl${dep})
       target_link_libraries(fl${name} ${scope} fl${dep})
--- /dev/null
+++ b/src/Transport/FrameChannel.cpp
@@ -0,0 +1,172 @@
+#include "Transport/FrameChannel.h"
+
+#include <algorithm>
+
+namespace fescueline {
+
+namespace {
+/// A liveness timer that fires this late means that the process was paused.
+constexpr Duration kPauseThreshold = std::chrono::seconds(1);
+/// Frames gathered into one write.
+constexpr size_t kMaxGather = 16;
+}  // namespace
+
+FrameChannel::FrameChannel(Settings aSettings)
+    : socket(std::move(aSettings.socket)),
+      strand(aSettings.strand),
+      peer(std::move(aSettings.peer)),
+      sendsPings(aSettings.sendsPings),
+      pingPeriod(aSettings.pingPeriod),
+      silenceLimit(aSettings.silenceLimit),
+      livenessTimer(aSettings.strand) {}
+
+void FrameChannel::Start(Handlers aHandlers) {
+  this->handlers = std::move(aHandlers);
+  this->open = true;
+  asio::error_code ignored;
+  this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  this->lastReceived = SteadyClock().Now();
+  this->ReadPrefix();
+  this->ScheduleLiveness();
+}
+
+void FrameChannel::Close(const std::string& aReason) {
+  if (!this->open) {
+    return;
+  }
+  this->open = false;
+  asio::error_code ignored;
+  this->socket.close(ignored);
+  this->livenessTimer.cancel();
+  Handlers closing = std::move(this->handlers);
+  this->handlers = Handlers{};
+  if (closing.onClosed) {
+    closing.onClosed(aReason);
+  }
+}
+
+Duration FrameChannel::HeldUp(int64_t aSentMicroseconds) {
+  const int64_t now = std::chrono::duration_cast<std::chrono::microseconds>(
+                          SteadyClock().Now().time_since_epoch())
+                          .count();
+  const int64_t transit = now - aSentMicroseconds;
+  this->fastestTransit = std::min(this->fastestTransit, transit);
+  return std::chrono::microseconds(transit - this->fastestTransit);
+}
+
+void FrameChannel::SendBytes(std::string aBytes,
+                             std::function<void()> aOnWriting) {
+  if (!this->open) {
+    return;
+  }
+  this->writes.push_back({std::move(aBytes), std::move(aOnWriting)});
+  if (this->writing == 0) {
+    this->WriteNext();
+  }
+}
+
+void FrameChannel::WriteNext() {
+  std::vector<asio::const_buffer> buffers;
+  this->writing = std::min(this->writes.size(), kMaxGather);
+  for (size_t i = 0; i < this->writing; ++i) {
+    PendingWrite& write = this->writes[i];
+    if (write.onWriting) {
+      write.onWriting();
+    }
+    buffers.emplace_back(asio::buffer(write.bytes));
+  }
+  asio::async_write(
+      this->socket, buffers,
+      [self = this->shared_from_this()](const asio::error_code& aError,
+                                        size_t) {
+        if (aError) {
+          self->Close("write: " + aError.message());
+          return;
+        }
+        self->writes.erase(
+            self->writes.begin(),
+            self->writes.begin() + static_cast<std::ptrdiff_t>(self->writing));
+        self->writing = 0;
+        if (!self->writes.empty() && self->open) {
+          self->WriteNext();
+        }
+      });
+}
+
+void FrameChannel::ReadPrefix() {
+  asio::async_read(this->socket, asio::buffer(this->prefix),
+                   [self = this->shared_from_this()](
+                       const asio::error_code& aError, size_t) {
+                     if (aError) {
+                       self->Close("read: " + aError.message());
+                       return;
+                     }
+                     try {
+                       self->ReadBody(DecodeFrameLength(std::string_view(
+                           self->prefix.data(), self->prefix.size())));
+                     } catch (const Error& failure) {
+                       self->Close(failure.what());
+                     }
+                   });
+}
+
+void FrameChannel::ReadBody(size_t aLength) {
+  this->lastReceived = SteadyClock().Now();
+  this->body.resize(aLength);
+  asio::async_read(this->socket, asio::buffer(this->body),
+                   [self = this->shared_from_this()](
+                       const asio::error_code& aError, size_t) {
+                     if (aError) {
+                       self->Close("read: " + aError.message());
+                       return;
+                     }
+                     self->lastReceived = SteadyClock().Now();
+                     self->OnBody();
+                   });
+}
+
+void FrameChannel::OnBody() {
+  try {
+    const DecodedFrame frame = DecodeFrame(this->body);
+    if (this->handlers.onFrame) {
+      // A copy keeps the handler alive if it closes the connection.
+      const auto onFrame = this->handlers.onFrame;
+      onFrame(frame);
+    }
+  } catch (const std::exception& failure) {
+    this->Close(failure.what());
+    return;
+  }
+  if (this->open) {
+    this->ReadPrefix();
+  }
+}
+
+void FrameChannel::ScheduleLiveness() {
+  this->livenessDue = SteadyClock().Now() + this->pingPeriod;
+  this->livenessTimer.expires_at(this->livenessDue);
+  this->livenessTimer.async_wait(
+      [self = this->shared_from_this()](const asio::error_code& aError) {
+        if (!aError && self->open) {
+          self->CheckLiveness();
+        }
+      });
+}
+
+void FrameChannel::CheckLiveness() {
+  const TimePoint now = SteadyClock().Now();
+  if (now - this->livenessDue > kPauseThreshold) {
+    // This process was paused; bytes may be waiting in the socket unread.
+    this->lastReceived = now;
+  }
+  if (now - this->lastReceived > this->silenceLimit) {
+    this->Close("silent");
+    return;
+  }
+  if (this->sendsPings) {
+    this->Send(PingFrame{.sequence = ++this->pingSequence});
+  }
+  this->ScheduleLiveness();
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Transport/FrameChannel.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <asio.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Core/Time.h"
+#include "Transport/FrameCodec.h"
+
+namespace fescueline {
+
+/// Strand on the worker pool.
+using Strand = asio::strand<asio::io_context::executor_type>;
+
+/// One TCP connection that carries frames. All callbacks and all methods
+/// except Post run on the connection's strand. Closes itself when nothing has
+/// arrived for the silence limit, since a middlebox may drop a connection
+/// without either end hearing of it.
+class FrameChannel : public std::enable_shared_from_this<FrameChannel> {
+ public:
+  /// Construction parameters.
+  struct Settings {
+    /// Connected socket whose executor is `strand`.
+    asio::ip::tcp::socket socket;
+    /// Strand of the connection.
+    Strand strand;
+    /// Address of the other side, for errors.
+    std::string peer;
+    /// Whether this side sends pings (the dialling side does).
+    bool sendsPings = false;
+    /// Time between pings.
+    Duration pingPeriod = std::chrono::milliseconds(500);
+    /// A connection with no bytes for this long is closed.
+    Duration silenceLimit = std::chrono::milliseconds(1500);
+  };
+
+  /// Events of the connection.
+  struct Handlers {
+    /// A frame arrived. An exception closes the connection.
+    std::function<void(const DecodedFrame&)> onFrame;
+    /// The connection ended, with the reason. Called once.
+    std::function<void(const std::string&)> onClosed;
+  };
+
+  explicit FrameChannel(Settings aSettings);
+
+  /// Starts reading and the liveness timer.
+  void Start(Handlers aHandlers);
+
+  /// Queues a frame. `aOnWriting` is called just before its bytes are handed
+  /// to the socket.
+  template <typename T>
+  void Send(const T& aFrame, std::function<void()> aOnWriting = {}) {
+    this->SendBytes(EncodeFrame(aFrame), std::move(aOnWriting));
+  }
+
+  /// Closes the connection and reports the reason to onClosed.
+  void Close(const std::string& aReason);
+
+  /// Runs a function on the strand. Any thread.
+  template <typename F>
+  void Post(F aFunction) {
+    asio::post(this->strand, std::move(aFunction));
+  }
+
+  bool IsOpen() const { return this->open; }
+  const Strand& GetStrand() const { return this->strand; }
+  const std::string& Peer() const { return this->peer; }
+
+  /// How long a message with the given send time was held up beyond the
+  /// fastest transit seen on this connection.
+  Duration HeldUp(int64_t aSentMicroseconds);
+
+ private:
+  struct PendingWrite {
+    /// Encoded frame.
+    std::string bytes;
+    /// Called before the bytes go to the socket.
+    std::function<void()> onWriting;
+  };
+
+  void SendBytes(std::string aBytes, std::function<void()> aOnWriting);
+  void WriteNext();
+  void ReadPrefix();
+  void ReadBody(size_t aLength);
+  void OnBody();
+  void ScheduleLiveness();
+  void CheckLiveness();
+
+  /// The connection.
+  asio::ip::tcp::socket socket;
+  /// Serialises everything on this connection.
+  Strand strand;
+  /// Address of the other side.
+  std::string peer;
+  /// Whether this side sends pings.
+  bool sendsPings;
+  /// Time between pings and liveness checks.
+  Duration pingPeriod;
+  /// Longest time without received bytes.
+  Duration silenceLimit;
+  /// Event handlers; cleared on close to break reference cycles.
+  Handlers handlers;
+  /// Fires every ping period.
+  asio::steady_timer livenessTimer;
+  /// When the liveness timer was due.
+  TimePoint livenessDue;
+  /// When bytes last arrived.
+  TimePoint lastReceived;
+  /// Number of the last ping.
+  uint64_t pingSequence = 0;
+  /// Frames waiting to be written; the front ones are being written.
+  std::deque<PendingWrite> writes;
+  /// Number of queued frames that the running write covers.
+  size_t writing = 0;
+  /// Length prefix being read.
+  std::array<char, kFramePrefixBytes> prefix{};
+  /// Frame being read.
+  std::string body;
+  /// Whether the connection is usable.
+  bool open = false;
+  /// Smallest difference of receive and send time seen, microseconds.
+  int64_t fastestTransit = INT64_MAX;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Transport/FrameCodec.cpp
@@ -0,0 +1,44 @@
+#include "Transport/FrameCodec.h"
+
+namespace fescueline {
+
+namespace {
+/// No frame has more elements in one array; bounds the memory that a hostile
+/// length field can claim.
+constexpr size_t kMaxArrayElements = 1024;
+/// Deepest nesting is frame, content, list, list element.
+constexpr size_t kMaxNesting = 8;
+}  // namespace
+
+size_t DecodeFrameLength(std::string_view aPrefix) {
+  size_t length = 0;
+  for (char byte : aPrefix) {
+    length = (length << 8) | static_cast<uint8_t>(byte);
+  }
+  if (length == 0 || length > kMaxFrameBytes) {
+    throw Error("frame.length", "", "length out of range");
+  }
+  return length;
+}
+
+DecodedFrame DecodeFrame(std::string_view aBytes) {
+  DecodedFrame frame;
+  try {
+    const msgpack::unpack_limit limit(kMaxArrayElements, 0, kMaxFrameBytes,
+                                      kMaxFrameBytes, 0, kMaxNesting);
+    frame.handle =
+        msgpack::unpack(aBytes.data(), aBytes.size(), nullptr, nullptr, limit);
+  } catch (const std::exception& failure) {
+    throw Error("frame.decode", "", failure.what());
+  }
+  const msgpack::object& root = frame.handle.get();
+  if (root.type != msgpack::type::ARRAY || root.via.array.size != 2 ||
+      root.via.array.ptr[0].type != msgpack::type::POSITIVE_INTEGER ||
+      root.via.array.ptr[0].via.u64 > kMaxFrameType) {
+    throw Error("frame.decode", "", "not a frame");
+  }
+  frame.type = static_cast<FrameType>(root.via.array.ptr[0].via.u64);
+  return frame;
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Transport/FrameCodec.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <msgpack.hpp>
+#include <string>
+#include <string_view>
+
+#include "Core/Error.h"
+#include "Transport/Frames.h"
+
+namespace fescueline {
+
+/// Longest frame: a request body of 1 MiB, its headers and framing.
+inline constexpr size_t kMaxFrameBytes = 1280 * 1024;
+/// Length prefix of a frame.
+inline constexpr size_t kFramePrefixBytes = 4;
+
+/// A received frame; the content refers to memory of the handle.
+struct DecodedFrame {
+  FrameType type = FrameType::Ping;
+  msgpack::object_handle handle;
+
+  /// Content of the frame. Throws Error if it does not have the shape of T.
+  template <typename T>
+  T As() const {
+    try {
+      return this->handle.get().via.array.ptr[1].as<T>();
+    } catch (const std::exception& failure) {
+      throw Error("frame.decode", "", failure.what());
+    }
+  }
+};
+
+/// Length prefix and MessagePack array [type, content].
+template <typename T>
+std::string EncodeFrame(const T& aFrame) {
+  msgpack::sbuffer buffer;
+  buffer.write("\0\0\0\0", kFramePrefixBytes);
+  msgpack::packer<msgpack::sbuffer> packer(buffer);
+  packer.pack_array(2);
+  packer.pack(static_cast<uint8_t>(T::kType));
+  packer.pack(aFrame);
+  std::string bytes(buffer.data(), buffer.size());
+  const size_t length = bytes.size() - kFramePrefixBytes;
+  for (size_t i = 0; i < kFramePrefixBytes; ++i) {
+    const size_t shift = 8 * (kFramePrefixBytes - 1 - i);
+    bytes[i] = static_cast<char>((length >> shift) & 0xff);
+  }
+  return bytes;
+}
+
+/// Length of the frame that follows a prefix. Throws Error if it is 0 or
+/// exceeds kMaxFrameBytes.
+size_t DecodeFrameLength(std::string_view aPrefix);
+
+/// Decodes the bytes after the prefix. Throws Error on anything malformed,
+/// including nesting and element counts that no frame has.
+DecodedFrame DecodeFrame(std::string_view aBytes);
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Transport/Frames.h
@@ -0,0 +1,221 @@
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+#include "Core/EnumNames.h"
+#include "Core/Identifiers.h"
+#include "Transport/HttpMessage.h"
+
+/// Messages of the peer protocol (docs/design.md, section 2.2). Integers are
+/// plain so that a decoder can validate them before use.
+
+namespace fescueline {
+
+/// First element of every frame.
+enum class FrameType : uint8_t {
+  Hello,
+  HelloAck,
+  HelloConfirm,
+  Request,
+  ResponseHead,
+  ResponseData,
+  ResponseEnd,
+  Refusal,
+  Credit,
+  Cancel,
+  AttemptQuery,
+  AttemptReply,
+  Ping,
+  Pong,
+  StateUpdate
+};
+
+/// Highest valid FrameType value.
+inline constexpr uint8_t kMaxFrameType =
+    static_cast<uint8_t>(FrameType::StateUpdate);
+
+/// Header field on the wire.
+struct HeaderWire {
+  std::string name;
+  std::string value;
+  MSGPACK_DEFINE_ARRAY(name, value)
+};
+
+/// Opens a connection; sent by the dialling node.
+struct HelloFrame {
+  static constexpr FrameType kType = FrameType::Hello;
+  std::string nodeId;
+  /// Incarnation of the sender as 32 hexadecimal digits.
+  std::string incarnation;
+  /// 16 random bytes.
+  std::string nonce;
+  MSGPACK_DEFINE_ARRAY(nodeId, incarnation, nonce)
+};
+
+/// Answer to Hello with the acceptor's proof of the fleet secret.
+struct HelloAckFrame {
+  static constexpr FrameType kType = FrameType::HelloAck;
+  std::string nodeId;
+  std::string incarnation;
+  std::string nonce;
+  std::string proof;
+  MSGPACK_DEFINE_ARRAY(nodeId, incarnation, nonce, proof)
+};
+
+/// The dialling node's proof; requests may follow at once.
+struct HelloConfirmFrame {
+  static constexpr FrameType kType = FrameType::HelloConfirm;
+  std::string proof;
+  MSGPACK_DEFINE_ARRAY(proof)
+};
+
+/// Starts an attempt on a new stream.
+struct RequestFrame {
+  static constexpr FrameType kType = FrameType::Request;
+  uint64_t stream = 0;
+  /// Signed context token.
+  std::string context;
+  /// Retries that the receiver may spend or pass on.
+  uint32_t retries = 0;
+  /// Sender's monotonic clock, microseconds.
+  int64_t sentAt = 0;
+  std::string method;
+  std::string target;
+  std::vector<HeaderWire> headers;
+  std::string body;
+  MSGPACK_DEFINE_ARRAY(stream, context, retries, sentAt, method, target,
+                       headers, body)
+};
+
+/// Status and headers of the target's response.
+struct ResponseHeadFrame {
+  static constexpr FrameType kType = FrameType::ResponseHead;
+  uint64_t stream = 0;
+  uint16_t status = 0;
+  std::vector<HeaderWire> headers;
+  /// Body length in bytes, -1 if unknown.
+  int64_t contentLength = -1;
+  MSGPACK_DEFINE_ARRAY(stream, status, headers, contentLength)
+};
+
+/// Part of the body, at most 64 KiB.
+struct ResponseDataFrame {
+  static constexpr FrameType kType = FrameType::ResponseData;
+  uint64_t stream = 0;
+  std::string data;
+  MSGPACK_DEFINE_ARRAY(stream, data)
+};
+
+/// Overload threshold of a service at one target's node.
+struct ThresholdWire {
+  std::string service;
+  /// Requests of a class above (less important than) this are refused.
+  uint8_t importance = 3;
+  /// Requests of this class whose root hash is at or above this are refused.
+  uint32_t cutoff = UINT32_MAX;
+  /// Age of the value in microseconds.
+  int64_t age = 0;
+  MSGPACK_DEFINE_ARRAY(service, importance, cutoff, age)
+};
+
+/// End of a response.
+struct ResponseEndFrame {
+  static constexpr FrameType kType = FrameType::ResponseEnd;
+  uint64_t stream = 0;
+  /// False if the target's response broke off.
+  bool whole = false;
+  /// Retries that were granted and not spent.
+  uint32_t unspentRetries = 0;
+  /// Thresholds of this service and of those below it.
+  std::vector<ThresholdWire> thresholds;
+  MSGPACK_DEFINE_ARRAY(stream, whole, unspentRetries, thresholds)
+};
+
+/// The attempt got no response from the target.
+struct RefusalFrame {
+  static constexpr FrameType kType = FrameType::Refusal;
+  uint64_t stream = 0;
+  uint8_t outcome = 0;
+  uint8_t cause = 0;
+  /// Suggested wait before another request, milliseconds.
+  uint32_t retryAfter = 0;
+  uint32_t unspentRetries = 0;
+  std::vector<ThresholdWire> thresholds;
+  MSGPACK_DEFINE_ARRAY(stream, outcome, cause, retryAfter, unspentRetries,
+                       thresholds)
+};
+
+/// Allows the sender of a response that many more body bytes.
+struct CreditFrame {
+  static constexpr FrameType kType = FrameType::Credit;
+  uint64_t stream = 0;
+  uint64_t bytes = 0;
+  MSGPACK_DEFINE_ARRAY(stream, bytes)
+};
+
+/// The caller no longer wants the response.
+struct CancelFrame {
+  static constexpr FrameType kType = FrameType::Cancel;
+  uint64_t stream = 0;
+  MSGPACK_DEFINE_ARRAY(stream)
+};
+
+/// Asks what became of an attempt that was sent on another connection.
+struct AttemptQueryFrame {
+  static constexpr FrameType kType = FrameType::AttemptQuery;
+  uint64_t stream = 0;
+  /// Attempt id as 32 hexadecimal digits.
+  std::string attempt;
+  /// Time since the attempt was sent, microseconds.
+  int64_t age = 0;
+  MSGPACK_DEFINE_ARRAY(stream, attempt, age)
+};
+
+/// What became of the attempt. A finished attempt with a stored response is
+/// answered by ResponseHead, ResponseData and ResponseEnd instead.
+struct AttemptReplyFrame {
+  static constexpr FrameType kType = FrameType::AttemptReply;
+  uint64_t stream = 0;
+  uint8_t outcome = 0;
+  MSGPACK_DEFINE_ARRAY(stream, outcome)
+};
+
+/// Liveness check.
+struct PingFrame {
+  static constexpr FrameType kType = FrameType::Ping;
+  uint64_t sequence = 0;
+  MSGPACK_DEFINE_ARRAY(sequence)
+};
+
+/// State of the target beside the sending node.
+struct StateWire {
+  std::string service;
+  /// TargetState value.
+  uint8_t state = 0;
+  /// Requests in flight and queued.
+  uint32_t load = 0;
+  /// Current concurrency limit.
+  uint32_t limit = 0;
+  std::vector<ThresholdWire> thresholds;
+  MSGPACK_DEFINE_ARRAY(service, state, load, limit, thresholds)
+};
+
+/// Answer to Ping.
+struct PongFrame {
+  static constexpr FrameType kType = FrameType::Pong;
+  uint64_t sequence = 0;
+  StateWire state;
+  MSGPACK_DEFINE_ARRAY(sequence, state)
+};
+
+/// Pushed when the target's state changes.
+struct StateUpdateFrame {
+  static constexpr FrameType kType = FrameType::StateUpdate;
+  StateWire state;
+  MSGPACK_DEFINE_ARRAY(state)
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Transport/HttpServer.cpp
@@ -0,0 +1,376 @@
+#include "Transport/HttpServer.h"
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <mutex>
+#include <restinio/all.hpp>
+#include <unordered_map>
+#include <vector>
+
+#include "Core/Error.h"
+
+namespace fescueline {
+/// Tag of a response builder that leaves the framing of the body to its user.
+struct RawOutput {};
+}  // namespace fescueline
+
+namespace restinio {
+
+/// RESTinio's own streaming builders cannot end a chunked response without its
+/// end mark, which would make a broken response look whole.
+template <>
+class response_builder_t<fescueline::RawOutput> final
+    : public base_response_builder_t<
+          response_builder_t<fescueline::RawOutput>> {
+ public:
+  using base_response_builder_t<
+      response_builder_t<fescueline::RawOutput>>::base_response_builder_t;
+
+  /// Sends the header and the given bytes as they are.
+  void Send(std::string aBytes, write_status_cb_t aOnWritten) {
+    this->Write(std::move(aBytes), response_parts_attr_t::not_final_parts,
+                this->m_header.should_keep_alive(), std::move(aOnWritten));
+  }
+
+  /// Sends the last bytes; closes the connection if asked to.
+  void Finish(std::string aBytes, bool aKeepAlive) {
+    this->Write(std::move(aBytes), response_parts_attr_t::final_parts,
+                aKeepAlive && this->m_header.should_keep_alive(), {});
+    this->m_connection.reset();
+  }
+
+ private:
+  void Write(std::string aBytes, response_parts_attr_t aParts, bool aKeepAlive,
+             write_status_cb_t aOnWritten) {
+    if (!this->m_connection) {
+      return;
+    }
+    writable_items_container_t items;
+    size_t statusLineSize = 0;
+    if (!this->headerSent) {
+      this->headerSent = true;
+      statusLineSize = this->calculate_status_line_size();
+      items.emplace_back(impl::create_header_string(
+          this->m_header,
+          impl::content_length_field_presence_t::skip_content_length));
+    }
+    if (!aBytes.empty()) {
+      items.emplace_back(std::move(aBytes));
+    }
+    write_group_t group{std::move(items)};
+    group.status_line_size(statusLineSize);
+    if (aOnWritten) {
+      group.after_write_notificator(std::move(aOnWritten));
+    }
+    this->m_connection->write_response_parts(
+        this->m_request_id,
+        response_output_flags_t{aParts, response_connection_attr(aKeepAlive)},
+        std::move(group));
+  }
+
+  /// Whether the status line and headers went out.
+  bool headerSent = false;
+};
+
+}  // namespace restinio
+
+namespace fescueline {
+
+namespace {
+
+constexpr size_t kMaxUrlBytes = 8 * 1024;
+constexpr size_t kMaxFieldNameBytes = 256;
+constexpr size_t kMaxFieldValueBytes = 16 * 1024;
+constexpr size_t kMaxFieldCount = 100;
+/// With one pipelined request RESTinio does not read while a response is
+/// pending and so would not notice that the caller left.
+constexpr size_t kPipelinedRequests = 2;
+constexpr std::chrono::seconds kIdleLimit{300};
+constexpr std::chrono::seconds kWriteLimit{30};
+/// Above the longest deadline of a request, so that it never fires first.
+constexpr std::chrono::seconds kHandlerLimit{3700};
+
+class ExchangeImpl;
+
+/// Exchanges by connection, to tell them when their connection ends.
+class ConnectionRegistry {
+ public:
+  void Add(restinio::connection_id_t aConnection,
+           const std::shared_ptr<ExchangeImpl>& aExchange);
+  void state_changed(const restinio::connection_state::notice_t& aNotice);
+
+ private:
+  /// Guards `exchanges`.
+  std::mutex mutex;
+  std::unordered_map<restinio::connection_id_t,
+                     std::vector<std::weak_ptr<ExchangeImpl>>>
+      exchanges;
+};
+
+struct ServerTraits : public restinio::default_traits_t {
+  using connection_state_listener_t = ConnectionRegistry;
+};
+
+restinio::http_status_line_t StatusLine(int aStatus) {
+  const auto code = static_cast<restinio::http_status_code_t>(aStatus);
+  switch (aStatus) {
+    case 200:
+      return restinio::status_ok();
+    case 404:
+      return restinio::status_not_found();
+    case 429:
+      return restinio::status_too_many_requests();
+    case 503:
+      return restinio::status_service_unavailable();
+    default:
+      return {code, fmt::format("Status {}", aStatus)};
+  }
+}
+
+class ExchangeImpl final : public HttpExchange {
+ public:
+  explicit ExchangeImpl(restinio::request_handle_t aHandle)
+      : handle(std::move(aHandle)) {
+    this->request.method = this->handle->header().method().c_str();
+    this->request.target = this->handle->header().request_target();
+    this->handle->header().for_each_field([this](const auto& aField) {
+      this->request.headers.push_back({aField.name(), aField.value()});
+    });
+    this->request.body = this->handle->body();
+  }
+  ExchangeImpl(const ExchangeImpl&) = delete;
+  ExchangeImpl& operator=(const ExchangeImpl&) = delete;
+
+  ~ExchangeImpl() override {
+    try {
+      if (this->builder) {
+        this->EndStream(false);
+      } else if (!this->finished) {
+        this->Respond({.status = 500, .headers = {}, .body = {}});
+      }
+    } catch (...) {
+      // The connection is gone; nothing is left to tell.
+    }
+  }
+
+  HttpRequest& Request() override { return this->request; }
+
+  void OnAbort(std::function<void()> aAbort) override {
+    {
+      const std::lock_guard lock(this->mutex);
+      if (!this->aborted) {
+        this->abort = std::move(aAbort);
+        return;
+      }
+    }
+    aAbort();
+  }
+
+  void Abort() {
+    std::function<void()> run;
+    {
+      const std::lock_guard lock(this->mutex);
+      this->aborted = true;
+      if (!this->finished) {
+        run = std::move(this->abort);
+      }
+    }
+    if (run) {
+      run();
+    }
+  }
+
+  void Respond(HttpResponse aResponse) override {
+    if (!this->Finish()) {
+      return;
+    }
+    auto response = this->handle->create_response(StatusLine(aResponse.status));
+    for (HttpHeader& header : aResponse.headers) {
+      response.append_header(std::move(header.name), std::move(header.value));
+    }
+    response.set_body(std::move(aResponse.body));
+    response.done();
+  }
+
+  void StartStream(int aStatus, HttpHeaders aHeaders,
+                   std::optional<uint64_t> aContentLength) override {
+    const std::lock_guard lock(this->mutex);
+    if (this->finished || this->builder) {
+      return;
+    }
+    this->builder.emplace(
+        this->handle->create_response<RawOutput>(StatusLine(aStatus)));
+    for (HttpHeader& header : aHeaders) {
+      this->builder->append_header(std::move(header.name),
+                                   std::move(header.value));
+    }
+    // Responses without a body carry no framing.
+    const bool bodyless =
+        aStatus == 204 || aStatus == 304 || this->request.method == "HEAD";
+    this->chunked = !aContentLength && !bodyless;
+    if (aContentLength) {
+      this->builder->append_header("Content-Length",
+                                   std::to_string(*aContentLength));
+    } else if (this->chunked) {
+      this->builder->append_header("Transfer-Encoding", "chunked");
+    }
+  }
+
+  void Write(std::string aData, std::function<void()> aOnWritten) override {
+    const std::lock_guard lock(this->mutex);
+    if (this->finished || !this->builder || aData.empty()) {
+      return;
+    }
+    if (this->chunked) {
+      aData = fmt::format("{:x}\r\n", aData.size()) + aData + "\r\n";
+    }
+    this->builder->Send(std::move(aData),
+                        [written = std::move(aOnWritten)](const auto&) {
+                          if (written) {
+                            written();
+                          }
+                        });
+  }
+
+  void EndStream(bool aWhole) override {
+    if (!this->Finish()) {
+      return;
+    }
+    const std::lock_guard lock(this->mutex);
+    if (!this->builder) {
+      return;
+    }
+    const char* end = aWhole && this->chunked ? "0\r\n\r\n" : "";
+    this->builder->Finish(end, aWhole);
+    this->builder.reset();
+  }
+
+ private:
+  /// Marks the response as ended; false if it had ended.
+  bool Finish() {
+    const std::lock_guard lock(this->mutex);
+    const bool first = !this->finished;
+    this->finished = true;
+    this->abort = nullptr;
+    return first;
+  }
+
+  /// RESTinio's request.
+  restinio::request_handle_t handle;
+  /// The request as handed out.
+  HttpRequest request;
+  /// Guards the members below.
+  std::mutex mutex;
+  /// Streamed response, if one was started.
+  std::optional<restinio::response_builder_t<RawOutput>> builder;
+  /// Runs when the connection ends early.
+  std::function<void()> abort;
+  /// Whether the connection has ended.
+  bool aborted = false;
+  /// Whether the response has ended.
+  std::atomic<bool> finished{false};
+  /// Whether the streamed body is chunked.
+  bool chunked = false;
+};
+
+void ConnectionRegistry::Add(restinio::connection_id_t aConnection,
+                             const std::shared_ptr<ExchangeImpl>& aExchange) {
+  const std::lock_guard lock(this->mutex);
+  auto& list = this->exchanges[aConnection];
+  std::erase_if(list, [](const auto& aEntry) { return aEntry.expired(); });
+  list.push_back(aExchange);
+}
+
+void ConnectionRegistry::state_changed(
+    const restinio::connection_state::notice_t& aNotice) {
+  if (!std::holds_alternative<restinio::connection_state::closed_t>(
+          aNotice.cause())) {
+    return;
+  }
+  std::vector<std::weak_ptr<ExchangeImpl>> ended;
+  {
+    const std::lock_guard lock(this->mutex);
+    auto node = this->exchanges.extract(aNotice.connection_id());
+    if (!node.empty()) {
+      ended = std::move(node.mapped());
+    }
+  }
+  for (const auto& entry : ended) {
+    if (const auto exchange = entry.lock()) {
+      exchange->Abort();
+    }
+  }
+}
+
+/// Both framings in one message are a request smuggling attempt (RFC 9112,
+/// section 6.1).
+bool HasConflictingFraming(const HttpHeaders& aHeaders) {
+  const size_t lengths = CountHeader(aHeaders, "content-length");
+  return lengths > 1 ||
+         (lengths == 1 && CountHeader(aHeaders, "transfer-encoding") > 0);
+}
+
+}  // namespace
+
+struct HttpServer::Impl {
+  std::shared_ptr<ConnectionRegistry> registry =
+      std::make_shared<ConnectionRegistry>();
+  std::atomic<uint16_t> port{0};
+  std::unique_ptr<restinio::http_server_t<ServerTraits>> server;
+};
+
+HttpServer::HttpServer(Settings aSettings) : impl(std::make_unique<Impl>()) {
+  auto handler = [registry = this->impl->registry,
+                  onRequest = std::move(aSettings.onRequest)](
+                     const restinio::request_handle_t& aHandle) {
+    auto exchange = std::make_shared<ExchangeImpl>(aHandle);
+    registry->Add(aHandle->connection_id(), exchange);
+    if (HasConflictingFraming(exchange->Request().headers)) {
+      exchange->Respond({.status = 400,
+                         .headers = {},
+                         .body = "Content-Length: conflicting framing\n"});
+    } else {
+      onRequest(std::move(exchange));
+    }
+    return restinio::request_accepted();
+  };
+  try {
+    this->impl->server =
+        std::make_unique<restinio::http_server_t<ServerTraits>>(
+            restinio::external_io_context(aSettings.io),
+            restinio::server_settings_t<ServerTraits>{}
+                .address(aSettings.host)
+                .port(aSettings.port)
+                .connection_state_listener(this->impl->registry)
+                .acceptor_post_bind_hook(
+                    [this](restinio::asio_ns::ip::tcp::acceptor& aAcceptor) {
+                      this->impl->port = aAcceptor.local_endpoint().port();
+                    })
+                .max_pipelined_requests(kPipelinedRequests)
+                .read_next_http_message_timelimit(kIdleLimit)
+                .write_http_response_timelimit(kWriteLimit)
+                .handle_request_timeout(kHandlerLimit)
+                .incoming_http_msg_limits(
+                    restinio::incoming_http_msg_limits_t{}
+                        .max_url_size(kMaxUrlBytes)
+                        .max_field_name_size(kMaxFieldNameBytes)
+                        .max_field_value_size(kMaxFieldValueBytes)
+                        .max_field_count(kMaxFieldCount)
+                        .max_body_size(aSettings.maxBody))
+                .request_handler(std::move(handler)));
+    this->impl->server->open_sync();
+  } catch (const std::exception& failure) {
+    throw Error("http.listen",
+                fmt::format("{}:{}", aSettings.host, aSettings.port),
+                failure.what());
+  }
+}
+
+HttpServer::~HttpServer() { this->StopAccepting(); }
+
+uint16_t HttpServer::Port() const { return this->impl->port; }
+
+void HttpServer::StopAccepting() { this->impl->server->close_sync(); }
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Transport/PeerServer.cpp
@@ -0,0 +1,174 @@
+#include "Transport/PeerServer.h"
+
+#include "Core/Digest.h"
+#include "Core/RandomSource.h"
+
+namespace fescueline {
+
+namespace {
+constexpr size_t kNonceBytes = 16;
+}
+
+PeerSession::PeerSession(PeerServer& aServer,
+                         std::shared_ptr<FrameChannel> aChannel)
+    : server(aServer), channel(std::move(aChannel)) {}
+
+void PeerSession::Start() {
+  this->Post([self = this->shared_from_this()] {
+    self->channel->Start(
+        {.onFrame =
+             [self](const DecodedFrame& aFrame) { self->OnFrame(aFrame); },
+         .onClosed =
+             [self](const std::string&) {
+               self->server.settings.handlers.onClosed(self);
+               self->server.Remove(self);
+             }});
+  });
+}
+
+void PeerSession::Close(const std::string& aReason) {
+  this->Post([self = this->shared_from_this(), aReason] {
+    self->channel->Close(aReason);
+  });
+}
+
+void PeerSession::OnFrame(const DecodedFrame& aFrame) {
+  if (!this->ready) {
+    this->OnHandshakeFrame(aFrame);
+    return;
+  }
+  const PeerServer::Handlers& handlers = this->server.settings.handlers;
+  switch (aFrame.type) {
+    case FrameType::Request: {
+      auto frame = aFrame.As<RequestFrame>();
+      const Duration heldUp = this->channel->HeldUp(frame.sentAt);
+      handlers.onRequest(this->shared_from_this(), std::move(frame), heldUp);
+      break;
+    }
+    case FrameType::Credit:
+      handlers.onCredit(this->shared_from_this(), aFrame.As<CreditFrame>());
+      break;
+    case FrameType::Cancel:
+      handlers.onCancel(this->shared_from_this(),
+                        aFrame.As<CancelFrame>().stream);
+      break;
+    case FrameType::AttemptQuery:
+      handlers.onQuery(this->shared_from_this(),
+                       aFrame.As<AttemptQueryFrame>());
+      break;
+    case FrameType::Ping:
+      this->Send(PongFrame{.sequence = aFrame.As<PingFrame>().sequence,
+                           .state = handlers.state()});
+      break;
+    default:
+      throw Error("peer.frame", this->RemoteNode(), "unexpected frame");
+  }
+}
+
+void PeerSession::OnHandshakeFrame(const DecodedFrame& aFrame) {
+  const PeerIdentity& self = this->server.settings.self;
+  if (!this->greeted && aFrame.type == FrameType::Hello) {
+    this->hello = aFrame.As<HelloFrame>();
+    this->greeted = true;
+    this->nonce = SecureRandomBytes(kNonceBytes);
+    const std::string incarnation = self.incarnation.ToString();
+    this->Send(HelloAckFrame{
+        .nodeId = self.nodeId,
+        .incarnation = incarnation,
+        .nonce = this->nonce,
+        .proof = HandshakeProof(self.fleetSecret, HandshakeRole::Acceptor,
+                                this->hello.nonce, this->nonce, self.nodeId,
+                                incarnation)});
+    return;
+  }
+  if (!this->greeted || aFrame.type != FrameType::HelloConfirm) {
+    throw Error("peer.handshake", this->channel->Peer(), "unexpected frame");
+  }
+  const std::string expected = HandshakeProof(
+      self.fleetSecret, HandshakeRole::Dialler, this->hello.nonce, this->nonce,
+      this->hello.nodeId, this->hello.incarnation);
+  if (!EqualConstantTime(expected, aFrame.As<HelloConfirmFrame>().proof)) {
+    throw Error("peer.handshake", this->channel->Peer(),
+                "dialler does not know the fleet secret");
+  }
+  this->ready = true;
+}
+
+PeerServer::PeerServer(Settings aSettings)
+    : settings(std::move(aSettings)), acceptor(this->settings.io) {
+  try {
+    const asio::ip::tcp::endpoint endpoint(
+        asio::ip::make_address(this->settings.host), this->settings.port);
+    this->acceptor.open(endpoint.protocol());
+    this->acceptor.set_option(asio::socket_base::reuse_address(true));
+    this->acceptor.bind(endpoint);
+    this->acceptor.listen();
+  } catch (const asio::system_error& failure) {
+    throw Error("peer.listen",
+                this->settings.host + ":" + std::to_string(this->settings.port),
+                failure.what());
+  }
+}
+
+void PeerServer::Start() { this->Accept(); }
+
+uint16_t PeerServer::Port() const {
+  return this->acceptor.local_endpoint().port();
+}
+
+void PeerServer::Accept() {
+  const Strand strand = asio::make_strand(this->settings.io);
+  this->acceptor.async_accept(
+      strand, [this, strand](const asio::error_code& aError,
+                             asio::ip::tcp::socket aSocket) {
+        if (!this->acceptor.is_open()) {
+          return;
+        }
+        if (!aError) {
+          asio::error_code ignored;
+          const auto remote = aSocket.remote_endpoint(ignored);
+          auto session = std::make_shared<PeerSession>(
+              *this, std::make_shared<FrameChannel>(FrameChannel::Settings{
+                         .socket = std::move(aSocket),
+                         .strand = strand,
+                         .peer = remote.address().to_string()}));
+          {
+            const std::lock_guard lock(this->mutex);
+            this->sessions.insert(session);
+          }
+          session->Start();
+        }
+        this->Accept();
+      });
+}
+
+std::set<PeerServer::SessionPtr> PeerServer::Sessions() {
+  const std::lock_guard lock(this->mutex);
+  return this->sessions;
+}
+
+void PeerServer::Remove(const SessionPtr& aSession) {
+  const std::lock_guard lock(this->mutex);
+  this->sessions.erase(aSession);
+}
+
+void PeerServer::PushState() {
+  for (const SessionPtr& session : this->Sessions()) {
+    session->Post([this, session] {
+      session->Send(StateUpdateFrame{.state = this->settings.handlers.state()});
+    });
+  }
+}
+
+void PeerServer::StopAccepting() {
+  asio::error_code ignored;
+  this->acceptor.close(ignored);
+}
+
+void PeerServer::CloseSessions(const std::string& aReason) {
+  for (const SessionPtr& session : this->Sessions()) {
+    session->Close(aReason);
+  }
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Transport/PeerServer.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+#include "Transport/FrameChannel.h"
+#include "Transport/PeerIdentity.h"
+
+namespace fescueline {
+
+class PeerServer;
+
+/// Accepting side of a connection from another node. Methods run on the
+/// connection's strand, except Post.
+class PeerSession : public std::enable_shared_from_this<PeerSession> {
+ public:
+  PeerSession(PeerServer& aServer, std::shared_ptr<FrameChannel> aChannel);
+
+  /// Sends a frame if the connection is still open.
+  template <typename T>
+  void Send(const T& aFrame) {
+    this->channel->Send(aFrame);
+  }
+  /// Runs a function on the strand. Any thread.
+  template <typename F>
+  void Post(F aFunction) {
+    this->channel->Post(std::move(aFunction));
+  }
+
+  const Strand& GetStrand() const { return this->channel->GetStrand(); }
+  bool IsOpen() const { return this->channel->IsOpen(); }
+  /// Node id of the other side, after the handshake.
+  const std::string& RemoteNode() const { return this->hello.nodeId; }
+
+  void Start();
+  /// Closes the connection. Any thread.
+  void Close(const std::string& aReason);
+
+ private:
+  void OnFrame(const DecodedFrame& aFrame);
+  void OnHandshakeFrame(const DecodedFrame& aFrame);
+
+  /// Owner; outlives its sessions.
+  PeerServer& server;
+  /// The connection.
+  std::shared_ptr<FrameChannel> channel;
+  /// Hello of the dialling node.
+  HelloFrame hello;
+  /// Nonce of this side.
+  std::string nonce;
+  /// Whether Hello has arrived.
+  bool greeted = false;
+  /// Whether the other side has proved the fleet secret.
+  bool ready = false;
+};
+
+/// Accepts connections from other nodes and hands their frames to the
+/// handlers. Any thread may call the public methods. Must outlive the worker
+/// pool's last callback.
+class PeerServer {
+ public:
+  using SessionPtr = std::shared_ptr<PeerSession>;
+
+  /// Events; all run on the session's strand.
+  struct Handlers {
+    /// A request, and how long it was held up on the way.
+    std::function<void(const SessionPtr&, RequestFrame, Duration aHeldUp)>
+        onRequest;
+    std::function<void(const SessionPtr&, const CreditFrame&)> onCredit;
+    std::function<void(const SessionPtr&, uint64_t aStream)> onCancel;
+    std::function<void(const SessionPtr&, const AttemptQueryFrame&)> onQuery;
+    std::function<void(const SessionPtr&)> onClosed;
+    /// State of the local target for a pong.
+    std::function<StateWire()> state;
+  };
+
+  /// Construction parameters.
+  struct Settings {
+    asio::io_context& io;
+    PeerIdentity self;
+    /// IP address to listen on.
+    std::string host;
+    /// TCP port; 0 picks one.
+    uint16_t port = 0;
+    Handlers handlers;
+  };
+
+  /// Binds the listener. Throws Error if that fails.
+  explicit PeerServer(Settings aSettings);
+
+  void Start();
+  uint16_t Port() const;
+  /// Sends the target's state on all connections.
+  void PushState();
+  /// Stops accepting; connections stay.
+  void StopAccepting();
+  /// Closes all connections.
+  void CloseSessions(const std::string& aReason);
+
+ private:
+  friend class PeerSession;
+
+  void Accept();
+  void Remove(const SessionPtr& aSession);
+  std::set<SessionPtr> Sessions();
+
+  Settings settings;
+  asio::ip::tcp::acceptor acceptor;
+  /// Guards `sessions`; no other lock is taken while it is held.
+  std::mutex mutex;
+  std::set<SessionPtr> sessions;
+};
+
+}  // namespace fescueline
