--- /dev/null
+++ b/src/Freshness/VoucherEligibility.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <optional>
+
+#include "Core/Time.h"
+#include "Freshness/FreshnessLease.h"
+
+namespace fescueline {
+
+/// Says whether this incarnation's vouches count. No locking.
+///
+/// A node that restarts forgets the versions that it acknowledged. Being fresh
+/// is not enough to vouch again: its knowledge may be older than the
+/// acknowledgement of the former incarnation, and a majority made of it and of
+/// a voucher that has not heard of the change would then miss an acknowledged
+/// change (models/freshness-broken-restart.pml). One of two things is needed:
+/// - a table read sent after the start, which covers all committed changes; or
+/// - knowledge with a basis at least the freshness limit after the start. An
+///   acknowledgement counts for at most that long (`AcceptanceWait`), so the
+///   basis covers every change for which the former incarnation was counted.
+class VoucherEligibility {
+ public:
+  /// aStartedAt is when the process started; aLimit the freshness limit.
+  VoucherEligibility(TimePoint aStartedAt, Duration aLimit)
+      : startedAt(aStartedAt), limit(aLimit) {}
+
+  /// Call after a table read sent at aAskedAt has been applied completely.
+  void OnTableRead(TimePoint aAskedAt) {
+    this->eligible = this->eligible || aAskedAt >= this->startedAt;
+  }
+  /// Call after each renewal of the lease.
+  void OnRenewed(const FreshnessLease& aLease) {
+    const std::optional<Knowledge>& current = aLease.Current();
+    this->eligible =
+        this->eligible ||
+        (current &&
+         current->basis >= this->startedAt + WithClockDrift(this->limit));
+  }
+  /// Whether vouches count. Once given it lasts as long as the incarnation,
+  /// which remembers what it acknowledges.
+  bool MayVouch() const { return this->eligible; }
+
+ private:
+  /// Start of the process.
+  TimePoint startedAt;
+  /// Freshness limit of the fleet.
+  Duration limit;
+  /// Whether one of the conditions was met.
+  bool eligible = false;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Freshness/VoucherSet.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescueline {
+
+/// The nodes whose majority vouches for the configuration's version, as the
+/// record `vouchers` states them. Immutable.
+///
+/// Contract: consecutive sets differ by one added or one removed member, so a
+/// majority of one meets every majority of the other. Exchanging a member in
+/// one step is not allowed: {a, b, c} and {a, b, d} have the disjoint
+/// majorities {a, c} and {b, d}. A writer commits the next set only after the
+/// present one is accepted (`AcceptanceWait` over both sets).
+class VoucherSet {
+ public:
+  VoucherSet() = default;
+  /// aVersion is the table version of the record; members are sorted and
+  /// duplicates are dropped.
+  VoucherSet(uint64_t aVersion, std::vector<std::string> aMembers);
+
+  uint64_t Version() const { return this->version; }
+  const std::vector<std::string>& Members() const { return this->members; }
+  bool Contains(std::string_view aNode) const;
+  /// Number of members that form a majority; an empty set has none.
+  size_t MajoritySize() const { return this->members.size() / 2 + 1; }
+  /// Whether aNext may follow this set: later, not empty, and one member more
+  /// or less. Any set may follow the empty one, which starts a fleet.
+  bool MayBecome(const VoucherSet& aNext) const;
+
+ private:
+  /// Table version of the record.
+  uint64_t version = 0;
+  /// Node ids in ascending order.
+  std::vector<std::string> members;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/tests/Freshness/RelayFleet.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+#include "Core/RandomSource.h"
+#include "Freshness/FreshnessLease.h"
+
+namespace fescueline {
+
+/// Leases of a fleet that pull from random peers on a manual clock. Vouchers
+/// renew from the table each round; every other node pulls from one peer. Nodes
+/// have random phases within the round; messages take no time.
+class RelayFleet {
+ public:
+  static constexpr Duration kRound = std::chrono::milliseconds(250);
+
+  RelayFleet(size_t aNodes, size_t aVouchers, Duration aLimit, uint64_t aSeed)
+      : vouchers(aVouchers),
+        random(aSeed),
+        leases(aNodes, FreshnessLease(aLimit)),
+        applied(aNodes, 1),
+        order(aNodes),
+        phases(aNodes) {
+    for (size_t i = 0; i < aNodes; ++i) {
+      this->order[i] = i;
+      this->phases[i] = Duration(static_cast<int64_t>(
+          this->random.Below(static_cast<uint64_t>(kRound.count()))));
+      this->leases[i].Renew(1, this->start, 1);
+    }
+    std::sort(this->order.begin(), this->order.end(), [&](size_t a, size_t b) {
+      return this->phases[a] < this->phases[b];
+    });
+  }
+
+  /// Commits a new version in the table.
+  void Commit() { ++this->committed; }
+  /// Lets every node pull once and records the greatest age before each pull.
+  void RunRound() {
+    for (size_t node : this->order) {
+      const TimePoint now = this->start + this->phases[node];
+      this->greatestAge =
+          std::max(this->greatestAge, *this->leases[node].Age(now));
+      if (node < this->vouchers) {
+        this->applied[node] = this->committed;
+        this->leases[node].Renew(this->committed, now, this->committed);
+        continue;
+      }
+      const size_t peer = this->random.Below(this->leases.size());
+      // A pull brings the peer's changes before its knowledge is adopted.
+      this->applied[node] = std::max(this->applied[node], this->applied[peer]);
+      if (const auto answer = this->leases[peer].Relay(now)) {
+        this->leases[node].RenewByRelay(*answer, now, this->applied[node]);
+      }
+    }
+    this->start += kRound;
+  }
+  /// Number of nodes that have applied the committed version.
+  size_t CountCurrent() const {
+    return static_cast<size_t>(std::count(
+        this->applied.begin(), this->applied.end(), this->committed));
+  }
+  /// Number of nodes that are not fresh at the end of the round.
+  size_t CountStale() const {
+    return static_cast<size_t>(std::count_if(
+        this->leases.begin(), this->leases.end(),
+        [&](const FreshnessLease& l) { return !l.IsFresh(this->start); }));
+  }
+  Duration GreatestAge() const { return this->greatestAge; }
+  void ResetGreatestAge() { this->greatestAge = Duration::zero(); }
+
+ private:
+  /// Nodes 0 to vouchers - 1 read the table.
+  size_t vouchers;
+  /// Phases and choices of peers.
+  RandomSource random;
+  /// Start of the present round.
+  TimePoint start{std::chrono::hours(1)};
+  /// Version in the table.
+  uint64_t committed = 1;
+  std::vector<FreshnessLease> leases;
+  std::vector<uint64_t> applied;
+  /// Nodes in order of phase.
+  std::vector<size_t> order;
+  std::vector<Duration> phases;
+  Duration greatestAge{};
+};
+
+}  // namespace fescueline
