--- /dev/null
+++ b/src/Retry/RetryBudget.cpp
@@ -0,0 +1,30 @@
+#include "Retry/RetryBudget.h"
+
+#include <algorithm>
+
+namespace fescueline {
+
+uint32_t RetryBudget::Grant(uint32_t aWanted) {
+  const uint32_t granted = std::min(aWanted, this->remaining);
+  this->remaining -= granted;
+  this->outstanding += granted;
+  return granted;
+}
+
+void RetryBudget::Return(uint32_t aGranted, uint32_t aUnspent) {
+  // Both numbers come with a message of another node. A grant that is
+  // returned twice or with more than was granted must not create retries.
+  const uint32_t ended = std::min(aGranted, this->outstanding);
+  this->outstanding -= ended;
+  this->remaining += std::min(aUnspent, ended);
+}
+
+bool RetryBudget::Spend() {
+  if (this->remaining == 0) {
+    return false;
+  }
+  --this->remaining;
+  return true;
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Retry/RetryRatio.cpp
@@ -0,0 +1,55 @@
+#include "Retry/RetryRatio.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fescueline {
+
+RetryRatio::RetryRatio(const RetryRatioSettings& aSettings)
+    : settings(aSettings), bucketLength(aSettings.window / kBuckets) {
+  assert(this->bucketLength > Duration::zero());
+}
+
+void RetryRatio::OnFirst(TimePoint aNow) {
+  this->Advance(aNow);
+  ++this->buckets[this->current].firsts;
+  ++this->total.firsts;
+}
+
+bool RetryRatio::TryRetry(TimePoint aNow) {
+  this->Advance(aNow);
+  if (static_cast<double>(this->total.retries + 1) > this->Allowance()) {
+    return false;
+  }
+  ++this->buckets[this->current].retries;
+  ++this->total.retries;
+  return true;
+}
+
+double RetryRatio::Used(TimePoint aNow) {
+  this->Advance(aNow);
+  return static_cast<double>(this->total.retries) / this->Allowance();
+}
+
+void RetryRatio::Advance(TimePoint aNow) {
+  if (aNow < this->start + this->bucketLength) {
+    return;
+  }
+  const auto passed =
+      static_cast<uint64_t>((aNow - this->start) / this->bucketLength);
+  this->start += this->bucketLength * passed;
+  for (uint64_t i = 0; i < std::min<uint64_t>(passed, kBuckets); ++i) {
+    this->current = (this->current + 1) % kBuckets;
+    this->total.firsts -= this->buckets[this->current].firsts;
+    this->total.retries -= this->buckets[this->current].retries;
+    this->buckets[this->current] = Bucket{};
+  }
+}
+
+double RetryRatio::Allowance() const {
+  return std::max(
+      static_cast<double>(this->settings.floor),
+      this->settings.ratio * static_cast<double>(this->total.firsts));
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/tests/Retry/RetryRatioTest.cpp
@@ -0,0 +1,86 @@
+#include <doctest/doctest.h>
+
+#include <deque>
+
+#include "Core/RandomSource.h"
+#include "Retry/RetryRatio.h"
+
+using namespace fescueline;
+using namespace std::chrono_literals;
+
+// Guards against a quiet node that can never retry, and against a floor that
+// is granted more than once per window.
+TEST_CASE("the floor holds once per window") {
+  RetryRatio ratio{RetryRatioSettings{}};
+  ManualClock clock;
+  for (int i = 0; i < 5; ++i) {
+    CHECK(ratio.TryRetry(clock.Now()));
+  }
+  CHECK_FALSE(ratio.TryRetry(clock.Now()));
+  clock.Advance(8999ms);
+  CHECK_FALSE(ratio.TryRetry(clock.Now()));
+  clock.Advance(1001ms);
+  CHECK(ratio.TryRetry(clock.Now()));
+}
+
+// Guards against more than 10% retries under sustained failure.
+TEST_CASE("retries stay at a tenth of the first attempts") {
+  RetryRatio ratio{RetryRatioSettings{}};
+  ManualClock clock;
+  uint64_t retries = 0;
+  for (int i = 0; i < 60000; ++i) {
+    clock.Advance(1ms);
+    ratio.OnFirst(clock.Now());
+    retries += ratio.TryRetry(clock.Now());
+  }
+  CHECK(retries <= 6000);
+  CHECK(retries >= 5900);
+  CHECK(ratio.Used(clock.Now()) <= 1.0);
+}
+
+// Guards against first attempts of long ago that still allow retries.
+TEST_CASE("an allowance ends with its window") {
+  RetryRatio ratio{RetryRatioSettings{}};
+  ManualClock clock;
+  for (int i = 0; i < 1000; ++i) {
+    ratio.OnFirst(clock.Now());
+  }
+  clock.Advance(10s);
+  uint64_t retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    retries += ratio.TryRetry(clock.Now());
+  }
+  CHECK(retries == 5);
+}
+
+// Guards against bursts: over any window of random traffic, the retries are
+// within the ratio of that window's first attempts or the floor. The bucket
+// that is leaving the window is counted in neither sum.
+TEST_CASE("every window of random traffic is within the limit") {
+  RandomSource random(1);
+  RetryRatio ratio{RetryRatioSettings{}};
+  ManualClock clock;
+  std::deque<TimePoint> firsts;
+  std::deque<TimePoint> retries;
+  for (int i = 0; i < 50000; ++i) {
+    clock.Advance(std::chrono::milliseconds(random.Below(40)));
+    if (random.Below(1000) == 0) {
+      clock.Advance(std::chrono::milliseconds(random.Below(30000)));
+    }
+    const TimePoint from = clock.Now() - 9s;
+    while (!firsts.empty() && firsts.front() <= from - 1s) {
+      firsts.pop_front();
+    }
+    while (!retries.empty() && retries.front() <= from) {
+      retries.pop_front();
+    }
+    if (random.Below(4) != 0) {
+      ratio.OnFirst(clock.Now());
+      firsts.push_back(clock.Now());
+    } else if (ratio.TryRetry(clock.Now())) {
+      retries.push_back(clock.Now());
+      REQUIRE(static_cast<double>(retries.size()) <=
+              std::max(5.0, 0.1 * static_cast<double>(firsts.size())));
+    }
+  }
+}
