Add admission: concurrency limit, fair queue, thresholds

Cause: a target's node needs to bound what runs, to choose what starts next and to tell entry nodes what would be refused later. Ruled out: one template class, which would recompile the policies for each ticket type; the template only keeps the tickets. Change: AdmissionController over AdmissionCore, ConcurrencyLimit, FairQueue, OrganisationShares, ThresholdControl; ThresholdTable for entry nodes. Conclusion: the interface can be used; limits and thresholds are not yet measured under load.

--- /dev/null
+++ b/src/Admission/AdmissionController.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <utility>
+#include <vector>
+
+#include "Admission/AdmissionCore.h"
+
+namespace fescueline {
+
+/// Queue and concurrency limit of the target beside the node. `Ticket` is what
+/// the owner needs to continue a request (default constructible, movable).
+/// Call Next() after each Offer(), Finished() and ChildStarted(), and at least
+/// every 10 ms while something is queued. Not thread-safe; deterministic for
+/// given times and seed.
+template <typename Ticket>
+class AdmissionController {
+ public:
+  /// A request to forward to the target now.
+  struct Started {
+    AdmissionHandle handle;
+    Ticket ticket;
+  };
+  /// A queued request that will not run.
+  struct Dropped {
+    AdmissionRefusal refusal;
+    Ticket ticket;
+  };
+  /// Result of Next(); reuse it to avoid allocations.
+  struct Batch {
+    std::vector<Started> started;
+    std::vector<Dropped> dropped;
+  };
+
+  AdmissionController(const AdmissionSettings& aSettings, uint64_t aSeed)
+      : core(aSettings, aSeed) {}
+
+  /// Queues or refuses a request. The ticket is moved from only when the
+  /// request is queued.
+  OfferResult Offer(const AdmissionRequest& aRequest, Ticket&& aTicket,
+                    TimePoint aNow) {
+    const OfferResult result = this->core.Offer(aRequest, aNow);
+    if (result.enqueued) {
+      if (this->tickets.size() <= result.handle.slot) {
+        this->tickets.resize(result.handle.slot + 1);
+      }
+      this->tickets[result.handle.slot] = std::move(aTicket);
+    }
+    return result;
+  }
+
+  /// Replaces the batch by the requests to start and those dropped.
+  void Next(TimePoint aNow, Batch& aBatch) {
+    aBatch.started.clear();
+    aBatch.dropped.clear();
+    this->started.clear();
+    this->dropped.clear();
+    this->core.Next(aNow, this->started, this->dropped);
+    for (const AdmissionHandle& handle : this->started) {
+      aBatch.started.push_back({handle, this->Take(handle)});
+    }
+    for (const DroppedSlot& drop : this->dropped) {
+      aBatch.dropped.push_back({drop.refusal, this->Take(drop.handle)});
+    }
+  }
+
+  /// Ends a running request; aChildTime is the time in which it waited for
+  /// calls of its own, zero if unknown.
+  void Finished(AdmissionHandle aHandle, Duration aChildTime, TimePoint aNow) {
+    this->core.Finished(aHandle, aChildTime, aNow);
+  }
+
+  /// Removes a queued request whose caller cancelled it and returns its
+  /// ticket; nothing if it is not queued any more.
+  std::optional<Ticket> Cancel(AdmissionHandle aHandle) {
+    if (!this->core.Cancel(aHandle)) {
+      return std::nullopt;
+    }
+    return this->Take(aHandle);
+  }
+
+  /// Limits, weights, thresholds and counters; calls of a running request.
+  AdmissionCore& Core() { return this->core; }
+  const AdmissionCore& Core() const { return this->core; }
+
+ private:
+  Ticket Take(AdmissionHandle aHandle) {
+    return std::exchange(this->tickets[aHandle.slot], Ticket());
+  }
+
+  AdmissionCore core;
+  /// Tickets of queued requests, by slot.
+  std::vector<Ticket> tickets;
+  std::vector<AdmissionHandle> started;
+  std::vector<DroppedSlot> dropped;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Admission/AdmissionCore.cpp
@@ -0,0 +1,248 @@
+#include "Admission/AdmissionCore.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fescueline {
+
+namespace {
+constexpr double kTimeGain = 0.05;
+/// Retry-after as a multiple of the time to serve the queue.
+constexpr int kRetryQueueTimes = 4;
+}  // namespace
+
+AdmissionCore::AdmissionCore(const AdmissionSettings& aSettings, uint64_t aSeed)
+    : settings(aSettings),
+      queue(this->shares),
+      limit(aSettings.limit),
+      control(aSettings.threshold, this->shares),
+      random(aSeed) {}
+
+OfferResult AdmissionCore::Offer(const AdmissionRequest& aRequest,
+                                 TimePoint aNow) {
+  this->Advance(aNow);
+  ++this->counters.offered;
+  const uint32_t organisation = this->shares.IndexOf(aRequest.organisation);
+  this->control.Arrived(organisation, aRequest.importance,
+                        RootHash(aRequest.rootId));
+  const auto refuse = [&](Cause aCause, uint64_t& aCounter) {
+    ++aCounter;
+    return OfferResult{
+        .enqueued = false, .handle = {}, .refusal = this->Refusal(aCause)};
+  };
+  if (aRequest.deadline <= aNow) {
+    return refuse(Cause::DeadlineExpired, this->counters.expired);
+  }
+  QueuedItem item{.slot = 0,
+                  .organisation = organisation,
+                  .importance = aRequest.importance,
+                  .depth = aRequest.depth,
+                  .rootStart = aRequest.rootStart,
+                  .deadline = aRequest.deadline,
+                  .queuedAt = aNow};
+  if (this->queue.Size() > 0 && this->meanTime > 0) {
+    const double wait = this->queue.CountAhead(item) / this->DrainRate();
+    if (wait > ToSeconds(aRequest.deadline - aNow)) {
+      this->shedInPeriod = true;
+      return refuse(Cause::Overloaded, this->counters.hopeless);
+    }
+  }
+  if (this->queue.Size() >= this->Capacity()) {
+    this->shedInPeriod = true;
+    const std::optional<QueuedItem> victim = this->queue.PopVictimFor(item);
+    if (!victim) {
+      return refuse(Cause::Overloaded, this->counters.refused);
+    }
+    ++this->counters.pushedOut;
+    this->Drop(*victim, Cause::Overloaded);
+  }
+  item.slot = this->Allocate();
+  Entry& entry = this->entries[item.slot];
+  entry.item = item;
+  entry.state = State::Queued;
+  this->queue.Push(item);
+  return OfferResult{
+      .enqueued = true, .handle = this->HandleOf(item.slot), .refusal = {}};
+}
+
+void AdmissionCore::Next(TimePoint aNow, std::vector<AdmissionHandle>& aStarted,
+                         std::vector<DroppedSlot>& aDropped) {
+  this->Advance(aNow);
+  this->scratch.clear();
+  this->queue.PopExpired(aNow, aNow - this->settings.maxWait, this->scratch);
+  for (const QueuedItem& item : this->scratch) {
+    const bool expired = item.deadline <= aNow;
+    ++(expired ? this->counters.expired : this->counters.overdue);
+    this->Drop(item, expired ? Cause::DeadlineExpired : Cause::Overloaded);
+  }
+  while (this->MayStart()) {
+    const std::optional<QueuedItem> item = this->queue.PopBest();
+    if (!item) {
+      break;
+    }
+    Entry& entry = this->entries[item->slot];
+    entry.state = State::Running;
+    entry.children = 0;
+    entry.startedAt = aNow;
+    entry.charged = this->shares.ChargeStart(item->organisation);
+    ++this->inFlight;
+    ++this->counters.started;
+    aStarted.push_back(this->HandleOf(item->slot));
+  }
+  this->shortestQueue = std::min(this->shortestQueue, this->queue.Size());
+  for (const DroppedSlot& drop : this->drops) {
+    aDropped.push_back(drop);
+    this->Release(drop.handle.slot);
+  }
+  this->drops.clear();
+}
+
+void AdmissionCore::Finished(AdmissionHandle aHandle, Duration aChildTime,
+                             TimePoint aNow) {
+  Entry* entry = this->Find(aHandle, State::Running);
+  assert(entry != nullptr);
+  this->Advance(aNow);
+  if (entry->children > 0) {
+    --this->waiting;
+  }
+  const Duration total = aNow - entry->startedAt;
+  this->limit.Finished(std::max(Duration(0), total - aChildTime),
+                       this->Active());
+  this->shares.ChargeEnd(entry->item.organisation, entry->charged,
+                         ToSeconds(total));
+  this->meanTime =
+      this->meanTime == 0
+          ? ToSeconds(total)
+          : this->meanTime + kTimeGain * (ToSeconds(total) - this->meanTime);
+  --this->inFlight;
+  ++this->counters.finished;
+  this->Release(aHandle.slot);
+}
+
+bool AdmissionCore::Cancel(AdmissionHandle aHandle) {
+  Entry* entry = this->Find(aHandle, State::Queued);
+  if (entry == nullptr) {
+    return false;
+  }
+  const bool removed = this->queue.Remove(entry->item);
+  assert(removed);
+  static_cast<void>(removed);
+  this->Release(aHandle.slot);
+  return true;
+}
+
+void AdmissionCore::ChildStarted(AdmissionHandle aHandle) {
+  Entry* entry = this->Find(aHandle, State::Running);
+  if (entry != nullptr && entry->children++ == 0) {
+    ++this->waiting;
+  }
+}
+
+void AdmissionCore::ChildEnded(AdmissionHandle aHandle) {
+  Entry* entry = this->Find(aHandle, State::Running);
+  if (entry != nullptr && entry->children > 0 && --entry->children == 0) {
+    --this->waiting;
+  }
+}
+
+void AdmissionCore::SetStated(std::optional<uint32_t> aSlots,
+                              std::optional<uint32_t> aConnections) {
+  this->limit.SetStated(aSlots, aConnections);
+}
+
+void AdmissionCore::SetWeight(std::string_view aOrganisation, double aWeight) {
+  this->shares.SetWeight(this->shares.IndexOf(aOrganisation), aWeight);
+}
+
+AdmissionThreshold AdmissionCore::ThresholdFor(std::string_view aOrganisation) {
+  return this->control.ThresholdOf(this->shares.IndexOf(aOrganisation));
+}
+
+uint32_t AdmissionCore::Allocate() {
+  if (this->freeSlots.empty()) {
+    this->entries.emplace_back();
+    return static_cast<uint32_t>(this->entries.size() - 1);
+  }
+  const uint32_t slot = this->freeSlots.back();
+  this->freeSlots.pop_back();
+  return slot;
+}
+
+void AdmissionCore::Release(uint32_t aSlot) {
+  Entry& entry = this->entries[aSlot];
+  entry.state = State::Free;
+  ++entry.generation;
+  this->freeSlots.push_back(aSlot);
+}
+
+AdmissionCore::Entry* AdmissionCore::Find(AdmissionHandle aHandle,
+                                          State aState) {
+  if (aHandle.slot >= this->entries.size()) {
+    return nullptr;
+  }
+  Entry& entry = this->entries[aHandle.slot];
+  const bool found =
+      entry.generation == aHandle.generation && entry.state == aState;
+  return found ? &entry : nullptr;
+}
+
+bool AdmissionCore::MayStart() const {
+  return this->inFlight < this->limit.Ceiling() &&
+         this->Active() < this->limit.Limit();
+}
+
+void AdmissionCore::Drop(const QueuedItem& aItem, Cause aCause) {
+  this->entries[aItem.slot].state = State::Dropped;
+  this->drops.push_back({this->HandleOf(aItem.slot), this->Refusal(aCause)});
+}
+
+double AdmissionCore::DrainRate() const {
+  const double width = std::max(1.0, static_cast<double>(this->inFlight));
+  return this->meanTime > 0 ? width / this->meanTime : 1e9;
+}
+
+uint32_t AdmissionCore::Capacity() const {
+  if (this->meanTime == 0) {
+    return this->settings.maxQueued;
+  }
+  const double items = this->DrainRate() * ToSeconds(this->settings.queueTime);
+  return static_cast<uint32_t>(
+      std::clamp(items, static_cast<double>(this->settings.minQueued),
+                 static_cast<double>(this->settings.maxQueued)));
+}
+
+AdmissionRefusal AdmissionCore::Refusal(Cause aCause) {
+  const double drain =
+      static_cast<double>(this->queue.Size()) / this->DrainRate();
+  const Duration base =
+      std::clamp(FromSeconds(drain) * kRetryQueueTimes,
+                 this->settings.minRetryAfter, this->settings.maxRetryAfter);
+  const double jitter = 0.5 + this->random.Unit();
+  return {.cause = aCause, .retryAfter = FromSeconds(ToSeconds(base) * jitter)};
+}
+
+void AdmissionCore::Advance(TimePoint aNow) {
+  if (this->periodStart == TimePoint{}) {
+    this->periodStart = aNow;
+    this->lastChange = aNow;
+  }
+  this->inFlightSeconds += this->inFlight * ToSeconds(aNow - this->lastChange);
+  this->lastChange = aNow;
+  const Duration elapsed = aNow - this->periodStart;
+  if (elapsed < this->settings.threshold.period) {
+    return;
+  }
+  const double wait =
+      static_cast<double>(this->shortestQueue) / this->DrainRate();
+  this->control.Adjust(
+      {.meanInFlight = this->inFlightSeconds / ToSeconds(elapsed),
+       .standingWait = FromSeconds(wait),
+       .shed = this->shedInPeriod},
+      elapsed);
+  this->periodStart = aNow;
+  this->inFlightSeconds = 0;
+  this->shortestQueue = this->queue.Size();
+  this->shedInPeriod = false;
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Admission/ThresholdControl.cpp
@@ -0,0 +1,152 @@
+#include "Admission/ThresholdControl.h"
+
+#include <algorithm>
+
+namespace fescueline {
+
+namespace {
+/// Gain of the demand estimates' moving averages per period.
+constexpr double kDemandGain = 0.3;
+/// Below this admitted share too few requests pass to estimate the demand, and
+/// the last estimate is kept.
+constexpr double kMinMeasuredShare = 0.02;
+/// The threshold opens when the allowance exceeds the demand by this factor.
+constexpr double kOpenMargin = 1.1;
+/// Bisection steps for the fair share; the error is below 1e-9 of the range.
+constexpr int kBisectionSteps = 30;
+}  // namespace
+
+ThresholdControl::ThresholdControl(const ThresholdControlSettings& aSettings,
+                                   const OrganisationShares& aShares)
+    : settings(aSettings), shares(aShares) {}
+
+void ThresholdControl::Arrived(uint32_t aOrganisation, Importance aImportance,
+                               uint16_t aRootHash) {
+  if (aOrganisation >= this->demands.size()) {
+    this->demands.resize(aOrganisation + 1);
+  }
+  Demand& demand =
+      this->demands[aOrganisation][static_cast<size_t>(aImportance)];
+  if (aRootHash < demand.admitted * AdmissionThreshold::kFullCutoff) {
+    ++demand.passed;
+  }
+}
+
+void ThresholdControl::Adjust(const ThresholdSample& aSample,
+                              Duration aElapsed) {
+  this->UpdateDemands(ToSeconds(aElapsed));
+  const bool overloaded =
+      aSample.shed || aSample.standingWait > this->settings.targetWait;
+  if (overloaded) {
+    // In the first overloaded period the target runs at its capacity.
+    this->allowance = this->open ? aSample.meanInFlight
+                                 : this->allowance * this->settings.decrease;
+    this->open = false;
+  } else if (!this->open && aSample.standingWait == Duration(0)) {
+    this->allowance *= this->settings.increase;
+  }
+  if (!this->open) {
+    this->Divide();
+  }
+}
+
+AdmissionThreshold ThresholdControl::ThresholdOf(uint32_t aOrganisation) const {
+  if (this->open) {
+    return {};
+  }
+  if (aOrganisation >= this->demands.size()) {
+    return this->DefaultThreshold();
+  }
+  return AdmissionThreshold::FromLevel(
+      static_cast<double>(this->marginal) +
+      this->demands[aOrganisation][this->marginal].admitted);
+}
+
+AdmissionThreshold ThresholdControl::DefaultThreshold() const {
+  return this->open ? AdmissionThreshold{}
+                    : AdmissionThreshold::FromLevel(
+                          static_cast<double>(this->marginal) + 1);
+}
+
+void ThresholdControl::UpdateDemands(double aSeconds) {
+  for (uint32_t i = 0; i < this->demands.size(); ++i) {
+    const double cost = this->shares.MeanCost(i);
+    for (Demand& demand : this->demands[i]) {
+      if (demand.admitted >= kMinMeasuredShare) {
+        const double rate = demand.passed * cost / (aSeconds * demand.admitted);
+        demand.rate += kDemandGain * (rate - demand.rate);
+      }
+      demand.passed = 0;
+    }
+  }
+}
+
+void ThresholdControl::Divide() {
+  double remaining = this->allowance;
+  double total = 0;
+  bool exhausted = false;
+  for (size_t c = 0; c < kImportanceClasses; ++c) {
+    double wanted = 0;
+    for (const ClassDemands& organisation : this->demands) {
+      wanted += organisation[c].rate;
+    }
+    total += wanted;
+    if (!exhausted && (wanted > remaining || c + 1 == kImportanceClasses)) {
+      this->marginal = c;
+      this->DivideClass(c, remaining);
+      exhausted = true;
+    } else {
+      for (ClassDemands& organisation : this->demands) {
+        organisation[c].admitted = exhausted ? 0 : 1;
+      }
+    }
+    remaining = std::max(0.0, remaining - wanted);
+  }
+  if (this->allowance > total * kOpenMargin) {
+    this->open = true;
+    for (ClassDemands& organisation : this->demands) {
+      for (Demand& demand : organisation) {
+        demand.admitted = 1;
+      }
+    }
+  }
+}
+
+void ThresholdControl::DivideClass(size_t aClass, double aRemaining) {
+  // The share of organisation o in this class is what a common level per
+  // weight leaves after its use in the classes above.
+  const auto used = [&](const ClassDemands& aDemands) {
+    double sum = 0;
+    for (size_t c = 0; c < aClass; ++c) {
+      sum += aDemands[c].rate;
+    }
+    return sum;
+  };
+  const auto granted = [&](uint32_t aIndex, double aLevel) {
+    const ClassDemands& organisation = this->demands[aIndex];
+    return std::clamp(aLevel * this->shares.Weight(aIndex) - used(organisation),
+                      0.0, organisation[aClass].rate);
+  };
+  double low = 0;
+  double high = 0;
+  for (uint32_t i = 0; i < this->demands.size(); ++i) {
+    high = std::max(high,
+                    (used(this->demands[i]) + this->demands[i][aClass].rate) /
+                        this->shares.Weight(i));
+  }
+  for (int step = 0; step < kBisectionSteps; ++step) {
+    const double level = (low + high) / 2;
+    double sum = 0;
+    for (uint32_t i = 0; i < this->demands.size(); ++i) {
+      sum += granted(i, level);
+    }
+    (sum > aRemaining ? high : low) = level;
+  }
+  for (uint32_t i = 0; i < this->demands.size(); ++i) {
+    Demand& demand = this->demands[i][aClass];
+    demand.admitted =
+        demand.rate > 0 ? std::min(1.0, granted(i, high) / demand.rate) : 1;
+  }
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Admission/ThresholdControl.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include "Admission/AdmissionThreshold.h"
+#include "Admission/OrganisationShares.h"
+#include "Core/Importance.h"
+#include "Core/Time.h"
+
+namespace fescueline {
+
+/// Settings of ThresholdControl.
+struct ThresholdControlSettings {
+  /// Time between adjustments.
+  Duration period = std::chrono::milliseconds(100);
+  /// Wait in the queue above which the target counts as overloaded.
+  Duration targetWait = std::chrono::milliseconds(10);
+  /// Factor on the allowance in an overloaded period.
+  double decrease = 0.95;
+  /// Factor on the allowance in a period without overload.
+  double increase = 1.03;
+};
+
+/// What was seen in one period.
+struct ThresholdSample {
+  /// Mean number of requests in flight to the target.
+  double meanInFlight = 0;
+  /// Shortest wait of the queue's length during the period: a standing queue.
+  Duration standingWait{0};
+  /// Whether requests were refused or pushed out for overload.
+  bool shed = false;
+};
+
+/// Feedback loop that sets the admission thresholds of one target. The
+/// controlled value is an allowance of service time per second. It is divided
+/// among the importance classes from the top; in the class where it runs out,
+/// it is divided among the organisations by max-min fairness on all that they
+/// use. Not thread-safe.
+class ThresholdControl {
+ public:
+  ThresholdControl(const ThresholdControlSettings& aSettings,
+                   const OrganisationShares& aShares);
+
+  /// Records a request that reached this node.
+  void Arrived(uint32_t aOrganisation, Importance aImportance,
+               uint16_t aRootHash);
+  /// Adjusts the thresholds at the end of a period.
+  void Adjust(const ThresholdSample& aSample, Duration aElapsed);
+  /// Threshold of an organisation (index in the shares).
+  AdmissionThreshold ThresholdOf(uint32_t aOrganisation) const;
+  /// Threshold of organisations that have sent nothing yet.
+  AdmissionThreshold DefaultThreshold() const;
+  /// Whether no request is refused.
+  bool IsOpen() const { return this->open; }
+  /// Service time allowed per second; meaningless while open.
+  double Allowance() const { return this->allowance; }
+
+ private:
+  /// One organisation's use of one class.
+  struct Demand {
+    /// Arrivals in this period that pass the current threshold.
+    uint32_t passed = 0;
+    /// Estimated service time per second without early refusals.
+    double rate = 0;
+    /// Share of this class that is admitted.
+    double admitted = 1;
+  };
+  using ClassDemands = std::array<Demand, kImportanceClasses>;
+
+  /// Updates the demand estimates from the period's arrivals.
+  void UpdateDemands(double aSeconds);
+  /// Divides the allowance; opens the threshold when it suffices for all.
+  void Divide();
+  /// Divides what is left for one class among the organisations.
+  void DivideClass(size_t aClass, double aRemaining);
+
+  ThresholdControlSettings settings;
+  const OrganisationShares& shares;
+  /// By organisation index.
+  std::vector<ClassDemands> demands;
+  bool open = true;
+  double allowance = 0;
+  /// Class in which the allowance runs out.
+  size_t marginal = kImportanceClasses - 1;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/tests/Admission/AdmissionControllerTest.cpp
@@ -0,0 +1,127 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "Admission/AdmissionController.h"
+
+using namespace fescueline;
+using namespace std::chrono_literals;
+
+namespace {
+/// Controller with a single slot and a short queue.
+struct Fixture {
+  Fixture() : controller(Settings(), 1) {
+    this->controller.Core().SetStated(1, 10);
+  }
+
+  static AdmissionSettings Settings() {
+    AdmissionSettings settings;
+    settings.maxQueued = 4;
+    settings.minQueued = 4;
+    return settings;
+  }
+
+  OfferResult Offer(std::string aName, Importance aImportance,
+                    std::string_view aOrganisation = "a",
+                    Duration aRemaining = 1s, uint32_t aDepth = 0) {
+    const AdmissionRequest request{.organisation = aOrganisation,
+                                   .importance = aImportance,
+                                   .rootId = {1, ++this->ids},
+                                   .depth = aDepth,
+                                   .rootStart = this->clock.Now(),
+                                   .deadline = this->clock.Now() + aRemaining};
+    return this->controller.Offer(request, std::move(aName), this->clock.Now());
+  }
+
+  /// Starts what may start and returns the names.
+  std::string Next() {
+    this->controller.Next(this->clock.Now(), this->batch);
+    std::string names;
+    for (const auto& started : this->batch.started) {
+      names += started.ticket;
+      this->running = started.handle;
+    }
+    return names;
+  }
+
+  std::string Dropped() const {
+    std::string names;
+    for (const auto& dropped : this->batch.dropped) {
+      names += dropped.ticket;
+    }
+    return names;
+  }
+
+  /// Ends the running request after the given time and starts the next.
+  std::string FinishAndNext(Duration aTime = 1ms) {
+    this->clock.Advance(aTime);
+    this->controller.Finished(this->running, 0ns, this->clock.Now());
+    return this->Next();
+  }
+
+  ManualClock clock;
+  AdmissionController<std::string> controller;
+  AdmissionController<std::string>::Batch batch;
+  AdmissionHandle running;
+  uint64_t ids = 0;
+};
+}  // namespace
+
+// Guards against less important or shallower work starting first.
+TEST_CASE("requests start by importance, then depth") {
+  Fixture f;
+  f.Offer("x", Importance::Low);
+  CHECK(f.Next() == "x");
+  f.Offer("l", Importance::Low);
+  f.Offer("n", Importance::Normal, "a", 1s, 1);
+  f.Offer("N", Importance::Normal, "a", 1s, 3);
+  f.Offer("c", Importance::Critical);
+  CHECK(f.FinishAndNext() == "c");
+  CHECK(f.FinishAndNext() == "N");
+  CHECK(f.FinishAndNext() == "n");
+  CHECK(f.FinishAndNext() == "l");
+}
+
+// Guards against a full queue that pushes out the wrong request.
+TEST_CASE("a full queue pushes out the least important request") {
+  Fixture f;
+  f.Offer("x", Importance::Low);
+  f.Next();
+  for (const char* name : {"1", "2", "3", "4"}) {
+    CHECK(f.Offer(name, Importance::Normal).enqueued);
+  }
+  const OfferResult low = f.Offer("l", Importance::Low);
+  CHECK_FALSE(low.enqueued);
+  CHECK(low.refusal.cause == Cause::Overloaded);
+  CHECK(low.refusal.retryAfter > 0ns);
+  CHECK(f.Offer("h", Importance::High).enqueued);
+  CHECK(f.Next().empty());
+  CHECK(f.Dropped() == "4");
+  CHECK(f.FinishAndNext() == "h");
+}
+
+// Guards against expired work reaching the target.
+TEST_CASE("expired work is refused or dropped, never started") {
+  Fixture f;
+  f.Offer("x", Importance::Low);
+  f.Next();
+  const OfferResult expired = f.Offer("e", Importance::Normal, "a", 0s);
+  CHECK_FALSE(expired.enqueued);
+  CHECK(expired.refusal.cause == Cause::DeadlineExpired);
+  f.Offer("s", Importance::Critical, "a", 5ms);
+  f.Offer("n", Importance::Normal);
+  CHECK(f.FinishAndNext(10ms) == "n");
+  CHECK(f.Dropped() == "s");
+  CHECK(f.batch.dropped[0].refusal.cause == Cause::DeadlineExpired);
+}
+
+// Guards against a cancelled request that starts or leaks its slot.
+TEST_CASE("a queued request can be cancelled") {
+  Fixture f;
+  f.Offer("x", Importance::Low);
+  f.Next();
+  const OfferResult queued = f.Offer("q", Importance::Normal);
+  CHECK(f.controller.Cancel(queued.handle) == "q");
+  CHECK_FALSE(f.controller.Cancel(queued.handle).has_value());
+  CHECK(f.FinishAndNext().empty());
+}
--- /dev/null
+++ b/tests/Admission/ThresholdTableTest.cpp
@@ -0,0 +1,83 @@
+#include <doctest/doctest.h>
+
+#include "Admission/ThresholdTable.h"
+
+using namespace fescueline;
+using namespace std::chrono_literals;
+
+namespace {
+int RefusedOf1000(ThresholdTable& aTable, std::string_view aRoute,
+                  std::string_view aOrganisation, Importance aImportance,
+                  TimePoint aNow) {
+  int refused = 0;
+  for (uint64_t i = 0; i < 1000; ++i) {
+    refused += aTable.ShouldRefuse(aRoute, aOrganisation, aImportance,
+                                   RootHash({i, 7}), aNow)
+                   ? 1
+                   : 0;
+  }
+  return refused;
+}
+}  // namespace
+
+// Guards against levels that change when they are averaged or sent.
+TEST_CASE("a threshold survives the conversion to a level") {
+  for (const double level : {0.0, 0.25, 1.0, 1.5, 3.75, 4.0}) {
+    CAPTURE(level);
+    CHECK(AdmissionThreshold::FromLevel(level).Level() ==
+          doctest::Approx(level).epsilon(0.001));
+  }
+  CHECK(AdmissionThreshold::FromLevel(4).IsOpen());
+}
+
+// Guards against refusing other organisations, routes or classes than the
+// threshold names, and against a threshold that nothing can lift.
+TEST_CASE("a deep service's threshold refuses at the entry") {
+  ManualClock clock;
+  ThresholdTable table({}, 1);
+  const ThresholdReport report{
+      .service = "deep",
+      .organisation = "big",
+      .threshold = {.importance = Importance::Normal, .cutoff = 65535 / 2},
+      .age = 100ms};
+  table.Learn("n1", "r", {report}, clock.Now());
+  const auto refused = [&](const char* aRoute, const char* aOrganisation,
+                           Importance aImportance) {
+    return RefusedOf1000(table, aRoute, aOrganisation, aImportance,
+                         clock.Now());
+  };
+  CHECK(refused("r", "big", Importance::High) == 0);
+  CHECK(refused("r", "big", Importance::Normal) > 400);
+  CHECK(refused("r", "big", Importance::Normal) < 600);
+  // One request in a hundred passes as a probe.
+  CHECK(refused("r", "big", Importance::Low) > 950);
+  CHECK(refused("r", "big", Importance::Low) < 1000);
+  CHECK(refused("r", "small", Importance::Low) == 0);
+  CHECK(refused("other", "big", Importance::Low) == 0);
+  clock.Advance(1900ms);
+  CHECK(refused("r", "big", Importance::Low) == 0);
+}
+
+// Guards against one instance's threshold standing for the whole service.
+TEST_CASE("thresholds of several sources are averaged") {
+  ManualClock clock;
+  ThresholdTable table({}, 1);
+  const auto learn = [&](const char* aSource, double aLevel) {
+    table.Learn(aSource, "r",
+                {{.service = "s",
+                  .organisation = "o",
+                  .threshold = AdmissionThreshold::FromLevel(aLevel),
+                  .age = 0ns}},
+                clock.Now());
+  };
+  learn("n1", 2.0);
+  learn("n2", 4.0);
+  CHECK(table.Lowest("r", "o", clock.Now()).Level() ==
+        doctest::Approx(3.0).epsilon(0.001));
+  std::vector<ThresholdReport> reports;
+  table.Report("r", "o", clock.Now() + 50ms, reports);
+  REQUIRE(reports.size() == 1);
+  CHECK(reports[0].age == 50ms);
+  table.Forget("n1");
+  CHECK(table.Lowest("r", "o", clock.Now()).IsOpen());
+}
