--- /dev/null
+++ b/src/Platform/PlatformError.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+#include "Core/EnumNames.h"
+#include "Core/Error.h"
+
+namespace fescueline {
+
+/// What a failed call to the platform left behind.
+enum class Failure : uint8_t {
+  /// Nothing happened: the call had no effect and will have none.
+  Unavailable,
+  /// A write may have taken effect, or may still do so.
+  OutcomeUnknown
+};
+
+template <>
+struct EnumNames<Failure> {
+  static constexpr std::array<EnumName<Failure>, 2> kNames{
+      {{Failure::Unavailable, "unavailable"},
+       {Failure::OutcomeUnknown, "outcome-unknown"}}};
+};
+
+/// Failed call to the table service or the object store.
+class PlatformError : public Error {
+ public:
+  PlatformError(Failure aFailure, std::string_view aStep,
+                std::string_view aPeer, std::string_view aMessage)
+      : Error(aStep, aPeer, aMessage), failure(aFailure) {}
+
+  Failure GetFailure() const { return this->failure; }
+
+ private:
+  /// What is known about the effect of the call.
+  Failure failure;
+};
+
+}  // namespace fescueline
