Add the request path of the node: entry, forwarding, target side

Cause: the libraries need to be joined into the path of one request. Ruled out: an HTTP proxy pass-through, which cannot tell whether a target saw a request; each call is an object with its own strand instead. Change: EntryHandler (route, key, rate, claim), ForwardCall (attempts, retry budget, attempt queries, streaming), TargetHandler and InboundAttempt (authority check, admission, outcome table), tables behind ordered locks. Measured: nothing yet; the sources wait for the membership and settings libraries to build.

--- /dev/null
+++ b/src/Node/AttemptRegistry.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <optional>
+#include <unordered_map>
+
+#include "Core/Identifiers.h"
+#include "Core/OrderedMutex.h"
+#include "Node/RunningAttempt.h"
+#include "Outcome/AttemptTable.h"
+
+namespace fescueline {
+
+/// Attempts at the local target: the running ones, for calls that the target
+/// makes, and the outcomes of those that are not idempotent. Thread-safe
+/// (lock rank Outcome).
+class AttemptRegistry {
+ public:
+  explicit AttemptRegistry(const AttemptTableSettings& aSettings)
+      : outcomes(aSettings) {}
+
+  /// Registers a running attempt; the result is Started for an idempotent one.
+  BeginResult Begin(const RunningAttemptPtr& aAttempt, TimePoint aNow);
+  /// Removes a running attempt and records the outcome of one that is not
+  /// idempotent. Returns the queries to answer.
+  std::vector<AttemptWaiter> Finish(const RunningAttemptPtr& aAttempt,
+                                    AttemptResult aResult, TimePoint aNow);
+  /// The running attempt, or null.
+  RunningAttemptPtr Find(const Id128& aAttempt);
+
+  /// See AttemptTable.
+  AttemptReply Query(const Id128& aAttempt, Duration aAge, TimePoint aNow,
+                     AttemptWaiter aWaiter);
+  AttemptReply ReplyOf(const Id128& aAttempt);
+  void Expire(TimePoint aNow);
+  /// Number of running attempts.
+  size_t Running();
+
+ private:
+  /// Guards both tables.
+  OrderedMutex mutex{LockRank::Outcome};
+  /// Outcomes of attempts that are not idempotent.
+  AttemptTable outcomes;
+  /// Running attempts by attempt id.
+  std::unordered_map<Id128, RunningAttemptPtr> running;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Node/FleetView.cpp
@@ -0,0 +1,218 @@
+#include "Node/FleetView.h"
+
+#include <mutex>
+
+#include "Core/Error.h"
+#include "Node/Address.h"
+
+namespace fescueline {
+
+namespace {
+
+std::vector<ThresholdReport> FromWire(
+    const std::vector<ThresholdWire>& aThresholds) {
+  std::vector<ThresholdReport> reports;
+  for (const ThresholdWire& wire : aThresholds) {
+    if (wire.importance < kImportanceClasses && wire.age >= 0) {
+      reports.push_back(
+          {.service = wire.service,
+           .organisation = wire.organisation,
+           .threshold = {.importance = static_cast<Importance>(wire.importance),
+                         .cutoff = wire.cutoff},
+           .age = std::chrono::microseconds(wire.age)});
+    }
+  }
+  return reports;
+}
+
+ThresholdWire ToWire(const ThresholdReport& aReport) {
+  return {.service = aReport.service,
+          .organisation = aReport.organisation,
+          .importance = static_cast<uint8_t>(aReport.threshold.importance),
+          .cutoff = aReport.threshold.cutoff,
+          .age = std::chrono::duration_cast<std::chrono::microseconds>(
+                     aReport.age)
+                     .count()};
+}
+
+}  // namespace
+
+FleetView::FleetView(Settings aSettings)
+    : settings(std::move(aSettings)),
+      table(this->settings.table),
+      picker(this->table, this->settings.picker),
+      thresholds(this->settings.thresholds, this->random.Next()),
+      retries(this->settings.retries) {}
+
+void FleetView::UpdateMembers(std::shared_ptr<const ConfigSnapshot> aSnapshot) {
+  const std::lock_guard lock(this->mutex);
+  this->snapshot = std::move(aSnapshot);
+  this->Reselect();
+}
+
+void FleetView::Reselect() {
+  if (!this->snapshot) {
+    return;
+  }
+  std::unordered_set<std::string> selected;
+  for (const std::string& service : this->services) {
+    this->SelectService(service, selected);
+  }
+  std::erase_if(this->addresses, [&](const auto& aEntry) {
+    if (selected.contains(aEntry.first)) {
+      return false;
+    }
+    if (const auto target = this->table.Find(aEntry.first)) {
+      this->table.Remove(*target);
+    }
+    this->thresholds.Forget(aEntry.first);
+    return true;
+  });
+}
+
+void FleetView::SelectService(const std::string& aService,
+                              std::unordered_set<std::string>& aSelected) {
+  std::vector<const NamedRecord<MemberRecord>*> members;
+  std::vector<SubsetCandidate> candidates;
+  for (const auto& member : this->snapshot->Members().Items()) {
+    if (member->record.service == aService) {
+      members.push_back(member.get());
+      candidates.push_back({.node = member->name,
+                            .dataCentre = member->record.dataCentre,
+                            .region = member->record.region});
+    }
+  }
+  const SubsetCandidate self{.node = this->settings.node,
+                             .dataCentre = this->settings.table.dataCentre,
+                             .region = this->settings.table.region};
+  for (size_t position :
+       TargetSubset(this->settings.subset).Select(self, candidates)) {
+    const NamedRecord<MemberRecord>& member = *members[position];
+    try {
+      const HostPort address = ParseHostPort(member.record.peerAddress);
+      this->addresses[member.name] = {.nodeId = member.name,
+                                      .host = address.host,
+                                      .port = address.port};
+    } catch (const Error&) {
+      continue;  // a member record of another version; it cannot be reached
+    }
+    aSelected.insert(member.name);
+    this->table.Upsert({.node = member.name,
+                        .incarnation = member.record.incarnation,
+                        .service = aService,
+                        .dataCentre = member.record.dataCentre,
+                        .region = member.record.region});
+  }
+}
+
+std::optional<ChosenTarget> FleetView::Pick(
+    const std::string& aService, const std::vector<TargetRef>& aExclude,
+    TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  if (this->services.insert(aService).second) {
+    this->Reselect();
+  }
+  const auto target =
+      this->picker.Pick(aService, aExclude, aNow, this->random);
+  if (!target) {
+    return std::nullopt;
+  }
+  return ChosenTarget{
+      .ticket = this->table.OnStart(*target, aNow),
+      .address = this->addresses.at(this->table.Info(*target)->node)};
+}
+
+void FleetView::Finish(const CallTicket& aTicket, CallResult aResult,
+                       TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  this->table.OnFinish(aTicket, aResult, aNow);
+}
+
+void FleetView::OnState(const std::string& aNode, const StateWire& aState,
+                        TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  if (aState.state > static_cast<uint8_t>(TargetState::Gone)) {
+    return;
+  }
+  if (const auto target = this->table.Find(aNode)) {
+    this->table.OnPong(*target,
+                       {.state = static_cast<TargetState>(aState.state),
+                        .load = aState.load,
+                        .capacity = aState.limit,
+                        .readyFor = std::nullopt},
+                       aNow);
+  }
+  this->thresholds.Learn(aNode, "", FromWire(aState.thresholds), aNow);
+}
+
+void FleetView::OnSilent(const std::string& aNode) {
+  const std::lock_guard lock(this->mutex);
+  if (const auto target = this->table.Find(aNode)) {
+    this->table.OnSilent(*target);
+  }
+}
+
+void FleetView::Tick(TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  this->table.Tick(aNow);
+}
+
+std::vector<PeerAddress> FleetView::WantedPeers() {
+  const std::lock_guard lock(this->mutex);
+  std::vector<PeerAddress> peers;
+  for (const auto& [node, address] : this->addresses) {
+    peers.push_back(address);
+  }
+  return peers;
+}
+
+void FleetView::Learn(const std::string& aNode, const std::string& aRoute,
+                      const std::vector<ThresholdWire>& aThresholds,
+                      TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  this->thresholds.Learn(aNode, aRoute, FromWire(aThresholds), aNow);
+}
+
+bool FleetView::ShouldRefuse(const RequestContext& aContext, TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  return this->thresholds.ShouldRefuse(aContext.route, aContext.organisation,
+                                       aContext.importance,
+                                       RootHash(aContext.rootId), aNow);
+}
+
+std::vector<ThresholdWire> FleetView::Thresholds(
+    const RequestContext& aContext, const AdmissionThreshold& aOwn,
+    TimePoint aNow) {
+  std::vector<ThresholdReport> reports = {
+      {.service = aContext.service,
+       .organisation = aContext.organisation,
+       .threshold = aOwn,
+       .age = Duration(0)}};
+  {
+    const std::lock_guard lock(this->mutex);
+    this->thresholds.Report(aContext.route, aContext.organisation, aNow,
+                            reports);
+  }
+  std::vector<ThresholdWire> wires;
+  for (const ThresholdReport& report : reports) {
+    wires.push_back(ToWire(report));
+  }
+  return wires;
+}
+
+void FleetView::CountFirstAttempt(TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  this->retries.OnFirst(aNow);
+}
+
+bool FleetView::TryRetry(TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  return this->retries.TryRetry(aNow);
+}
+
+size_t FleetView::Targets() {
+  const std::lock_guard lock(this->mutex);
+  return this->table.Size();
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Node/InboundAttempt.cpp
@@ -0,0 +1,219 @@
+#include "Node/InboundAttempt.h"
+
+#include "Core/RandomSource.h"
+#include "Node/Headers.h"
+#include "Node/TargetHandler.h"
+
+namespace fescueline {
+
+namespace {
+constexpr int kStatusShed = 503;
+/// Wait suggested after a refusal that has no estimate of its own.
+constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(200);
+}  // namespace
+
+InboundAttempt::InboundAttempt(TargetHandler& aHandler,
+                               PeerServer::SessionPtr aSession,
+                               RequestFrame aFrame, RunningAttemptPtr aRunning)
+    : handler(aHandler),
+      session(std::move(aSession)),
+      frame(std::move(aFrame)),
+      running(std::move(aRunning)) {
+  if (!this->Context().idempotent) {
+    this->stored = std::make_shared<StoredResponse>();
+  }
+}
+
+void InboundAttempt::Run(AdmissionHandle aHandle,
+                         const std::string& aTargetUrl) {
+  this->handle = aHandle;
+  const Duration left = this->running->Deadline() - SteadyClock().Now();
+  if (this->state != State::Queued || left <= Duration(0)) {
+    this->handler.Release(this->handle, Duration(0));
+    if (this->state == State::Queued) {
+      this->Refuse(Cause::DeadlineExpired, Duration(0));
+    }
+    return;
+  }
+  this->state = State::Running;
+  HttpTransferRequest request{.url = aTargetUrl + this->frame.target,
+                              .method = this->frame.method,
+                              .headers = this->TargetHeaders(),
+                              .body = std::move(this->frame.body),
+                              .timeout = left,
+                              .freshConnection = !this->Context().idempotent,
+                              .credit = kInitialCredit};
+  const auto self = this->shared_from_this();
+  this->transfer = this->handler.Client().Start(
+      std::move(request),
+      {.onHead =
+           [self](int aStatus, HttpHeaders aHeaders, int64_t aLength) {
+             self->session->Post([self, aStatus, aLength,
+                                  headers = std::move(aHeaders)]() mutable {
+               self->OnHead(aStatus, std::move(headers), aLength);
+             });
+           },
+       .onData =
+           [self](std::string aData) {
+             self->session->Post([self, data = std::move(aData)]() mutable {
+               self->OnData(std::move(data));
+             });
+           },
+       .onDone =
+           [self](const HttpTransferResult& aResult) {
+             self->session->Post([self, aResult] { self->OnDone(aResult); });
+           }});
+  if (!this->session->IsOpen()) {
+    this->OnSessionClosed();
+  }
+}
+
+HttpHeaders InboundAttempt::TargetHeaders() const {
+  HttpHeaders headers = FromWire(this->frame.headers);
+  StripForTarget(headers);
+  AddAttemptHeaders(headers, *this->running, SteadyClock().Now(),
+                    this->handler.FleetSecret());
+  return headers;
+}
+
+void InboundAttempt::Refuse(Cause aCause, Duration aRetryAfter) {
+  if (this->state == State::Queued) {
+    this->FinishFailed(Outcome::NotRun, aCause, aRetryAfter);
+  }
+}
+
+void InboundAttempt::AddCredit(uint64_t aBytes) {
+  if (this->state == State::Running) {
+    this->handler.Client().Credit(this->transfer, static_cast<int64_t>(aBytes));
+  }
+}
+
+void InboundAttempt::Cancel() {
+  if (this->state == State::Queued) {
+    this->handler.CancelQueued(this->handle);
+    this->FinishFailed(Outcome::NotRun, Cause::Cancelled, Duration(0));
+  } else if (this->state == State::Running && this->Context().idempotent) {
+    // An attempt that is not idempotent runs to its end: breaking it off
+    // would leave its outcome unknown.
+    this->handler.Client().Cancel(this->transfer);
+  }
+}
+
+void InboundAttempt::OnSessionClosed() {
+  if (this->Context().idempotent) {
+    this->Cancel();
+  } else if (this->state == State::Running) {
+    // Nobody grants credit any more; the response is kept for a query.
+    constexpr int64_t kUnlimited = int64_t{1} << 40;
+    this->handler.Client().Credit(this->transfer, kUnlimited);
+  }
+}
+
+bool InboundAttempt::IsDeclaredShed(int aStatus,
+                                    const HttpHeaders& aHeaders) const {
+  // The attempt id keeps a target from passing on the declaration of a
+  // service that it called; an attempt with calls has run in part.
+  return aStatus == kStatusShed &&
+         FindHeader(aHeaders, kShedHeader) ==
+             this->Context().attemptId.ToString() &&
+         !this->running->HasCalled();
+}
+
+void InboundAttempt::OnHead(int aStatus, HttpHeaders aHeaders,
+                            int64_t aLength) {
+  if (this->state != State::Running) {
+    return;
+  }
+  this->headSeen = true;
+  this->declaredShed = this->IsDeclaredShed(aStatus, aHeaders);
+  if (this->declaredShed) {
+    return;
+  }
+  StripForCaller(aHeaders);
+  if (this->stored) {
+    this->stored->status = static_cast<uint16_t>(aStatus);
+    for (const HttpHeader& header : aHeaders) {
+      this->stored->headers.push_back({header.name, header.value});
+    }
+  }
+  this->session->Send(
+      ResponseHeadFrame{.stream = this->frame.stream,
+                        .status = static_cast<uint16_t>(aStatus),
+                        .headers = ToWire(aHeaders),
+                        .contentLength = aLength});
+}
+
+void InboundAttempt::OnData(std::string aData) {
+  if (this->state != State::Running || this->declaredShed) {
+    return;
+  }
+  this->Keep(aData);
+  for (size_t at = 0; at < aData.size(); at += kMaxDataBytes) {
+    this->session->Send(
+        ResponseDataFrame{.stream = this->frame.stream,
+                          .data = aData.substr(at, kMaxDataBytes)});
+  }
+}
+
+void InboundAttempt::Keep(const std::string& aData) {
+  if (!this->stored) {
+    return;
+  }
+  if (this->stored->body.size() + aData.size() > kMaxStoredBody) {
+    this->stored.reset();
+    return;
+  }
+  this->stored->body += aData;
+}
+
+void InboundAttempt::OnDone(const HttpTransferResult& aResult) {
+  if (this->state != State::Running) {
+    return;
+  }
+  this->handler.Release(this->handle,
+                        this->running->CallTime(SteadyClock().Now()));
+  if (this->declaredShed) {
+    this->FinishFailed(Outcome::NotRun, Cause::TargetShed, kDefaultRetryAfter);
+  } else if (this->headSeen) {
+    this->FinishAnswered(aResult.whole);
+  } else if (!aResult.mayHaveBeenSent) {
+    this->FinishFailed(Outcome::NotRun, Cause::ConnectFailed, Duration(0));
+  } else {
+    const Cause cause =
+        aResult.timedOut ? Cause::DeadlineExpired : Cause::TargetFailed;
+    this->FinishFailed(Outcome::Unknown, cause, Duration(0));
+  }
+}
+
+void InboundAttempt::FinishAnswered(bool aWhole) {
+  this->session->Send(ResponseEndFrame{
+      .stream = this->frame.stream,
+      .whole = aWhole,
+      .unspentRetries = this->running->UnspentRetries(),
+      .thresholds = this->handler.Thresholds(this->Context())});
+  this->Finish({.outcome = aWhole ? Outcome::Ran : Outcome::Unknown,
+                .cause = aWhole ? Cause::None : Cause::TargetFailed,
+                .response = aWhole ? this->stored : nullptr});
+}
+
+void InboundAttempt::FinishFailed(Outcome aOutcome, Cause aCause,
+                                  Duration aRetryAfter) {
+  this->session->Send(RefusalFrame{
+      .stream = this->frame.stream,
+      .outcome = static_cast<uint8_t>(aOutcome),
+      .cause = static_cast<uint8_t>(aCause),
+      .retryAfter = static_cast<uint32_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(aRetryAfter)
+              .count()),
+      .unspentRetries = this->running->UnspentRetries(),
+      .thresholds = this->handler.Thresholds(this->Context())});
+  this->Finish({.outcome = aOutcome, .cause = aCause, .response = nullptr});
+}
+
+void InboundAttempt::Finish(AttemptResult aResult) {
+  this->state = State::Done;
+  this->running->End();
+  this->handler.OnFinished(*this, std::move(aResult));
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Node/Knowledge.cpp
@@ -0,0 +1,51 @@
+#include "Node/Knowledge.h"
+
+#include <mutex>
+
+namespace fescueline {
+
+Knowledge::Knowledge(Duration aLimit, TimePoint aStartedAt)
+    : lease(aLimit), eligibility(aStartedAt, aLimit) {}
+
+bool Knowledge::IsFresh(TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  return this->lease.IsFresh(aNow);
+}
+
+std::optional<Duration> Knowledge::Age(TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  return this->lease.Age(aNow);
+}
+
+void Knowledge::RenewByTable(uint64_t aVersion, TimePoint aAskedAt) {
+  const std::lock_guard lock(this->mutex);
+  this->lease.Renew(aVersion, aAskedAt, aVersion);
+  this->eligibility.OnTableRead(aAskedAt);
+}
+
+void Knowledge::RenewByRelay(const RelayAnswer& aAnswer, TimePoint aAskedAt,
+                             uint64_t aAppliedVersion) {
+  const std::lock_guard lock(this->mutex);
+  this->lease.RenewByRelay(aAnswer, aAskedAt, aAppliedVersion);
+  this->eligibility.OnRenewed(this->lease);
+}
+
+void Knowledge::RenewByVouches(const VouchTally& aTally,
+                               const VoucherSet& aCurrent,
+                               uint64_t aAppliedVersion) {
+  const std::lock_guard lock(this->mutex);
+  aTally.Renew(this->lease, aCurrent, aAppliedVersion);
+  this->eligibility.OnRenewed(this->lease);
+}
+
+std::optional<RelayAnswer> Knowledge::Relay(TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  return this->lease.Relay(aNow);
+}
+
+bool Knowledge::MayVouch() {
+  const std::lock_guard lock(this->mutex);
+  return this->eligibility.MayVouch();
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Node/LocalTarget.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "Admission/AdmissionController.h"
+#include "Core/OrderedMutex.h"
+#include "Membership/TargetLease.h"
+#include "Node/InboundAttempt.h"
+#include "Transport/Frames.h"
+
+namespace fescueline {
+
+/// What a target says of itself, once a second.
+struct TargetAnnouncement {
+  /// Service that the target belongs to.
+  std::string service;
+  /// Address of the target, host:port, on the same instance.
+  std::string address;
+  /// State.
+  TargetState state = TargetState::Starting;
+  /// Requests that it handles at once; nothing if it does not say.
+  std::optional<uint32_t> slots;
+  /// Connections that it accepts; nothing if it does not say.
+  std::optional<uint32_t> connections;
+};
+
+/// The target beside this node: its announcements, queue and concurrency
+/// limit. Thread-safe (lock rank Admission).
+class LocalTarget {
+ public:
+  using Controller = AdmissionController<InboundAttemptPtr>;
+
+  LocalTarget(std::string aService, const AdmissionSettings& aSettings,
+              uint64_t aSeed);
+
+  /// Records an announcement. Returns whether the state changed.
+  bool Announce(const TargetAnnouncement& aAnnouncement, TimePoint aNow);
+  /// State, with "draining" while the node itself stops.
+  TargetState State(TimePoint aNow);
+  /// The node stops: the target takes nothing new.
+  void SetStopping();
+  /// Service from the settings.
+  const std::string& Service() const { return this->service; }
+  /// Base URL of the target; empty before the first announcement.
+  std::string Url();
+  /// State for peers.
+  StateWire Wire(TimePoint aNow);
+
+  /// See AdmissionController.
+  OfferResult Offer(const AdmissionRequest& aRequest,
+                    InboundAttemptPtr aAttempt, TimePoint aNow);
+  void Next(TimePoint aNow, Controller::Batch& aBatch);
+  void Finished(AdmissionHandle aHandle, Duration aCallTime, TimePoint aNow);
+  void Cancel(AdmissionHandle aHandle);
+  void CallStarted(AdmissionHandle aHandle);
+  void CallEnded(AdmissionHandle aHandle);
+  void SetWeight(const std::string& aOrganisation, double aWeight);
+  AdmissionThreshold ThresholdFor(const std::string& aOrganisation);
+  /// Counters and gauges for the metrics page.
+  AdmissionCounters Counters();
+  uint32_t InFlight();
+  uint32_t Limit();
+  size_t Queued();
+
+ private:
+  TargetState StateLocked(TimePoint aNow);
+
+  /// Guards everything below.
+  OrderedMutex mutex{LockRank::Admission};
+  /// Service from the settings; empty if the node has no target.
+  const std::string service;
+  /// Lease of the announcements.
+  TargetLease lease;
+  /// Base URL of the target.
+  std::string url;
+  /// Whether the node stops.
+  bool stopping = false;
+  /// Queue and limit.
+  Controller admission;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Node/RunningAttempt.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+#include "Core/Time.h"
+#include "Retry/RetryBudget.h"
+#include "Transport/RequestContext.h"
+
+namespace fescueline {
+
+/// A request that is being worked on, at the node that holds its retry
+/// budget: the entry node for a caller's request, the target's node for an
+/// attempt. Its calls to other services draw on the budget and end with it.
+/// Thread-safe; its lock is a leaf.
+class RunningAttempt {
+ public:
+  RunningAttempt(RequestContext aContext, TimePoint aDeadline,
+                 uint32_t aRetries);
+
+  /// Organisation, importance and identifiers that its calls inherit.
+  const RequestContext& Context() const { return this->context; }
+  /// When the request expires.
+  TimePoint Deadline() const { return this->deadline; }
+
+  /// Retries to pass on with a call. One is kept for this hop if there are
+  /// several, so that a lost connection, which spends all that was passed on,
+  /// can still be retried here.
+  uint32_t GrantForCall();
+  /// Ends a grant.
+  void ReturnGrant(uint32_t aGranted, uint32_t aUnspent);
+  /// Takes a retry for this hop.
+  bool SpendRetry();
+  /// Retries left over when the attempt ends.
+  uint32_t UnspentRetries();
+
+  /// Registers a call of this attempt; `aCancel` runs if the attempt ends
+  /// first. Returns the call's number, or 0 if the attempt has ended.
+  uint64_t BeginCall(std::function<void()> aCancel, TimePoint aNow);
+  /// Ends a call.
+  void EndCall(uint64_t aCall, TimePoint aNow);
+  /// Whether any call was made; such an attempt has run at least in part.
+  bool HasCalled();
+  /// Time in which at least one call was in progress.
+  Duration CallTime(TimePoint aNow);
+  /// Ends the attempt and cancels its calls.
+  void End();
+  /// Sets a function that is told of each call's begin (true) and end (false).
+  /// Call before the target can make calls.
+  void SetCallObserver(std::function<void(bool)> aObserver);
+
+ private:
+  /// Guards everything below.
+  std::mutex mutex;
+  /// What the calls inherit.
+  const RequestContext context;
+  /// Expiry.
+  const TimePoint deadline;
+  /// Retries left.
+  RetryBudget budget;
+  /// Cancel functions of calls in progress.
+  std::unordered_map<uint64_t, std::function<void()>> calls;
+  /// Number of calls so far.
+  uint64_t callCount = 0;
+  /// Start of the current period with calls in progress.
+  TimePoint busySince{};
+  /// Length of earlier periods with calls in progress.
+  Duration busyTime{0};
+  /// Told of each call's begin and end; set once.
+  std::function<void(bool)> callObserver;
+  /// Whether the attempt has ended.
+  bool ended = false;
+};
+
+using RunningAttemptPtr = std::shared_ptr<RunningAttempt>;
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Node/ShareKeeper.cpp
@@ -0,0 +1,193 @@
+#include "Node/ShareKeeper.h"
+
+#include <mutex>
+
+namespace fescueline {
+
+namespace {
+/// Requests of one organisation that may wait at once.
+constexpr size_t kMaxWaiters = 1024;
+
+void Append(std::vector<ShareMessage>& aAll, std::vector<ShareMessage> aMore) {
+  aAll.insert(aAll.end(), std::make_move_iterator(aMore.begin()),
+              std::make_move_iterator(aMore.end()));
+}
+}  // namespace
+
+ShareKeeper::ShareKeeper(HolderIdentity aSelf, const ShareSettings& aSettings,
+                         Sender aSender)
+    : sender(std::move(aSender)),
+      settings(aSettings),
+      ledger(std::move(aSelf), aSettings) {}
+
+void ShareKeeper::Admit(
+    const std::string& aOrganisation, TimePoint aNow, TimePoint aWaitUntil,
+    std::function<void(std::optional<uint64_t>)> aDecided) {
+  std::vector<ShareMessage> messages;
+  std::optional<uint64_t> version;
+  {
+    const std::lock_guard lock(this->mutex);
+    std::deque<Waiter>& queue = this->waiters[aOrganisation];
+    // Requests that wait already go first.
+    const Admission admission = this->ledger.Admit(aOrganisation, aNow);
+    if (admission == Admission::Admitted) {
+      version = this->ledger.Version(aOrganisation, aNow);
+    } else if (admission == Admission::Dry && queue.size() < kMaxWaiters &&
+               aWaitUntil > aNow) {
+      queue.push_back({.until = aWaitUntil, .decided = std::move(aDecided)});
+      messages = this->ledger.Ask(aOrganisation, aNow);
+    }
+  }
+  this->Send(messages);
+  if (aDecided) {
+    aDecided(version);
+  }
+}
+
+void ShareKeeper::Install(const std::string& aOrganisation,
+                          const Allocation& aAllocation,
+                          TimePoint aOldUsableUntil, TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  this->ledger.Install(aOrganisation, aAllocation, aOldUsableUntil, aNow);
+  const auto issuer = this->issuers.find(aOrganisation);
+  if (issuer != this->issuers.end() &&
+      issuer->second.Issue().version < aAllocation.version) {
+    this->issuers.erase(issuer);
+  }
+}
+
+void ShareKeeper::Remove(const std::string& aOrganisation) {
+  const std::lock_guard lock(this->mutex);
+  this->ledger.Remove(aOrganisation);
+  this->issuers.erase(aOrganisation);
+}
+
+void ShareKeeper::StartIssuing(const std::string& aOrganisation,
+                               const Allocation& aAllocation, TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  this->issuers.erase(aOrganisation);
+  this->issuers.emplace(
+      aOrganisation,
+      ShareIssuer(aOrganisation, aAllocation, this->settings, aNow));
+}
+
+void ShareKeeper::HolderGone(Id128 aIncarnation) {
+  const std::lock_guard lock(this->mutex);
+  for (auto& [organisation, issuer] : this->issuers) {
+    issuer.HolderGone(aIncarnation);
+  }
+}
+
+void ShareKeeper::Receive(const ShareMessage& aMessage, TimePoint aNow) {
+  std::vector<ShareMessage> messages;
+  std::vector<Decision> decisions;
+  {
+    const std::lock_guard lock(this->mutex);
+    if (const auto* request = std::get_if<ShareRequest>(&aMessage.body)) {
+      const auto issuer = this->issuers.find(request->statement.organisation);
+      if (issuer != this->issuers.end()) {
+        messages = issuer->second.Receive(*request, aNow);
+      }
+    } else if (const auto* back = std::get_if<ShareReturn>(&aMessage.body)) {
+      const auto issuer = this->issuers.find(back->statement.organisation);
+      if (issuer != this->issuers.end()) {
+        messages = issuer->second.Receive(*back, aNow);
+      }
+    } else {
+      const auto& transfer = std::get<ShareTransfer>(aMessage.body);
+      messages = this->ledger.Receive(transfer, aNow);
+      this->Serve(transfer.organisation, aNow, decisions);
+    }
+  }
+  this->Send(messages);
+  Report(decisions);
+}
+
+void ShareKeeper::Serve(const std::string& aOrganisation, TimePoint aNow,
+                        std::vector<Decision>& aDecisions) {
+  const auto found = this->waiters.find(aOrganisation);
+  if (found == this->waiters.end()) {
+    return;
+  }
+  std::deque<Waiter>& queue = found->second;
+  while (!queue.empty() && this->ledger.AdmitWaiting(aOrganisation, aNow) ==
+                               Admission::Admitted) {
+    aDecisions.push_back({.decided = std::move(queue.front().decided),
+                          .version =
+                              this->ledger.Version(aOrganisation, aNow)});
+    queue.pop_front();
+  }
+}
+
+void ShareKeeper::ExpireWaiters(TimePoint aNow,
+                                std::vector<Decision>& aDecisions) {
+  for (auto& [organisation, queue] : this->waiters) {
+    while (!queue.empty() && queue.front().until <= aNow) {
+      aDecisions.push_back({.decided = std::move(queue.front().decided),
+                            .version = std::nullopt});
+      queue.pop_front();
+    }
+  }
+}
+
+void ShareKeeper::Tick(TimePoint aNow) {
+  std::vector<ShareMessage> messages;
+  std::vector<Decision> decisions;
+  {
+    const std::lock_guard lock(this->mutex);
+    for (auto& [organisation, queue] : this->waiters) {
+      if (!queue.empty()) {
+        this->Serve(organisation, aNow, decisions);
+      }
+      if (!queue.empty()) {
+        Append(messages, this->ledger.Ask(organisation, aNow));
+      }
+    }
+    this->ExpireWaiters(aNow, decisions);
+    Append(messages, this->ledger.Tick(aNow));
+    for (auto& [organisation, issuer] : this->issuers) {
+      Append(messages, issuer.Tick(aNow));
+    }
+  }
+  this->Send(messages);
+  Report(decisions);
+}
+
+void ShareKeeper::ReturnAll(TimePoint aNow) {
+  std::vector<ShareMessage> messages;
+  {
+    const std::lock_guard lock(this->mutex);
+    messages = this->ledger.ReturnAll(aNow);
+  }
+  this->Send(messages);
+}
+
+AllocationCause ShareKeeper::AllocationDue(const std::string& aOrganisation,
+                                           const Portion& aConfigured,
+                                           TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  const auto issuer = this->issuers.find(aOrganisation);
+  return issuer == this->issuers.end()
+             ? AllocationCause::None
+             : issuer->second.AllocationDue(aConfigured, aNow);
+}
+
+std::optional<Duration> ShareKeeper::IssuerSilence(
+    const std::string& aOrganisation, TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  return this->ledger.IssuerSilence(aOrganisation, aNow);
+}
+
+void ShareKeeper::Send(const std::vector<ShareMessage>& aMessages) {
+  for (const ShareMessage& message : aMessages) {
+    this->sender(message);
+  }
+}
+
+void ShareKeeper::Report(std::vector<Decision>& aDecisions) {
+  for (Decision& decision : aDecisions) {
+    decision.decided(decision.version);
+  }
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Node/TargetHandler.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <atomic>
+#include <unordered_map>
+
+#include "Config/ConfigReplica.h"
+#include "Core/OrderedMutex.h"
+#include "Node/AttemptRegistry.h"
+#include "Node/FleetView.h"
+#include "Node/InboundAttempt.h"
+#include "Node/Knowledge.h"
+#include "Node/LocalTarget.h"
+#include "Node/Metrics.h"
+#include "Transport/HttpClient.h"
+#include "Transport/PeerServer.h"
+
+namespace fescueline {
+
+/// Handles attempts that other nodes send to the local target. Thread-safe;
+/// the events of one connection arrive on its strand.
+class TargetHandler {
+ public:
+  /// Tables and services that it works on; all outlive it.
+  struct Dependencies {
+    std::string fleetSecret;
+    ConfigReplica& config;
+    Knowledge& knowledge;
+    LocalTarget& target;
+    AttemptRegistry& attempts;
+    FleetView& fleet;
+    HttpClient& client;
+    Metrics& metrics;
+  };
+
+  explicit TargetHandler(Dependencies aDependencies);
+
+  /// Handlers for the peer listener.
+  PeerServer::Handlers PeerHandlers();
+  /// Starts what may start and drops what must not; call every 10 ms besides.
+  void Pump();
+  /// Attempts without an end.
+  size_t Open() const { return this->open.load(); }
+
+  // For InboundAttempt.
+  HttpClient& Client() { return this->dependencies.client; }
+  const std::string& FleetSecret() const {
+    return this->dependencies.fleetSecret;
+  }
+  void Release(AdmissionHandle aHandle, Duration aCallTime);
+  void CancelQueued(AdmissionHandle aHandle);
+  std::vector<ThresholdWire> Thresholds(const RequestContext& aContext);
+  void OnFinished(InboundAttempt& aAttempt, AttemptResult aResult);
+
+ private:
+  using Streams = std::unordered_map<uint64_t, InboundAttemptPtr>;
+
+  void OnRequest(const PeerServer::SessionPtr& aSession, RequestFrame aFrame,
+                 Duration aHeldUp);
+  void OnQuery(const PeerServer::SessionPtr& aSession,
+               const AttemptQueryFrame& aFrame);
+  void OnClosed(const PeerServer::SessionPtr& aSession);
+  InboundAttemptPtr Find(const PeerServer::SessionPtr& aSession,
+                         uint64_t aStream);
+  /// Why an attempt may not run here; Cause::None if it may.
+  Cause Check(const RequestContext& aContext, TimePoint aNow);
+  /// Whether the key and the share that the entry node used are still valid.
+  Cause CheckAuthority(const RequestContext& aContext, TimePoint aNow);
+  void Admit(const InboundAttemptPtr& aAttempt, TimePoint aNow);
+  void Reply(const PeerServer::SessionPtr& aSession, uint64_t aStream,
+             const AttemptReply& aReply);
+  static void RefuseFrame(const PeerServer::SessionPtr& aSession,
+                          const RequestFrame& aFrame, Cause aCause,
+                          Outcome aOutcome = Outcome::NotRun);
+
+  Dependencies dependencies;
+  /// Guards `streams` and `waitingSessions`.
+  OrderedMutex mutex{LockRank::Transport};
+  /// Open attempts by session number and stream.
+  std::unordered_map<uint64_t, Streams> streams;
+  /// Sessions with queries that wait for a running attempt.
+  std::unordered_map<uint64_t, std::weak_ptr<PeerSession>> waitingSessions;
+  /// Number of attempts without an end.
+  std::atomic<size_t> open{0};
+};
+
+}  // namespace fescueline
--- a/src/Transport/Frames.h
+++ b/src/Transport/Frames.h
@@ -109,18 +109,24 @@
   MSGPACK_DEFINE_ARRAY(stream, data)
 };
 
-/// Overload threshold of a service at one target's node.
+/// Admission threshold of a service for one organisation.
 struct ThresholdWire {
   std::string service;
-  /// Requests of a class above (less important than) this are refused.
+  std::string organisation;
+  /// Least important class that is admitted at least in part.
   uint8_t importance = 3;
-  /// Requests of this class whose root hash is at or above this are refused.
-  uint32_t cutoff = UINT32_MAX;
-  /// Age of the value in microseconds.
+  /// Requests of that class whose root hash is below this are admitted.
+  uint16_t cutoff = UINT16_MAX;
+  /// Time since it was computed, microseconds.
   int64_t age = 0;
-  MSGPACK_DEFINE_ARRAY(service, importance, cutoff, age)
+  MSGPACK_DEFINE_ARRAY(service, organisation, importance, cutoff, age)
 };
 
+/// Body bytes of one response that may be under way without credit.
+inline constexpr int64_t kInitialCredit = 256 * 1024;
+/// Longest body part of one ResponseData frame.
+inline constexpr size_t kMaxDataBytes = 64 * 1024;
+
 /// End of a response.
 struct ResponseEndFrame {
   static constexpr FrameType kType = FrameType::ResponseEnd;
--- a/src/Transport/PeerServer.cpp
+++ b/src/Transport/PeerServer.cpp
@@ -7,11 +7,14 @@
 
 namespace {
 constexpr size_t kNonceBytes = 16;
-}
+std::atomic<uint64_t> sSessionCount{0};
+}  // namespace
 
 PeerSession::PeerSession(PeerServer& aServer,
                          std::shared_ptr<FrameChannel> aChannel)
-    : server(aServer), channel(std::move(aChannel)) {}
+    : server(aServer),
+      number(++sSessionCount),
+      channel(std::move(aChannel)) {}
 
 void PeerSession::Start() {
   this->Post([self = this->shared_from_this()] {
--- a/src/Transport/PeerServer.h
+++ b/src/Transport/PeerServer.h
@@ -35,6 +35,8 @@
   bool IsOpen() const { return this->channel->IsOpen(); }
   /// Node id of the other side, after the handshake.
   const std::string& RemoteNode() const { return this->hello.nodeId; }
+  /// Number of the session, unique within the process.
+  uint64_t Number() const { return this->number; }
 
   void Start();
   /// Closes the connection. Any thread.
@@ -46,6 +48,8 @@
 
   /// Owner; outlives its sessions.
   PeerServer& server;
+  /// Number of the session.
+  uint64_t number;
   /// The connection.
   std::shared_ptr<FrameChannel> channel;
   /// Hello of the dialling node.
--- a/src/Transport/RequestContext.cpp
+++ b/src/Transport/RequestContext.cpp
@@ -12,7 +12,7 @@
 /// Wire form; plain integers so that decoding validates each field.
 struct ContextWire {
   std::string organisation;
-  std::string keyId;
+  std::string keyHash;
   uint64_t rootHigh = 0;
   uint64_t rootLow = 0;
   uint64_t attemptHigh = 0;
@@ -27,7 +27,7 @@
   uint64_t allocationVersion = 0;
   uint32_t depth = 0;
 
-  MSGPACK_DEFINE_ARRAY(organisation, keyId, rootHigh, rootLow, attemptHigh,
+  MSGPACK_DEFINE_ARRAY(organisation, keyHash, rootHigh, rootLow, attemptHigh,
                        attemptLow, route, service, importance, idempotent, open,
                        remainingMicroseconds, configVersion, allocationVersion,
                        depth)
@@ -35,7 +35,7 @@
 
 ContextWire ToWire(const RequestContext& aContext) {
   return ContextWire{.organisation = aContext.organisation,
-                     .keyId = aContext.keyId,
+                     .keyHash = aContext.keyHash,
                      .rootHigh = aContext.rootId.high,
                      .rootLow = aContext.rootId.low,
                      .attemptHigh = aContext.attemptId.high,
@@ -57,7 +57,7 @@
 RequestContext FromWire(const ContextWire& aWire) {
   return RequestContext{
       .organisation = aWire.organisation,
-      .keyId = aWire.keyId,
+      .keyHash = aWire.keyHash,
       .rootId = {.high = aWire.rootHigh, .low = aWire.rootLow},
       .attemptId = {.high = aWire.attemptHigh, .low = aWire.attemptLow},
       .route = aWire.route,
--- a/src/Transport/RequestContext.h
+++ b/src/Transport/RequestContext.h
@@ -17,8 +17,8 @@
   /// Organisation that the request runs for; empty on open routes without a
   /// key.
   std::string organisation;
-  /// Identifier of the key that came with the request; empty if none.
-  std::string keyId;
+  /// SHA-256 of the key that came with the request, 32 bytes; empty if none.
+  std::string keyHash;
   /// Identifies the caller's request along the whole chain.
   Id128 rootId;
   /// Identifies this attempt at one hop.
