--- /dev/null
+++ b/src/Config/ConfigReplica.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "Config/ConfigSnapshot.h"
+#include "Core/OrderedMutex.h"
+#include "Platform/TableStore.h"
+
+namespace fescueline {
+
+/// A node's copy of the configuration. Its version only increases. Any
+/// thread; Snapshot and Version take no lock.
+class ConfigReplica {
+ public:
+  ConfigReplica();
+
+  /// Applies changes that were read since a version that this replica has
+  /// reached, from the table or a peer. Stale, repeated and reordered lists
+  /// change nothing that is newer. Whether the version increased.
+  bool Apply(const TableChanges& aChanges);
+
+  /// Version that the replica has reached.
+  uint64_t Version() const { return this->Snapshot()->Version(); }
+  /// The configuration at that version.
+  std::shared_ptr<const ConfigSnapshot> Snapshot() const {
+    return this->snapshot.load();
+  }
+  /// Records written after aVersion, deletions included, for a peer. The limit
+  /// may be exceeded so that no transaction is split. Deletions are included
+  /// from version 0 too: the answer may arrive late, when the peer already
+  /// holds the record.
+  TableChanges ChangesSince(uint64_t aVersion, size_t aLimit) const;
+
+ private:
+  struct ByVersion {
+    bool operator()(const TableRecord* aLeft, const TableRecord* aRight) const {
+      return aLeft->version != aRight->version
+                 ? aLeft->version < aRight->version
+                 : aLeft->key < aRight->key;
+    }
+  };
+
+  /// Stores the record. Needs the mutex.
+  void Store(const TableRecord& aRecord);
+
+  /// Guards the records; also orders the publication of snapshots.
+  mutable OrderedMutex mutex{LockRank::Config};
+  /// Latest state of each record, deleted and undecodable ones included, as
+  /// peers must get them too.
+  std::unordered_map<std::string, TableRecord> records;
+  /// The records in the order of their versions.
+  std::set<const TableRecord*, ByVersion> order;
+  /// Published configuration.
+  std::atomic<std::shared_ptr<const ConfigSnapshot>> snapshot;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Config/RouteIndex.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "Config/RecordTable.h"
+#include "Config/Records.h"
+#include "Config/StringHash.h"
+
+namespace fescueline {
+
+using Route = NamedRecord<RouteRecord>;
+
+/// Finds the route of a request. Immutable; any thread.
+class RouteIndex {
+ public:
+  RouteIndex() = default;
+  explicit RouteIndex(std::shared_ptr<const RecordTable<RouteRecord>> aRoutes);
+
+  /// The route with the longest prefix of the path among those that accept the
+  /// method, or null. At equal length a route that lists the method precedes
+  /// one for all methods, then the smaller name decides. The query is ignored.
+  /// A path with '.' or '..' segments, a malformed escape, or an escaped '/',
+  /// '\\' or control character has no route, as the target could read it as a
+  /// path of another route.
+  const Route* Find(std::string_view aMethod, std::string_view aPath) const;
+
+ private:
+  /// Keeps the indexed records alive.
+  std::shared_ptr<const RecordTable<RouteRecord>> routes;
+  /// Routes by path prefix, in order of preference.
+  std::unordered_map<std::string, std::vector<const Route*>, StringHash,
+                     std::equal_to<>>
+      byPrefix;
+  /// Length of the longest prefix, which bounds the search in a long path.
+  size_t longestPrefix = 0;
+};
+
+}  // namespace fescueline
