Measure admission on a simulated chain of services

Cause: goals for goodput, recovery and fairness need a program that shows whether a change to the policies helps. Ruled out: a general cluster simulator; a real chain of processes, whose figures differ from run to run.

--- /dev/null
+++ b/benchmarks/Admission/ChainMeasurement.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+#include "ChainScenario.h"
+#include "Core/Identifiers.h"
+
+namespace fescueline {
+
+/// What a client wants, over all its attempts.
+struct ChainRequest {
+  uint32_t organisation = 0;
+  Importance importance = Importance::Normal;
+  uint32_t route = 0;
+  uint32_t attempts = 0;
+  TimePoint begun;
+  /// When the client got the whole answer; the epoch if it never did.
+  TimePoint completed{};
+
+  bool Succeeded() const { return this->completed != TimePoint{}; }
+};
+
+/// One attempt by a client: a root request.
+struct ChainAttempt {
+  uint32_t request = 0;
+  Id128 rootId;
+  TimePoint begun;
+  bool resolved = false;
+};
+
+/// Refusals counted during a run.
+struct ChainCounts {
+  uint64_t shedLate = 0;
+  uint64_t shedEarly = 0;
+  uint64_t criticalShed = 0;
+  uint64_t inversions = 0;
+};
+
+/// Time after the surge from which 95% of the requests begun in every 250 ms
+/// succeed.
+inline double RecoveryTime(const ChainScenario& aScenario, TimePoint aStart,
+                           const std::deque<ChainRequest>& aRequests) {
+  constexpr double kBucket = 0.25;
+  const TimePoint end = aStart + aScenario.surgeEnd;
+  const double rest = ToSeconds(aScenario.length - aScenario.surgeEnd);
+  std::vector<double> total(static_cast<size_t>(rest / kBucket));
+  std::vector<double> good(total.size());
+  for (const ChainRequest& request : aRequests) {
+    if (request.begun < end) {
+      continue;
+    }
+    const auto bucket =
+        static_cast<size_t>(ToSeconds(request.begun - end) / kBucket);
+    if (bucket < total.size()) {
+      ++total[bucket];
+      good[bucket] += request.Succeeded() ? 1 : 0;
+    }
+  }
+  size_t recovered = total.size();
+  while (recovered > 0 && good[recovered - 1] >= 0.95 * total[recovered - 1]) {
+    --recovered;
+  }
+  return static_cast<double>(recovered) * kBucket;
+}
+
+/// Max-min fair division of a capacity among demands.
+inline std::array<double, kOrganisations> FairShares(
+    const std::array<double, kOrganisations>& aDemands, double aCapacity) {
+  std::array<double, kOrganisations> order = aDemands;
+  std::sort(order.begin(), order.end());
+  double level = 0;
+  double remaining = aCapacity;
+  for (size_t i = 0; i < order.size(); ++i) {
+    level = remaining / static_cast<double>(order.size() - i);
+    if (order[i] > level) {
+      break;
+    }
+    level = order[i];
+    remaining -= order[i];
+  }
+  std::array<double, kOrganisations> shares{};
+  for (size_t i = 0; i < shares.size(); ++i) {
+    shares[i] = std::min(aDemands[i], level);
+  }
+  return shares;
+}
+
+/// Computes the figures of a run that began at aStart.
+inline ChainResult MeasureChain(const ChainScenario& aScenario,
+                                TimePoint aStart,
+                                const std::deque<ChainRequest>& aRequests,
+                                const ChainCounts& aCounts) {
+  const TimePoint from = aStart + aScenario.warmUp;
+  const TimePoint to = aStart + aScenario.length;
+  std::array<double, kOrganisations> completed{};
+  std::array<double, kOrganisations> demands{};
+  std::array<double, kImportanceClasses> total{};
+  std::vector<double> times;
+  ChainResult result;
+  for (const ChainRequest& request : aRequests) {
+    if (request.Succeeded() && request.completed >= from &&
+        request.completed < to) {
+      ++completed[request.organisation];
+      times.push_back(ToSeconds(request.completed - request.begun));
+    }
+    if (request.begun >= from && request.begun < to) {
+      const auto importance = static_cast<size_t>(request.importance);
+      ++total[importance];
+      ++demands[request.organisation];
+      result.failed[importance] += request.Succeeded() ? 0 : 1;
+    }
+  }
+  for (size_t i = 0; i < kImportanceClasses; ++i) {
+    result.failed[i] /= std::max(1.0, total[i]);
+  }
+  result.worstShare = 1e9;
+  const double served = CapacityOf(aScenario) * ToSeconds(to - from);
+  const auto fair = FairShares(demands, served);
+  for (uint32_t i = 0; i < kOrganisations; ++i) {
+    result.goodput += completed[i] / served;
+    result.worstShare = std::min(result.worstShare, completed[i] / fair[i]);
+  }
+  if (!times.empty()) {
+    const auto at =
+        times.begin() + static_cast<std::ptrdiff_t>(times.size() * 99 / 100);
+    std::nth_element(times.begin(), at, times.end());
+    result.latency99 = *at;
+  }
+  const double length = ToSeconds(aScenario.length);
+  result.shedLate = static_cast<double>(aCounts.shedLate) / length;
+  result.shedEarly = static_cast<double>(aCounts.shedEarly) / length;
+  result.criticalShed = aCounts.criticalShed;
+  result.inversions = aCounts.inversions;
+  result.recovery = RecoveryTime(aScenario, aStart, aRequests);
+  return result;
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/benchmarks/Admission/EventLoop.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <vector>
+
+#include "Core/Time.h"
+
+namespace fescueline {
+
+/// Runs events in order of time on a manual clock; events at the same time run
+/// in the order in which they were posted. Deterministic.
+class EventLoop {
+ public:
+  TimePoint Now() const { return this->clock.Now(); }
+
+  /// Runs aAction after the given time.
+  void Post(Duration aDelay, std::function<void()> aAction) {
+    this->events.push(
+        {this->clock.Now() + aDelay, ++this->posted, std::move(aAction)});
+  }
+
+  /// Runs all events up to the given time.
+  void RunUntil(TimePoint aEnd) {
+    while (!this->events.empty() && this->events.top().at <= aEnd) {
+      // The queue only gives const access; the event is removed right after.
+      Event event = std::move(const_cast<Event&>(this->events.top()));
+      this->events.pop();
+      this->clock.now = event.at;
+      event.action();
+    }
+    this->clock.now = aEnd;
+  }
+
+ private:
+  /// An action and when it runs.
+  struct Event {
+    TimePoint at;
+    uint64_t order;
+    std::function<void()> action;
+
+    bool operator<(const Event& aOther) const {
+      return this->at != aOther.at ? this->at > aOther.at
+                                   : this->order > aOther.order;
+    }
+  };
+
+  ManualClock clock;
+  uint64_t posted = 0;
+  std::priority_queue<Event> events;
+};
+
+}  // namespace fescueline
