Add gossip, vouches, acceptance and the sync of the configuration

Cause: nodes must learn of changes, prove their knowledge recent, and know when a change is in force everywhere. Ruled out: asking vouchers on every refresh; they are asked only when the knowledge grows old, since table reads and relays are cheaper. Conclusion: one control socket carries gossip, vouches and shares.

--- /dev/null
+++ b/src/Node/ConfigSync.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+
+#include "Config/ConfigReplica.h"
+#include "Node/Knowledge.h"
+
+namespace fescueline {
+
+/// Applies configuration changes from any source to the replica and tells the
+/// node's tables of them. Thread-safe; changes are applied one at a time.
+class ConfigSync {
+ public:
+  /// Called after each change, with the time until which something that the
+  /// change withdraws may still have been in use here.
+  using Observer = std::function<void(
+      const std::shared_ptr<const ConfigSnapshot>&, TimePoint aOldUsableUntil)>;
+
+  ConfigSync(ConfigReplica& aReplica, Knowledge& aKnowledge,
+             Observer aObserver);
+
+  /// Reads the table until nothing is left; renews the knowledge. aRead is
+  /// TableClient::ChangesSince. Throws what it throws.
+  template <typename Read>
+  void ReadTable(Read aRead) {
+    for (;;) {
+      const TimePoint asked = SteadyClock().Now();
+      const TableChanges changes = aRead(this->replica.Version(), kBatch);
+      this->Apply(changes);
+      if (!changes.more) {
+        this->knowledge.RenewByTable(changes.version, asked);
+        return;
+      }
+    }
+  }
+
+  /// Applies changes; true if the version increased.
+  bool Apply(const TableChanges& aChanges);
+
+ private:
+  /// Records of one read.
+  static constexpr size_t kBatch = 500;
+
+  ConfigReplica& replica;
+  Knowledge& knowledge;
+  Observer observer;
+  /// Serialises changes and their observers. Taken before all table locks.
+  std::mutex mutex;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Node/ControlMessages.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Limits/ShareMessages.h"
+#include "Platform/TableStore.h"
+
+/// Payloads of control messages between nodes.
+
+namespace fescueline {
+
+/// Value of ControlMessage::kind.
+enum class ControlKind : uint8_t {
+  Pull,
+  PullReply,
+  VouchAsk,
+  VouchReply,
+  ShareRequest,
+  ShareTransfer,
+  ShareReturn
+};
+
+/// Asks a peer for its knowledge of the configuration.
+struct PullWire {
+  /// Echoed in the reply.
+  uint64_t question = 0;
+  /// Version that the asker has applied.
+  uint64_t version = 0;
+  MSGPACK_DEFINE_ARRAY(question, version)
+};
+
+/// A changed record.
+struct RecordWire {
+  std::string key;
+  std::string value;
+  uint64_t version = 0;
+  bool deleted = false;
+  MSGPACK_DEFINE_ARRAY(key, value, version, deleted)
+};
+
+/// A peer's knowledge.
+struct PullReplyWire {
+  uint64_t question = 0;
+  /// Whether the peer is fresh; the next two are valid only then.
+  bool fresh = false;
+  /// Version that the peer's knowledge covers.
+  uint64_t version = 0;
+  /// Age of the knowledge, microseconds.
+  int64_t age = 0;
+  /// Version that a reader of the changes has reached.
+  uint64_t changesVersion = 0;
+  /// Changes after the asker's version.
+  std::vector<RecordWire> changes;
+  MSGPACK_DEFINE_ARRAY(question, fresh, version, age, changesVersion, changes)
+};
+
+/// Asks a voucher for the version that it knows.
+struct VouchAskWire {
+  uint64_t question = 0;
+  /// Version that the asker knows; the voucher fetches what it lacks.
+  uint64_t version = 0;
+  MSGPACK_DEFINE_ARRAY(question, version)
+};
+
+/// A voucher's answer.
+struct VouchReplyWire {
+  uint64_t question = 0;
+  uint64_t version = 0;
+  /// Whether this incarnation's vouches count.
+  bool eligible = false;
+  MSGPACK_DEFINE_ARRAY(question, version, eligible)
+};
+
+/// Encodes a payload.
+template <typename T>
+std::string EncodePayload(const T& aWire) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, aWire);
+  return {buffer.data(), buffer.size()};
+}
+
+/// Decodes a payload; nothing if it does not have the shape of T.
+template <typename T>
+std::optional<T> DecodePayload(const std::string& aPayload) {
+  try {
+    return msgpack::unpack(aPayload.data(), aPayload.size()).get().as<T>();
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+/// Conversions of table records.
+std::vector<RecordWire> ToWire(const std::vector<TableRecord>& aRecords);
+std::vector<TableRecord> FromWire(std::vector<RecordWire> aRecords);
+
+/// Kind and payload of a share message.
+ControlKind KindOf(const ShareMessage& aMessage);
+std::string EncodeShare(const ShareMessage& aMessage);
+/// Decodes a share message; nothing if it is malformed.
+std::optional<ShareMessage> DecodeShare(ControlKind aKind,
+                                        const std::string& aPayload);
+
+}  // namespace fescueline
--- a/src/Node/FleetView.cpp
+++ b/src/Node/FleetView.cpp
@@ -2,8 +2,7 @@
 
 #include <mutex>
 
-#include "Core/Error.h"
-#include "Node/Address.h"
+#include "Settings/SocketAddress.h"
 
 namespace fescueline {
 
@@ -88,14 +87,12 @@
   for (size_t position :
        TargetSubset(this->settings.subset).Select(self, candidates)) {
     const NamedRecord<MemberRecord>& member = *members[position];
-    try {
-      const HostPort address = ParseHostPort(member.record.peerAddress);
-      this->addresses[member.name] = {.nodeId = member.name,
-                                      .host = address.host,
-                                      .port = address.port};
-    } catch (const Error&) {
+    const auto address = SocketAddress::Parse(member.record.peerAddress);
+    if (!address) {
       continue;  // a member record of another version; it cannot be reached
     }
+    this->addresses[member.name] = {
+        .nodeId = member.name, .host = address->host, .port = address->port};
     aSelected.insert(member.name);
     this->table.Upsert({.node = member.name,
                         .incarnation = member.record.incarnation,
--- /dev/null
+++ b/src/Node/Gossip.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "Core/RandomSource.h"
+#include "Freshness/AcceptanceWait.h"
+#include "Freshness/VouchTally.h"
+#include "Node/ConfigSync.h"
+#include "Node/ControlMessages.h"
+#include "Transport/ControlSocket.h"
+
+namespace fescueline {
+
+/// Spreads the configuration and its age between nodes, asks vouchers, and
+/// waits for changes to be accepted. Thread-safe.
+class Gossip {
+ public:
+  /// Construction parameters; references outlive the object.
+  struct Settings {
+    PeerIdentity self;
+    ConfigReplica& config;
+    Knowledge& knowledge;
+    ConfigSync& sync;
+    /// Sends to a control URL.
+    std::function<bool(const std::string& aUrl, ControlKind aKind,
+                       const std::string& aPayload)>
+        send;
+    /// Freshness limit of the fleet.
+    Duration freshnessLimit = std::chrono::seconds(4);
+    /// Control URLs to ask while no member is known.
+    std::vector<std::string> seeds;
+  };
+
+  explicit Gossip(Settings aSettings);
+
+  /// Pulls from a random peer; call every 250 ms.
+  void Tick(TimePoint aNow);
+  /// Asks all vouchers about open waits; call every 100 ms.
+  void TickAcceptance(TimePoint aNow);
+  /// A control message of one of the kinds Pull to VouchReply arrived.
+  void Receive(const ControlMessage& aMessage, TimePoint aNow);
+  /// Calls back once the committed version is in force everywhere.
+  void AwaitAcceptance(uint64_t aVersion, std::function<void()> aAccepted);
+  /// When a node last answered; nothing if it never did.
+  std::optional<TimePoint> LastHeard(const std::string& aNode);
+
+ private:
+  /// A change that is not accepted yet.
+  struct Wait {
+    uint64_t version = 0;
+    std::function<void()> accepted;
+    /// Made once this node has applied the version and so knows the voucher
+    /// sets that concern it.
+    std::optional<AcceptanceWait> wait;
+  };
+  /// Questions to vouchers that await answers.
+  struct Question {
+    VouchTally tally;
+    TimePoint askedAt;
+  };
+
+  void OnPull(const ControlMessage& aMessage, const PullWire& aPull,
+              TimePoint aNow);
+  void OnPullReply(const ControlMessage& aMessage, PullReplyWire aReply,
+                   TimePoint aNow);
+  void OnVouchAsk(const ControlMessage& aMessage, const VouchAskWire& aAsk);
+  void OnVouchReply(const ControlMessage& aMessage,
+                    const VouchReplyWire& aReply, TimePoint aNow);
+  /// Sends a question to all vouchers of a set; own vouch included.
+  void AskVouchers(const VoucherSet& aSet, TimePoint aNow);
+  void PullFrom(const std::string& aUrl, TimePoint aNow);
+  /// Makes the acceptance wait if this node has applied the version.
+  void Prepare(Wait& aWait, const ConfigSnapshot& aSnapshot) const;
+  /// Control URL of a random peer, or empty.
+  std::string RandomPeer();
+  void Renew(const VouchTally& aTally);
+
+  Settings settings;
+  /// Guards everything below; no table lock is taken while it is held.
+  std::mutex mutex;
+  RandomSource random;
+  uint64_t nextQuestion = 1;
+  /// Times of open pulls by question.
+  std::map<uint64_t, TimePoint> pulls;
+  /// Open questions to vouchers by number.
+  std::map<uint64_t, Question> questions;
+  std::list<Wait> waits;
+  std::unordered_map<std::string, TimePoint> lastHeard;
+  /// Partners of the present period and when it ends.
+  std::vector<std::string> partners;
+  TimePoint partnersUntil{};
+};
+
+/// Voucher set of a configuration.
+VoucherSet VouchersOf(const ConfigSnapshot& aSnapshot);
+/// The set before it; empty if there was none.
+VoucherSet PreviousVouchersOf(const ConfigSnapshot& aSnapshot);
+/// Control URL of a member; empty if it is unknown.
+std::string ControlUrlOf(const ConfigSnapshot& aSnapshot,
+                         const std::string& aNode);
+
+}  // namespace fescueline
--- a/src/Node/Knowledge.cpp
+++ b/src/Node/Knowledge.cpp
@@ -17,6 +17,11 @@
   return this->lease.Age(aNow);
 }
 
+std::optional<TimePoint> Knowledge::ExpiresAt() {
+  const std::lock_guard lock(this->mutex);
+  return this->lease.ExpiresAt();
+}
+
 void Knowledge::RenewByTable(uint64_t aVersion, TimePoint aAskedAt) {
   const std::lock_guard lock(this->mutex);
   this->lease.Renew(aVersion, aAskedAt, aVersion);
--- a/src/Node/Knowledge.h
+++ b/src/Node/Knowledge.h
@@ -19,6 +19,8 @@
   bool IsFresh(TimePoint aNow);
   /// Age of the knowledge; nothing before the first renewal.
   std::optional<Duration> Age(TimePoint aNow);
+  /// When the present knowledge stops being fresh.
+  std::optional<TimePoint> ExpiresAt();
   /// A table read sent at aAskedAt reached aVersion and was applied.
   void RenewByTable(uint64_t aVersion, TimePoint aAskedAt);
   /// A peer answered a pull sent at aAskedAt.
--- a/src/Node/ShareKeeper.cpp
+++ b/src/Node/ShareKeeper.cpp
@@ -25,21 +25,22 @@
     std::function<void(std::optional<uint64_t>)> aDecided) {
   std::vector<ShareMessage> messages;
   std::optional<uint64_t> version;
+  bool waits = false;
   {
     const std::lock_guard lock(this->mutex);
     std::deque<Waiter>& queue = this->waiters[aOrganisation];
-    // Requests that wait already go first.
     const Admission admission = this->ledger.Admit(aOrganisation, aNow);
     if (admission == Admission::Admitted) {
       version = this->ledger.Version(aOrganisation, aNow);
     } else if (admission == Admission::Dry && queue.size() < kMaxWaiters &&
                aWaitUntil > aNow) {
+      waits = true;
       queue.push_back({.until = aWaitUntil, .decided = std::move(aDecided)});
       messages = this->ledger.Ask(aOrganisation, aNow);
     }
   }
   this->Send(messages);
-  if (aDecided) {
+  if (!waits) {
     aDecided(version);
   }
 }
--- a/src/Node/TargetHandler.cpp
+++ b/src/Node/TargetHandler.cpp
@@ -117,7 +117,7 @@
 
 Cause TargetHandler::CheckAuthority(const RequestContext& aContext,
                                     TimePoint aNow) {
-  if (aContext.open && aContext.organisation.empty()) {
+  if (aContext.open) {
     return Cause::None;
   }
   if (!this->dependencies.knowledge.IsFresh(aNow)) {
--- a/src/Transport/ControlSocket.cpp
+++ b/src/Transport/ControlSocket.cpp
@@ -74,7 +74,9 @@
     char* bound = nullptr;
     Check(nng_listener_get_string(listener, NNG_OPT_URL, &bound),
           "control.listen", this->settings.listenUrl);
-    this->url = bound;
+    this->url = this->settings.advertiseUrl.empty()
+                    ? bound
+                    : this->settings.advertiseUrl;
     nng_strfree(bound);
     this->thread = std::thread([this] { this->Receive(); });
   }
--- a/src/Transport/ControlSocket.h
+++ b/src/Transport/ControlSocket.h
@@ -35,6 +35,8 @@
     PeerIdentity self;
     /// nng URL to listen on, such as tcp://10.0.0.1:7003; port 0 picks one.
     std::string listenUrl;
+    /// URL under which other nodes reach the listener; the bound one if empty.
+    std::string advertiseUrl;
     std::function<void(ControlMessage)> onMessage;
     /// Largest number of peers with an open connection; the least recently
     /// used one is closed beyond that.
@@ -47,7 +49,7 @@
   ControlSocket& operator=(const ControlSocket&) = delete;
   ~ControlSocket();
 
-  /// URL that was bound.
+  /// URL under which other nodes reach the listener.
   const std::string& Url() const;
   /// Sends to the node that listens on the URL; false if it was dropped.
   bool Send(const std::string& aUrl, uint8_t aKind,
