--- /dev/null
+++ b/src/Settings/Secret.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+#include <utility>
+
+namespace fescueline {
+
+/// A secret text. It has no stream or format operator, so that it cannot be
+/// printed by accident.
+class Secret {
+ public:
+  Secret() = default;
+  explicit Secret(std::string aText) : text(std::move(aText)) {}
+
+  /// The secret, for computing digests and comparing in constant time.
+  const std::string& Reveal() const { return this->text; }
+  /// Whether no secret was set.
+  bool IsEmpty() const { return this->text.empty(); }
+
+ private:
+  /// The secret.
+  std::string text;
+};
+
+}  // namespace fescueline
