Add the node's wiring, fleet maintenance, announcements and logs

Cause: the tables, listeners and threads need one owner. Ruled out: a templated node per table store; a type-erased client keeps the node in one translation unit. Change: Node, FleetMaintenance (member record, vouchers, allocations, gone members), LocalTarget, announcements, Boost.Log lines.

--- a/src/Config/ConfigSnapshot.cpp
+++ b/src/Config/ConfigSnapshot.cpp
@@ -98,6 +98,7 @@
           record.deleted
               ? VouchersRecord()
               : VouchersRecord::FromJson(record.value, UnknownFields::Ignore);
+      this->vouchers.version = record.version;
     } catch (const ConfigError&) {
       ++this->decodeErrors;
     }
--- a/src/Config/Records.cpp
+++ b/src/Config/Records.cpp
@@ -230,24 +230,33 @@
   return object.dump();
 }
 
+namespace {
+std::vector<std::string> NodeList(JsonReader& aReader,
+                                  std::string_view aField) {
+  std::vector<std::string> nodes = aReader.Texts(aField, kMostVouchers);
+  for (size_t index = 0; index < nodes.size(); ++index) {
+    if (!IsValidName(nodes[index])) {
+      throw ConfigError(fmt::format("{}[{}]", aField, index), kNameRule);
+    }
+  }
+  std::sort(nodes.begin(), nodes.end());
+  nodes.erase(std::unique(nodes.begin(), nodes.end()), nodes.end());
+  return nodes;
+}
+}  // namespace
+
 VouchersRecord VouchersRecord::FromJson(std::string_view aText,
                                         UnknownFields aUnknown) {
   JsonReader reader(aText);
-  VouchersRecord record{.nodes = reader.Texts("nodes", kMostVouchers)};
-  for (size_t index = 0; index < record.nodes.size(); ++index) {
-    if (!IsValidName(record.nodes[index])) {
-      throw ConfigError(fmt::format("nodes[{}]", index), kNameRule);
-    }
-  }
-  std::sort(record.nodes.begin(), record.nodes.end());
-  record.nodes.erase(std::unique(record.nodes.begin(), record.nodes.end()),
-                     record.nodes.end());
+  VouchersRecord record;
+  record.nodes = NodeList(reader, "nodes");
+  record.previous = NodeList(reader, "previous");
   reader.Finish(aUnknown);
   return record;
 }
 
 std::string VouchersRecord::ToJson() const {
-  return Json{{"nodes", this->nodes}}.dump();
+  return Json{{"nodes", this->nodes}, {"previous", this->previous}}.dump();
 }
 
 }  // namespace fescueline
--- a/src/Config/Records.h
+++ b/src/Config/Records.h
@@ -126,6 +126,10 @@
 struct VouchersRecord {
   /// Node ids, sorted and unique.
   std::vector<std::string> nodes;
+  /// The set before this one, whose majority must acknowledge this record too.
+  std::vector<std::string> previous;
+  /// Version of the transaction that wrote the record; not part of the value.
+  uint64_t version = 0;
 
   static VouchersRecord FromJson(std::string_view aText,
                                  UnknownFields aUnknown);
--- /dev/null
+++ b/src/Node/FleetMaintenance.cpp
@@ -0,0 +1,286 @@
+#include "Node/FleetMaintenance.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "Config/ConfigKeys.h"
+
+namespace fescueline {
+
+namespace {
+/// Members that each node watches. Three, so that a failed pair of neighbours
+/// does not hide a third.
+constexpr size_t kWatchedMembers = 3;
+
+/// Rendezvous weight of a node for a name.
+uint64_t WeightOf(const std::string& aName, const std::string& aNode) {
+  return XXH3_64bits_withSeed(aNode.data(), aNode.size(),
+                              XXH3_64bits(aName.data(), aName.size()));
+}
+}  // namespace
+
+Portion PortionOf(const OrganisationRecord& aRecord) {
+  return {.rate = static_cast<MicroTokens>(aRecord.rate * kMicroTokensPerToken),
+          .capacity =
+              static_cast<MicroTokens>(aRecord.burst * kMicroTokensPerToken)};
+}
+
+Allocation AllocationOf(const AllocationRecord& aAllocation,
+                        const OrganisationRecord& aOrganisation) {
+  return {.version = aAllocation.version,
+          .issuer = aAllocation.issuer,
+          .issuerIncarnation = aAllocation.issuerIncarnation,
+          .total = PortionOf(aOrganisation)};
+}
+
+FleetMaintenance::FleetMaintenance(Settings aSettings)
+    : settings(std::move(aSettings)) {}
+
+void FleetMaintenance::Run() {
+  this->settings.refresh();
+  this->Register();
+  this->MaintainVouchers();
+  this->MaintainAllocations();
+  this->RemoveGoneMembers();
+}
+
+void FleetMaintenance::SetService(std::string aService) {
+  const std::lock_guard lock(this->mutex);
+  this->service = std::move(aService);
+}
+
+bool FleetMaintenance::Write(const std::string& aKey, uint64_t aVersion,
+                             std::optional<std::string> aValue,
+                             uint64_t* aCommitted) {
+  const TransactResult result = this->settings.table.Transact(
+      {.token = Id128::Generate().ToString(),
+       .checks = {{.key = aKey, .version = aVersion}},
+       .writes = {{.key = aKey, .value = std::move(aValue)}}});
+  if (aCommitted != nullptr) {
+    *aCommitted = result.version;
+  }
+  this->settings.refresh();
+  return result.status == TransactStatus::Committed;
+}
+
+void FleetMaintenance::Register() {
+  MemberRecord record = this->settings.member;
+  {
+    const std::lock_guard lock(this->mutex);
+    record.service = this->service;
+  }
+  const auto snapshot = this->settings.config.Snapshot();
+  const auto* current = snapshot->Members().Find(this->settings.self.nodeId);
+  if (current != nullptr && current->record == record) {
+    this->registered = true;
+    return;
+  }
+  this->Write(std::string(kMemberPrefix) + this->settings.self.nodeId,
+              current == nullptr ? 0 : current->version, record.ToJson());
+}
+
+void FleetMaintenance::Leave() {
+  const auto snapshot = this->settings.config.Snapshot();
+  const auto* current = snapshot->Members().Find(this->settings.self.nodeId);
+  // A successor on the same instance may have replaced the record already.
+  if (current != nullptr &&
+      current->record.incarnation == this->settings.self.incarnation) {
+    this->Write(std::string(kMemberPrefix) + this->settings.self.nodeId,
+                current->version, std::nullopt);
+  }
+}
+
+void FleetMaintenance::MaintainVouchers() {
+  const auto snapshot = this->settings.config.Snapshot();
+  const VouchersRecord& vouchers = snapshot->Vouchers();
+  const TimePoint now = SteadyClock().Now();
+  if (!this->registered || !this->settings.knowledge.IsFresh(now)) {
+    return;
+  }
+  std::vector<std::string> next = vouchers.nodes;
+  const bool included =
+      std::find(next.begin(), next.end(), this->settings.self.nodeId) !=
+      next.end();
+  const auto gone =
+      std::find_if(next.begin(), next.end(), [&](const std::string& aNode) {
+        return this->IsSilent(aNode, now);
+      });
+  if (gone != next.end() && next.size() > 1) {
+    next.erase(gone);
+  } else if (!included && next.size() < this->settings.maxVouchers) {
+    next.push_back(this->settings.self.nodeId);
+  } else {
+    return;
+  }
+  this->ProposeVouchers(std::move(next));
+}
+
+void FleetMaintenance::ProposeVouchers(std::vector<std::string> aNodes) {
+  const auto snapshot = this->settings.config.Snapshot();
+  const VouchersRecord& current = snapshot->Vouchers();
+  // The next change must wait until the present set is in force everywhere.
+  if (!current.nodes.empty() && this->acceptedVouchers < current.version) {
+    if (this->awaitedVouchers < current.version) {
+      this->awaitedVouchers = current.version;
+      this->settings.gossip.AwaitAcceptance(
+          current.version, [this, version = current.version] {
+            this->acceptedVouchers = version;
+          });
+    }
+    return;
+  }
+  const VouchersRecord next{.nodes = std::move(aNodes),
+                            .previous = current.nodes,
+                            .version = 0};
+  this->Write(std::string(kVouchersKey), current.version, next.ToJson());
+}
+
+void FleetMaintenance::MaintainAllocations() {
+  const auto snapshot = this->settings.config.Snapshot();
+  for (const auto& organisation : snapshot->Organisations().Items()) {
+    this->MaintainAllocation(*organisation);
+  }
+}
+
+void FleetMaintenance::MaintainAllocation(
+    const NamedRecord<OrganisationRecord>& aOrganisation) {
+  const auto snapshot = this->settings.config.Snapshot();
+  const AllocationRecord* current =
+      snapshot->FindAllocation(aOrganisation.name);
+  const Portion total = PortionOf(aOrganisation.record);
+  // A claim whose answer was lost is found here.
+  this->BeginIssuing(aOrganisation.name);
+  if (!this->MayClaim(aOrganisation.name, current, total)) {
+    return;
+  }
+  const TimePoint now = SteadyClock().Now();
+  const auto claimed = this->claimedAt.find(aOrganisation.name);
+  if (claimed != this->claimedAt.end() &&
+      now - claimed->second < this->settings.allocationSpacing) {
+    return;
+  }
+  this->ClaimAllocation(aOrganisation.name);
+}
+
+bool FleetMaintenance::MayClaim(const std::string& aOrganisation,
+                                const AllocationRecord* aCurrent,
+                                const Portion& aTotal) const {
+  const TimePoint now = SteadyClock().Now();
+  const auto snapshot = this->settings.config.Snapshot();
+  if (aCurrent == nullptr) {
+    // One node claims a new organisation, so that few writes conflict.
+    const auto& members = snapshot->Members().Items();
+    const auto chosen = std::max_element(
+        members.begin(), members.end(),
+        [&](const auto& aLeft, const auto& aRight) {
+          return WeightOf(aOrganisation, aLeft->name) <
+                 WeightOf(aOrganisation, aRight->name);
+        });
+    return chosen != members.end() &&
+           (*chosen)->name == this->settings.self.nodeId;
+  }
+  if (this->settings.shares.AllocationDue(aOrganisation, aTotal, now) !=
+      AllocationCause::None) {
+    return true;
+  }
+  const bool ownedBefore =
+      aCurrent->issuer == this->settings.self.nodeId &&
+      aCurrent->issuerIncarnation != this->settings.self.incarnation;
+  const auto silence =
+      this->settings.shares.IssuerSilence(aOrganisation, now);
+  return ownedBefore ||
+         (silence && *silence >= this->settings.issuerSilentLimit);
+}
+
+void FleetMaintenance::ClaimAllocation(const std::string& aOrganisation) {
+  const auto snapshot = this->settings.config.Snapshot();
+  const auto* current = snapshot->Allocations().Find(aOrganisation);
+  const AllocationRecord next{
+      .version = current == nullptr ? 1 : current->record.version + 1,
+      .issuer = this->settings.self.nodeId,
+      .issuerIncarnation = this->settings.self.incarnation};
+  this->claimedAt[aOrganisation] = SteadyClock().Now();
+  this->Write(std::string(kAllocationPrefix) + aOrganisation,
+              current == nullptr ? 0 : current->version, next.ToJson());
+  this->BeginIssuing(aOrganisation);
+}
+
+void FleetMaintenance::BeginIssuing(const std::string& aOrganisation) {
+  const auto snapshot = this->settings.config.Snapshot();
+  const auto* record = snapshot->Allocations().Find(aOrganisation);
+  const auto* organisation = snapshot->FindOrganisation(aOrganisation);
+  if (record == nullptr || organisation == nullptr ||
+      record->record.issuer != this->settings.self.nodeId ||
+      record->record.issuerIncarnation != this->settings.self.incarnation ||
+      this->issuing[aOrganisation] >= record->record.version) {
+    return;
+  }
+  this->issuing[aOrganisation] = record->record.version;
+  const Allocation allocation = AllocationOf(record->record, *organisation);
+  // Shares of the former version may be spent until the change is accepted.
+  this->settings.gossip.AwaitAcceptance(
+      record->version, [this, aOrganisation, allocation] {
+        this->settings.shares.StartIssuing(aOrganisation, allocation,
+                                           SteadyClock().Now());
+      });
+}
+
+std::vector<std::string> FleetMaintenance::Watched() const {
+  const auto snapshot = this->settings.config.Snapshot();
+  const auto& members = snapshot->Members().Items();
+  std::vector<std::string> watched;
+  const auto self = std::find_if(
+      members.begin(), members.end(), [this](const auto& aMember) {
+        return aMember->name == this->settings.self.nodeId;
+      });
+  if (self == members.end()) {
+    return watched;
+  }
+  // The successors in the order of the names, as on a ring.
+  auto next = self;
+  for (size_t i = 0; i < kWatchedMembers && i + 1 < members.size(); ++i) {
+    ++next;
+    if (next == members.end()) {
+      next = members.begin();
+    }
+    watched.push_back((*next)->name);
+  }
+  for (const std::string& voucher : snapshot->Vouchers().nodes) {
+    if (voucher != this->settings.self.nodeId &&
+        std::find(watched.begin(), watched.end(), voucher) == watched.end()) {
+      watched.push_back(voucher);
+    }
+  }
+  return watched;
+}
+
+bool FleetMaintenance::IsSilent(const std::string& aNode, TimePoint aNow) {
+  if (aNode == this->settings.self.nodeId) {
+    return false;
+  }
+  const TimePoint since = this->watchedSince.try_emplace(aNode, aNow)
+                              .first->second;
+  const TimePoint heard =
+      this->settings.gossip.LastHeard(aNode).value_or(since);
+  return aNow - std::max(heard, since) > this->settings.silentLimit;
+}
+
+void FleetMaintenance::RemoveGoneMembers() {
+  const TimePoint now = SteadyClock().Now();
+  const auto watched = this->Watched();
+  std::erase_if(this->watchedSince, [&](const auto& aEntry) {
+    return std::find(watched.begin(), watched.end(), aEntry.first) ==
+           watched.end();
+  });
+  const auto snapshot = this->settings.config.Snapshot();
+  for (const std::string& node : watched) {
+    const auto* member = snapshot->Members().Find(node);
+    if (member != nullptr && this->IsSilent(node, now)) {
+      this->Write(std::string(kMemberPrefix) + node, member->version,
+                  std::nullopt);
+    }
+  }
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Node/FleetMaintenance.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "Config/ConfigReplica.h"
+#include "Node/Gossip.h"
+#include "Node/ShareKeeper.h"
+#include "Node/TableClient.h"
+
+namespace fescueline {
+
+/// Keeps the fleet's own records in the table service: this node's member
+/// record, the voucher set, the allocations, and records of members that are
+/// gone. Runs on the thread of the table client; other threads may call the
+/// methods marked so.
+class FleetMaintenance {
+ public:
+  /// Construction parameters; references outlive the object.
+  struct Settings {
+    PeerIdentity self;
+    /// This node's member record, without the service.
+    MemberRecord member;
+    ConfigReplica& config;
+    Knowledge& knowledge;
+    Gossip& gossip;
+    ShareKeeper& shares;
+    TableClient& table;
+    /// Brings the replica up to the table after a write.
+    std::function<void()> refresh;
+    /// Largest number of vouchers.
+    size_t maxVouchers = 5;
+    /// A member or voucher that was silent for this long is removed.
+    Duration silentLimit = std::chrono::seconds(30);
+    /// An issuer that was silent for this long is replaced.
+    Duration issuerSilentLimit = std::chrono::seconds(5);
+    /// Shortest time between two allocations of one organisation.
+    Duration allocationSpacing = std::chrono::seconds(30);
+  };
+
+  explicit FleetMaintenance(Settings aSettings);
+
+  /// One round; throws PlatformError when the table fails.
+  void Run();
+  /// Removes this node's member record; for a planned stop.
+  void Leave();
+  /// Service that the local target announced. Any thread.
+  void SetService(std::string aService);
+  /// Whether this incarnation's member record is in the table. Any thread.
+  bool IsRegistered() const { return this->registered.load(); }
+  /// Members whose liveness this node watches, to be pulled from now and
+  /// then. Any thread.
+  std::vector<std::string> Watched() const;
+
+ private:
+  void Register();
+  void MaintainVouchers();
+  void ProposeVouchers(std::vector<std::string> aNodes);
+  void MaintainAllocations();
+  void MaintainAllocation(const NamedRecord<OrganisationRecord>& aOrganisation);
+  bool MayClaim(const std::string& aOrganisation,
+                const AllocationRecord* aCurrent, const Portion& aTotal) const;
+  void ClaimAllocation(const std::string& aOrganisation);
+  /// Waits for the acceptance of an allocation that names this node, then
+  /// issues its shares.
+  void BeginIssuing(const std::string& aOrganisation);
+  void RemoveGoneMembers();
+  /// Whether a node was silent for longer than the limit while watched.
+  bool IsSilent(const std::string& aNode, TimePoint aNow);
+  /// Compare-and-swap of one record; true if committed.
+  bool Write(const std::string& aKey, uint64_t aVersion,
+             std::optional<std::string> aValue, uint64_t* aCommitted = nullptr);
+
+  Settings settings;
+  /// Guards `service`.
+  mutable std::mutex mutex;
+  std::string service;
+  std::atomic<bool> registered{false};
+  /// Version of the voucher record that is known to be accepted, and the one
+  /// that is being waited for.
+  std::atomic<uint64_t> acceptedVouchers{0};
+  uint64_t awaitedVouchers = 0;
+  /// When each silent node was first watched.
+  std::map<std::string, TimePoint> watchedSince;
+  /// Allocation version that this node issues or is about to issue.
+  std::map<std::string, uint64_t> issuing;
+  /// When an allocation was last claimed, by organisation.
+  std::map<std::string, TimePoint> claimedAt;
+};
+
+/// Rate and burst of an organisation as a portion.
+Portion PortionOf(const OrganisationRecord& aRecord);
+
+/// Allocation record and organisation record as an allocation.
+Allocation AllocationOf(const AllocationRecord& aAllocation,
+                        const OrganisationRecord& aOrganisation);
+
+}  // namespace fescueline
--- a/src/Node/Gossip.h
+++ b/src/Node/Gossip.h
@@ -47,6 +47,10 @@
   void Receive(const ControlMessage& aMessage, TimePoint aNow);
   /// Calls back once the committed version is in force everywhere.
   void AwaitAcceptance(uint64_t aVersion, std::function<void()> aAccepted);
+  /// Pulls from a node to see whether it lives.
+  void Watch(const std::string& aUrl, TimePoint aNow) {
+    this->PullFrom(aUrl, aNow);
+  }
   /// When a node last answered; nothing if it never did.
   std::optional<TimePoint> LastHeard(const std::string& aNode);
 
--- a/src/Node/LocalTarget.h
+++ b/src/Node/LocalTarget.h
@@ -31,8 +31,7 @@
  public:
   using Controller = AdmissionController<InboundAttemptPtr>;
 
-  LocalTarget(std::string aService, const AdmissionSettings& aSettings,
-              uint64_t aSeed);
+  LocalTarget(const AdmissionSettings& aSettings, uint64_t aSeed);
 
   /// Records an announcement. Returns whether the state changed.
   bool Announce(const TargetAnnouncement& aAnnouncement, TimePoint aNow);
@@ -40,8 +39,8 @@
   TargetState State(TimePoint aNow);
   /// The node stops: the target takes nothing new.
   void SetStopping();
-  /// Service from the settings.
-  const std::string& Service() const { return this->service; }
+  /// Service of the last announcement; empty before the first.
+  std::string Service();
   /// Base URL of the target; empty before the first announcement.
   std::string Url();
   /// State for peers.
@@ -68,8 +67,8 @@
 
   /// Guards everything below.
   OrderedMutex mutex{LockRank::Admission};
-  /// Service from the settings; empty if the node has no target.
-  const std::string service;
+  /// Service of the last announcement.
+  std::string service;
   /// Lease of the announcements.
   TargetLease lease;
   /// Base URL of the target.
--- /dev/null
+++ b/src/Node/Node.cpp
@@ -0,0 +1,489 @@
+#include "Node/Node.h"
+
+#include <nlohmann/json.hpp>
+
+#include "Node/Log.h"
+#include "Node/TargetAnnouncements.h"
+#include "Platform/HttpTableStore.h"
+
+namespace fescueline {
+
+namespace {
+constexpr Duration kPumpPeriod = std::chrono::milliseconds(10);
+constexpr Duration kAcceptancePeriod = std::chrono::milliseconds(100);
+constexpr Duration kGossipPeriod = std::chrono::milliseconds(250);
+constexpr Duration kFleetPeriod = std::chrono::milliseconds(500);
+constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(500);
+constexpr Duration kExpiryPeriod = std::chrono::milliseconds(500);
+constexpr Duration kIdlePoll = std::chrono::milliseconds(20);
+/// Time for the last responses and returned shares to leave the process.
+constexpr Duration kLastWrites = std::chrono::milliseconds(200);
+constexpr std::string_view kConfigTable = "config";
+constexpr std::string_view kClaimsTable = "claims";
+
+PeerIdentity IdentityOf(const NodeSettings& aSettings) {
+  return {.nodeId = aSettings.node,
+          .incarnation = Id128::Generate(),
+          .fleetSecret = aSettings.fleetSecret.Reveal()};
+}
+
+AdmissionSettings AdmissionOf(const NodeSettings& aSettings) {
+  AdmissionSettings admission;
+  admission.maxQueued = static_cast<uint32_t>(aSettings.queueLength);
+  return admission;
+}
+
+AttemptTableSettings AttemptsOf(const NodeSettings& aSettings) {
+  AttemptTableSettings attempts;
+  attempts.maxAttempts = aSettings.attempts;
+  return attempts;
+}
+
+FleetView::Settings FleetOf(const NodeSettings& aSettings) {
+  FleetView::Settings fleet;
+  fleet.node = aSettings.node;
+  fleet.table.dataCentre = aSettings.dataCentre;
+  fleet.table.region = aSettings.region;
+  fleet.retries.ratio = aSettings.retryRatio;
+  return fleet;
+}
+
+/// The advertised address, with the bound port if none was given.
+SocketAddress Advertised(const SocketAddress& aSetting, uint16_t aBound) {
+  SocketAddress address = aSetting;
+  if (address.port == 0) {
+    address.port = aBound;
+  }
+  return address;
+}
+}  // namespace
+
+Node::Node(NodeSettings aSettings, EmbeddedTables aTables)
+    : settings(std::move(aSettings)),
+      self(IdentityOf(this->settings)),
+      io(static_cast<int>(this->settings.workers)),
+      work(asio::make_work_guard(this->io)),
+      tables(std::move(aTables)),
+      knowledge(this->settings.freshnessLimit, SteadyClock().Now()),
+      sync(this->config, this->knowledge,
+           [this](const std::shared_ptr<const ConfigSnapshot>& aSnapshot,
+                  TimePoint aOldUsableUntil) {
+             this->OnConfig(aSnapshot, aOldUsableUntil);
+           }),
+      readTable(this->MakeTable(this->tables)),
+      writeTable(this->MakeTable(this->tables)),
+      adminTable(this->MakeTable(this->tables)),
+      claims(this->MakeClaims(this->tables)),
+      target(AdmissionOf(this->settings), ThreadRandom().Next()),
+      attempts(AttemptsOf(this->settings)),
+      fleet(FleetOf(this->settings)),
+      peers(this->io, this->self,
+            {.onState =
+                 [this](const std::string& aNode, const std::string&,
+                        const StateWire& aState) {
+                   this->fleet.OnState(aNode, aState, SteadyClock().Now());
+                 },
+             .onClosed =
+                 [this](const std::string& aNode, const std::string&) {
+                   this->fleet.OnSilent(aNode);
+                 }}),
+      shares({.node = this->self.nodeId, .incarnation = this->self.incarnation},
+             ShareSettings{},
+             [this](const ShareMessage& aMessage) {
+               this->SendShare(aMessage);
+             }),
+      targetHandler({.fleetSecret = this->self.fleetSecret,
+                     .config = this->config,
+                     .knowledge = this->knowledge,
+                     .target = this->target,
+                     .attempts = this->attempts,
+                     .fleet = this->fleet,
+                     .client = this->http,
+                     .metrics = this->metrics}),
+      entryHandler({.io = this->io,
+                    .fleetSecret = this->self.fleetSecret,
+                    .config = this->config,
+                    .knowledge = this->knowledge,
+                    .shares = this->shares,
+                    .attempts = this->attempts,
+                    .fleet = this->fleet,
+                    .peers = this->peers,
+                    .metrics = this->metrics,
+                    .claims = *this->claims,
+                    .shareWait = this->settings.shareWait}),
+      gossip({.self = this->self,
+              .config = this->config,
+              .knowledge = this->knowledge,
+              .sync = this->sync,
+              .send =
+                  [this](const std::string& aUrl, ControlKind aKind,
+                         const std::string& aPayload) {
+                    return this->SendControl(aUrl, aKind, aPayload);
+                  },
+              .freshnessLimit = this->settings.freshnessLimit,
+              .seeds = ControlUrls(this->settings.seeds)}) {
+  this->Listen();
+}
+
+Node::~Node() {
+  if (!this->stopped) {
+    this->Shutdown();
+  }
+}
+
+TableClient Node::MakeTable(const EmbeddedTables& aTables) const {
+  if (this->settings.IsTableEmbedded()) {
+    return TableClient(aTables.config ? aTables.config
+                                      : std::make_shared<MemoryTableStore>());
+  }
+  return TableClient(std::make_shared<HttpTableStore>(HttpTableStore::Options{
+      .http = {.url = this->settings.table},
+      .table = std::string(kConfigTable)}));
+}
+
+std::shared_ptr<IdempotencyClaims> Node::MakeClaims(
+    const EmbeddedTables& aTables) const {
+  if (this->settings.IsTableEmbedded()) {
+    return std::make_shared<TableClaims<MemoryTableStore>>(
+        aTables.claims ? aTables.claims : std::make_shared<MemoryTableStore>());
+  }
+  return std::make_shared<TableClaims<HttpTableStore>>(
+      std::make_shared<HttpTableStore>(HttpTableStore::Options{
+          .http = {.url = this->settings.table},
+          .table = std::string(kClaimsTable)}));
+}
+
+void Node::Listen() {
+  this->peerServer = std::make_unique<PeerServer>(PeerServer::Settings{
+      .io = this->io,
+      .self = this->self,
+      .host = this->settings.listenPeers.host,
+      .port = this->settings.listenPeers.port,
+      .handlers = this->targetHandler.PeerHandlers()});
+  const SocketAddress peers =
+      Advertised(this->settings.advertisePeers, this->peerServer->Port());
+  const SocketAddress& controlAddress = this->settings.advertiseControl;
+  this->control = std::make_unique<ControlSocket>(ControlSocket::Settings{
+      .self = this->self,
+      .listenUrl = "tcp://" + this->settings.listenControl.ToString(),
+      .advertiseUrl = controlAddress.port == 0
+                          ? ""
+                          : "tcp://" + controlAddress.ToString(),
+      .onMessage = [this](const ControlMessage& aMessage) {
+        asio::post(this->io,
+                   [this, aMessage] { this->OnControl(aMessage); });
+      }});
+  constexpr std::string_view kScheme = "tcp://";
+  this->maintenance =
+      std::make_unique<FleetMaintenance>(FleetMaintenance::Settings{
+          .self = this->self,
+          .member = {.incarnation = this->self.incarnation,
+                     .dataCentre = this->settings.dataCentre,
+                     .region = this->settings.region,
+                     .service = "",
+                     .peerAddress = peers.ToString(),
+                     .controlAddress =
+                         this->control->Url().substr(kScheme.size())},
+          .config = this->config,
+          .knowledge = this->knowledge,
+          .gossip = this->gossip,
+          .shares = this->shares,
+          .table = this->writeTable,
+          .refresh =
+              [this] {
+                this->sync.ReadTable([this](uint64_t aVersion, size_t aLimit) {
+                  return this->writeTable.ChangesSince(aVersion, aLimit);
+                });
+              }});
+  this->adminApi = std::make_unique<AdminApi>(AdminApi::Dependencies{
+      .settings = this->settings,
+      .config = this->config,
+      .sync = this->sync,
+      .gossip = this->gossip,
+      .table = this->adminTable,
+      .thread = this->operators,
+      .metrics = this->metrics,
+      .knowledge = this->knowledge,
+      .fleet = this->fleet,
+      .target = this->target,
+      .isReady = [this] { return this->IsReady(); },
+      .isRegistered = [this] { return this->maintenance->IsRegistered(); }});
+  this->callers = std::make_unique<HttpServer>(HttpServer::Settings{
+      .io = this->io,
+      .host = this->settings.listenCallers.host,
+      .port = this->settings.listenCallers.port,
+      .maxBody = this->settings.maxBody,
+      .onRequest = [this](HttpExchangePtr aExchange) {
+        this->entryHandler.OnCaller(std::move(aExchange));
+      }});
+  this->localTarget = std::make_unique<HttpServer>(HttpServer::Settings{
+      .io = this->io,
+      .host = this->settings.listenTarget.host,
+      .port = this->settings.listenTarget.port,
+      .maxBody = this->settings.maxBody,
+      .onRequest = [this](HttpExchangePtr aExchange) {
+        this->OnLocalRequest(std::move(aExchange));
+      }});
+  this->admin = std::make_unique<HttpServer>(HttpServer::Settings{
+      .io = this->io,
+      .host = this->settings.listenAdmin.host,
+      .port = this->settings.listenAdmin.port,
+      .onRequest = [this](HttpExchangePtr aExchange) {
+        this->adminApi->Handle(std::move(aExchange));
+      }});
+}
+
+void Node::Start() {
+  this->peerServer->Start();
+  this->Every(kPumpPeriod, [this] {
+    this->targetHandler.Pump();
+    this->shares.Tick(SteadyClock().Now());
+  });
+  this->Every(kAcceptancePeriod, [this] {
+    this->gossip.TickAcceptance(SteadyClock().Now());
+  });
+  this->Every(kGossipPeriod,
+              [this] { this->gossip.Tick(SteadyClock().Now()); });
+  this->Every(kFleetPeriod, [this] {
+    this->fleet.Tick(SteadyClock().Now());
+    this->Connect();
+    this->PublishGauges();
+  });
+  this->Every(kExpiryPeriod,
+              [this] { this->attempts.Expire(SteadyClock().Now()); });
+  this->Every(this->settings.refreshInterval, [this] { this->ReadTable(); });
+  this->Every(kMaintenancePeriod, [this] { this->Maintain(); });
+  for (uint64_t i = 0; i < this->settings.workers; ++i) {
+    this->workers.emplace_back([this] { this->io.run(); });
+  }
+  Log(LogLevel::Info, "node started",
+      {{"node", this->self.nodeId},
+       {"incarnation", this->self.incarnation.ToString()}});
+}
+
+void Node::Every(Duration aPeriod, std::function<void()> aFunction) {
+  const auto timer = std::make_shared<asio::steady_timer>(this->io);
+  // The function re-arms its own timer, so it needs to refer to itself.
+  const auto tick = std::make_shared<std::function<void()>>();
+  *tick = [this, timer, aPeriod, function = std::move(aFunction),
+           weak = std::weak_ptr(tick)] {
+    if (this->stopping) {
+      return;
+    }
+    function();
+    timer->expires_after(aPeriod);
+    timer->async_wait([next = weak.lock()](const asio::error_code& aError) {
+      if (!aError && next) {
+        (*next)();
+      }
+    });
+  };
+  asio::post(this->io, [tick] { (*tick)(); });
+}
+
+void Node::OnConfig(const std::shared_ptr<const ConfigSnapshot>& aSnapshot,
+                    TimePoint aOldUsableUntil) {
+  const TimePoint now = SteadyClock().Now();
+  this->fleet.UpdateMembers(aSnapshot);
+  for (const auto& organisation : aSnapshot->Organisations().Items()) {
+    this->target.SetWeight(organisation->name, organisation->record.weight);
+    if (const auto* allocation =
+            aSnapshot->FindAllocation(organisation->name)) {
+      this->shares.Install(organisation->name,
+                           AllocationOf(*allocation, organisation->record),
+                           aOldUsableUntil, now);
+    }
+  }
+  this->shares.Retain(*aSnapshot);
+  if (this->lastSnapshot) {
+    for (const auto& member : this->lastSnapshot->Members().Items()) {
+      const auto* now = aSnapshot->Members().Find(member->name);
+      if (now == nullptr ||
+          now->record.incarnation != member->record.incarnation) {
+        this->shares.HolderGone(member->record.incarnation);
+      }
+    }
+  }
+  this->lastSnapshot = aSnapshot;
+}
+
+void Node::OnControl(const ControlMessage& aMessage) {
+  const TimePoint now = SteadyClock().Now();
+  const auto kind = static_cast<ControlKind>(aMessage.kind);
+  if (kind < ControlKind::ShareRequest) {
+    this->gossip.Receive(aMessage, now);
+  } else if (const auto share = DecodeShare(kind, aMessage.payload)) {
+    this->shares.Receive(*share, now);
+  }
+}
+
+void Node::SendShare(const ShareMessage& aMessage) {
+  if (aMessage.to == this->self.nodeId) {
+    asio::post(this->io, [this, aMessage] {
+      this->shares.Receive(aMessage, SteadyClock().Now());
+    });
+    return;
+  }
+  const std::string url = ControlUrlOf(*this->config.Snapshot(), aMessage.to);
+  if (!url.empty()) {
+    this->SendControl(url, KindOf(aMessage), EncodeShare(aMessage));
+  }
+}
+
+bool Node::SendControl(const std::string& aUrl, ControlKind aKind,
+                       const std::string& aPayload) {
+  return this->control &&
+         this->control->Send(aUrl, static_cast<uint8_t>(aKind), aPayload);
+}
+
+void Node::OnLocalRequest(HttpExchangePtr aExchange) {
+  const HttpRequest& request = aExchange->Request();
+  if (request.target != kAnnouncePath) {
+    this->entryHandler.OnLocalTarget(std::move(aExchange));
+    return;
+  }
+  const AnnouncementResult result =
+      ParseAnnouncement(request.method, request.body);
+  if (!result.announcement) {
+    aExchange->Respond(
+        {.status = 400, .headers = {}, .body = result.error + "\n"});
+    return;
+  }
+  if (this->target.Announce(*result.announcement, SteadyClock().Now())) {
+    Log(LogLevel::Info, "target changed",
+        {{"service", result.announcement->service},
+         {"state", std::string(ToName(result.announcement->state))}});
+    this->maintenance->SetService(result.announcement->service);
+    this->peerServer->PushState();
+  }
+  aExchange->Respond({.status = 204, .headers = {}, .body = {}});
+}
+
+void Node::ReadTable() {
+  if (this->reading.exchange(true)) {
+    return;
+  }
+  const bool posted = this->reader.Post([this] {
+    try {
+      this->sync.ReadTable([this](uint64_t aVersion, size_t aLimit) {
+        return this->readTable.ChangesSince(aVersion, aLimit);
+      });
+      this->metrics.SetGauge("table_up", 1);
+    } catch (const std::exception&) {
+      this->metrics.SetGauge("table_up", 0);
+    }
+    this->reading = false;
+  });
+  if (!posted) {
+    this->reading = false;
+  }
+}
+
+void Node::Maintain() {
+  if (this->maintaining.exchange(true)) {
+    return;
+  }
+  const bool posted = this->writer.Post([this] {
+    try {
+      this->maintenance->Run();
+    } catch (const std::exception&) {
+      // The table is down; the next round tries again.
+      this->metrics.SetGauge("table_up", 0);
+    }
+    this->maintaining = false;
+  });
+  if (!posted) {
+    this->maintaining = false;
+  }
+}
+
+void Node::Connect() {
+  for (const PeerAddress& peer : this->fleet.WantedPeers()) {
+    this->peers.Get(peer);
+  }
+  const auto snapshot = this->config.Snapshot();
+  for (const std::string& node : this->maintenance->Watched()) {
+    const std::string url = ControlUrlOf(*snapshot, node);
+    if (!url.empty()) {
+      this->gossip.Watch(url, SteadyClock().Now());
+    }
+  }
+}
+
+void Node::PublishGauges() {
+  const auto age = this->knowledge.Age(SteadyClock().Now());
+  this->metrics.SetGauge("knowledge_age_seconds", age ? ToSeconds(*age) : -1);
+  this->metrics.SetGauge("config_version",
+                         static_cast<double>(this->config.Version()));
+  this->metrics.SetGauge("target_in_flight", this->target.InFlight());
+  this->metrics.SetGauge("target_limit", this->target.Limit());
+  this->metrics.SetGauge("target_queued",
+                         static_cast<double>(this->target.Queued()));
+  this->metrics.SetGauge("known_targets",
+                         static_cast<double>(this->fleet.Targets()));
+  this->metrics.SetGauge("control_bytes_sent",
+                         static_cast<double>(this->control->BytesSent()));
+  this->metrics.SetGauge("control_bytes_received",
+                         static_cast<double>(this->control->BytesReceived()));
+}
+
+bool Node::IsReady() {
+  return this->knowledge.IsFresh(SteadyClock().Now()) &&
+         this->maintenance->IsRegistered() && !this->stopping;
+}
+
+bool Node::Stop() {
+  Log(LogLevel::Info, "node stopping", {{"node", this->self.nodeId}});
+  this->target.SetStopping();
+  this->peerServer->PushState();
+  this->entryHandler.StopAccepting();
+  this->callers->StopAccepting();
+  this->shares.ReturnAll(SteadyClock().Now());
+  const bool idle = this->WaitUntilIdle();
+  this->writer.Post([this] {
+    try {
+      this->maintenance->Leave();
+    } catch (const std::exception&) {
+      // A peer removes the record later.
+      return;
+    }
+  });
+  std::this_thread::sleep_for(kLastWrites);
+  this->Shutdown();
+  Log(LogLevel::Info, "node stopped",
+      {{"node", this->self.nodeId}, {"idle", idle ? "true" : "false"}});
+  return idle;
+}
+
+bool Node::WaitUntilIdle() {
+  const TimePoint limit = SteadyClock().Now() + this->settings.drainDeadline;
+  while (SteadyClock().Now() < limit) {
+    if (this->entryHandler.Open() == 0 && this->targetHandler.Open() == 0) {
+      return true;
+    }
+    std::this_thread::sleep_for(kIdlePoll);
+  }
+  return false;
+}
+
+void Node::Shutdown() {
+  this->stopped = true;
+  this->stopping = true;
+  this->reader.Stop();
+  this->writer.Stop();
+  this->operators.Stop();
+  this->callers->StopAccepting();
+  this->localTarget->StopAccepting();
+  this->admin->StopAccepting();
+  this->peerServer->StopAccepting();
+  this->peers.CloseAll();
+  this->peerServer->CloseSessions("node stops");
+  this->work.reset();
+  this->io.stop();
+  for (std::thread& worker : this->workers) {
+    worker.join();
+  }
+  this->control.reset();
+}
+
+}  // namespace fescueline
--- a/src/Node/ShareKeeper.cpp
+++ b/src/Node/ShareKeeper.cpp
@@ -49,6 +49,7 @@
                           const Allocation& aAllocation,
                           TimePoint aOldUsableUntil, TimePoint aNow) {
   const std::lock_guard lock(this->mutex);
+  this->installed.insert(aOrganisation);
   this->ledger.Install(aOrganisation, aAllocation, aOldUsableUntil, aNow);
   const auto issuer = this->issuers.find(aOrganisation);
   if (issuer != this->issuers.end() &&
@@ -57,10 +58,16 @@
   }
 }
 
-void ShareKeeper::Remove(const std::string& aOrganisation) {
+void ShareKeeper::Retain(const ConfigSnapshot& aSnapshot) {
   const std::lock_guard lock(this->mutex);
-  this->ledger.Remove(aOrganisation);
-  this->issuers.erase(aOrganisation);
+  std::erase_if(this->installed, [&](const std::string& aOrganisation) {
+    if (aSnapshot.FindOrganisation(aOrganisation) != nullptr) {
+      return false;
+    }
+    this->ledger.Remove(aOrganisation);
+    this->issuers.erase(aOrganisation);
+    return true;
+  });
 }
 
 void ShareKeeper::StartIssuing(const std::string& aOrganisation,
--- a/src/Node/ShareKeeper.h
+++ b/src/Node/ShareKeeper.h
@@ -3,10 +3,12 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "Config/ConfigSnapshot.h"
 #include "Core/OrderedMutex.h"
 #include "Limits/ShareIssuer.h"
 #include "Limits/ShareLedger.h"
@@ -34,7 +36,8 @@
   /// See ShareLedger.
   void Install(const std::string& aOrganisation, const Allocation& aAllocation,
                TimePoint aOldUsableUntil, TimePoint aNow);
-  void Remove(const std::string& aOrganisation);
+  /// Drops the organisations that the configuration does not have any more.
+  void Retain(const ConfigSnapshot& aSnapshot);
   /// Begins to issue an allocation that has been accepted.
   void StartIssuing(const std::string& aOrganisation,
                     const Allocation& aAllocation, TimePoint aNow);
@@ -79,6 +82,8 @@
   Sender sender;
   ShareSettings settings;
   ShareLedger ledger;
+  /// Organisations with an allocation in the ledger.
+  std::set<std::string> installed;
   /// Allocations that this node issues, by organisation.
   std::map<std::string, ShareIssuer> issuers;
   /// Waiting requests by organisation.
--- /dev/null
+++ b/src/Node/TargetAnnouncements.cpp
@@ -0,0 +1,90 @@
+#include "Node/TargetAnnouncements.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fescueline {
+
+namespace {
+using Json = nlohmann::json;
+
+constexpr uint64_t kMaxSlots = 1'000'000;
+constexpr size_t kMaxServiceName = 128;
+
+/// An optional count between 1 and kMaxSlots; sets the error otherwise.
+std::optional<uint32_t> Count(const Json& aObject, const char* aField,
+                              std::string& aError) {
+  const auto found = aObject.find(aField);
+  if (found == aObject.end()) {
+    return std::nullopt;
+  }
+  if (!found->is_number_unsigned() || found->get<uint64_t>() == 0 ||
+      found->get<uint64_t>() > kMaxSlots) {
+    aError = std::string(aField) + ": expected a whole number from 1";
+    return std::nullopt;
+  }
+  return found->get<uint32_t>();
+}
+
+std::string Text(const Json& aObject, const char* aField, std::string& aError) {
+  const auto found = aObject.find(aField);
+  if (found == aObject.end() || !found->is_string() ||
+      found->get<std::string>().empty()) {
+    aError = std::string(aField) + ": expected a text";
+    return "";
+  }
+  return found->get<std::string>();
+}
+
+TargetAnnouncement Decode(const Json& aObject, std::string& aError) {
+  TargetAnnouncement announcement;
+  announcement.service = Text(aObject, "service", aError);
+  if (announcement.service.size() > kMaxServiceName) {
+    aError = "service: too long";
+  }
+  announcement.address = Text(aObject, "address", aError);
+  // The target is on this instance; another address would turn the node into
+  // a relay to any host.
+  const auto address = SocketAddress::Parse(announcement.address);
+  if (!address || !address->IsLoopback()) {
+    aError = "address: expected a loopback address and port";
+  }
+  const auto state = FromName<TargetState>(Text(aObject, "state", aError));
+  if (!state || *state == TargetState::Gone) {
+    aError = "state: expected starting, ready or draining";
+  }
+  announcement.state = state.value_or(TargetState::Gone);
+  announcement.slots = Count(aObject, "slots", aError);
+  announcement.connections = Count(aObject, "connections", aError);
+  return announcement;
+}
+}  // namespace
+
+AnnouncementResult ParseAnnouncement(std::string_view aMethod,
+                                     std::string_view aBody) {
+  AnnouncementResult result;
+  if (aMethod != "POST") {
+    result.error = "method: expected POST";
+    return result;
+  }
+  const Json object = Json::parse(aBody, nullptr, false);
+  if (!object.is_object()) {
+    result.error = "body: expected a JSON object";
+    return result;
+  }
+  const TargetAnnouncement announcement = Decode(object, result.error);
+  if (result.error.empty()) {
+    result.announcement = announcement;
+  }
+  return result;
+}
+
+std::vector<std::string> ControlUrls(
+    const std::vector<SocketAddress>& aAddresses) {
+  std::vector<std::string> urls;
+  for (const SocketAddress& address : aAddresses) {
+    urls.push_back("tcp://" + address.ToString());
+  }
+  return urls;
+}
+
+}  // namespace fescueline
