Add share ledger and issuer: an organisation's limit in escrow

Cause: an organisation's rate and burst hold for the fleet as a whole, while messages are lost, repeated and late and nodes pause, restart and die. Ruled out: incremental transfers with acknowledgements, which keep a list of open transfers on both sides and lose a share for good when a message is lost; shares without an end, which need a new allocation (a gap of seconds for the whole organisation) for every dead holder; floating-point levels. Change: TokenBucket (exact, 10^-15 token), HeldShare and ShareLedger (holder), ShareIssuer. Holders state their share in numbered, absolute statements and credit only transfers for the latest one; the issuer deducts first and issues again what a statement proves lost. Shares are leased: a dead holder's share returns when its lease ends. An old share may be spent until the knowledge from before the new allocation expires, which removes most of the gap. ClockDrift.h is split from FreshnessLease.h, as Limits uses it too. Conclusion: only a changed limit, a dead issuer or many dead holders of a large fleet need a new allocation version.

--- a/src/Freshness/AcceptanceWait.cpp
+++ b/src/Freshness/AcceptanceWait.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cassert>
 
-#include "Freshness/FreshnessLease.h"
+#include "Freshness/ClockDrift.h"
 
 namespace fescueline {
 
--- a/src/Freshness/FreshnessLease.h
+++ b/src/Freshness/FreshnessLease.h
@@ -26,16 +26,6 @@
   Duration age{};
 };
 
-/// Fastest clock relative to the slowest that the waits allow for, in parts per
-/// thousand. Quartz clocks differ by less than 0.2.
-inline constexpr int kClockDriftPerMille = 1;
-
-/// A limit measured on one node's clock, lengthened so that it has also passed
-/// on every other node's clock.
-constexpr Duration WithClockDrift(Duration aLimit) {
-  return aLimit + aLimit * kClockDriftPerMille / 1000;
-}
-
 /// Says whether this node's knowledge of the configuration is recent enough to
 /// serve closed routes and to spend shares. No locking; the owner serialises.
 ///
--- a/src/Freshness/VoucherEligibility.h
+++ b/src/Freshness/VoucherEligibility.h
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "Core/Time.h"
+#include "Freshness/ClockDrift.h"
 #include "Freshness/FreshnessLease.h"
 
 namespace fescueline {
--- /dev/null
+++ b/src/Limits/HeldShare.cpp
@@ -0,0 +1,278 @@
+#include "Limits/HeldShare.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fescueline {
+
+namespace {
+constexpr Duration kDemandStep = std::chrono::milliseconds(50);
+// Share kept above the demand, so that random variation does not run it dry.
+constexpr double kHeadroom = 1.25;
+// An idle share is returned at once when less than half of it is in demand.
+constexpr double kIdleFraction = 0.5;
+// Below this demand, in tokens per second, a share is not worth keeping.
+constexpr double kNegligibleDemand = 0.01;
+// Capacity kept when asking for more, as accrual time of the held rate.
+constexpr double kMinimumCapacitySeconds = 0.25;
+
+MicroTokens ToMicroTokens(double aTokens) {
+  return static_cast<MicroTokens>(
+      std::llround(aTokens * static_cast<double>(kMicroTokensPerToken)));
+}
+}  // namespace
+
+HeldShare::HeldShare(std::string aOrganisation, const HolderIdentity& aSelf,
+                     const ShareSettings& aSettings)
+    : organisation(std::move(aOrganisation)),
+      self(aSelf),
+      settings(aSettings),
+      reportInterval(aSettings.reportInterval),
+      askSpacing(aSettings.askSpacing) {}
+
+void HeldShare::Install(const Allocation& aAllocation,
+                        TimePoint aOldUsableUntil, TimePoint aNow) {
+  if (aAllocation.version <= this->Newest().version) {
+    return;
+  }
+  if (this->Newest().version == 0) {
+    this->demandAt = aNow;
+  }
+  this->next = aAllocation;
+  this->switchAt = this->allocation.version == 0
+                       ? aNow
+                       : std::min(this->switchAt, aOldUsableUntil);
+  this->silentSince.reset();
+  this->UpdateUsableUntil();
+  this->DropExpired(aNow);
+}
+
+void HeldShare::UpdateUsableUntil() {
+  this->usableUntil = std::min(this->leaseEnd, this->switchAt);
+}
+
+void HeldShare::DropExpired(TimePoint aNow) {
+  if (this->next && aNow >= this->switchAt) {
+    this->allocation = *this->next;
+    this->next.reset();
+    this->switchAt = TimePoint::max();
+    this->leaseEnd = TimePoint{};
+    this->awaiting = false;
+    this->backoff = Duration::zero();
+    this->nextAskAt = aNow;
+    this->nextReportAt = aNow;
+    this->bucket.Clear(aNow);
+    this->UpdateUsableUntil();
+  }
+  if (aNow >= this->usableUntil && !this->bucket.Size().IsZero()) {
+    this->bucket.Clear(aNow);
+  }
+}
+
+bool HeldShare::Admit(bool aFirst, TimePoint aNow) {
+  this->arrivals += aFirst ? 1 : 0;
+  if (aNow >= this->usableUntil) {
+    this->DropExpired(aNow);
+  }
+  if (this->bucket.TrySpend(aNow)) {
+    return true;
+  }
+  ++this->dry;
+  return false;
+}
+
+void HeldShare::UpdateDemand(TimePoint aNow) {
+  const Duration elapsed = aNow - this->demandAt;
+  if (elapsed < kDemandStep) {
+    return;
+  }
+  const double seconds = ToSeconds(elapsed);
+  const double weight =
+      1 - std::exp(-seconds / ToSeconds(this->settings.demandWindow));
+  this->demand +=
+      (static_cast<double>(this->arrivals) / seconds - this->demand) * weight;
+  this->arrivals = 0;
+  this->demandAt = aNow;
+}
+
+ShareStatement HeldShare::State(const Portion& aKeep, TimePoint aNow) {
+  const Portion held = this->bucket.Size();
+  const Portion surplus{
+      .rate = std::max<MicroTokens>(0, held.rate - aKeep.rate),
+      .capacity = std::max<MicroTokens>(0, held.capacity - aKeep.capacity)};
+  const MicroTokens tokens = this->bucket.Remove(surplus, 0, aNow);
+  ++this->statement;
+  this->statedAt = aNow;
+  this->nextPart = 0;
+  return ShareStatement{.organisation = this->organisation,
+                        .allocation = this->allocation.version,
+                        .holder = this->self.node,
+                        .holderIncarnation = this->self.incarnation,
+                        .issuerIncarnation = this->allocation.issuerIncarnation,
+                        .number = this->statement,
+                        .held = this->bucket.Size(),
+                        .returnedTokens = tokens,
+                        .demand = ToMicroTokens(this->demand)};
+}
+
+void HeldShare::SendRequest(MicroTokens aWanted, const Portion& aKeep,
+                            TimePoint aNow, std::vector<ShareMessage>& aOut) {
+  this->wantedTokens = aWanted;
+  this->awaiting = true;
+  this->silentSince = this->silentSince.value_or(aNow);
+  this->nextReportAt = aNow + this->reportInterval;
+  aOut.push_back({.to = this->allocation.issuer,
+                  .body = ShareRequest{.statement = this->State(aKeep, aNow),
+                                       .wanted = aWanted}});
+}
+
+void HeldShare::SendReturn(const Portion& aKeep, TimePoint aNow,
+                           std::vector<ShareMessage>& aOut) {
+  // The new statement makes the open request's answer void.
+  this->awaiting = false;
+  aOut.push_back({.to = this->allocation.issuer,
+                  .body = ShareReturn{.statement = this->State(aKeep, aNow)}});
+}
+
+void HeldShare::Ask(TimePoint aNow, std::vector<ShareMessage>& aOut) {
+  this->DropExpired(aNow);
+  if (this->dry == 0 || this->allocation.version == 0 ||
+      aNow < this->nextAskAt) {
+    return;
+  }
+  if (this->awaiting) {
+    if (aNow - this->statedAt < this->settings.answerTimeout) {
+      return;
+    }
+    // A lost message, or an issuer that is gone: ask less and less often.
+    this->backoff =
+        std::min(this->reportInterval,
+                 std::max(this->settings.answerTimeout, this->backoff * 2));
+  }
+  this->UpdateDemand(aNow);
+  // Empty capacity goes back with the request, as tokens come only together
+  // with capacity that holds them.
+  const Portion held = this->bucket.Size();
+  const MicroTokens capacity =
+      std::max({this->bucket.Tokens(aNow), kMicroTokensPerToken,
+                static_cast<MicroTokens>(static_cast<double>(held.rate) *
+                                         kMinimumCapacitySeconds)});
+  const auto wanted =
+      static_cast<MicroTokens>(this->dry) * kMicroTokensPerToken;
+  this->dry = 0;
+  this->nextAskAt = aNow + std::max(this->askSpacing, this->backoff);
+  this->SendRequest(wanted, {.rate = held.rate, .capacity = capacity}, aNow,
+                    aOut);
+}
+
+Portion HeldShare::IdleKeep() const {
+  const Portion held = this->bucket.Size();
+  if (this->demand < kNegligibleDemand) {
+    return Portion{};
+  }
+  const MicroTokens rate =
+      std::min(held.rate, ToMicroTokens(this->demand * kHeadroom));
+  const double kept = held.rate == 0 ? 1.0
+                                     : static_cast<double>(rate) /
+                                           static_cast<double>(held.rate);
+  return {.rate = rate,
+          .capacity = std::max(kMicroTokensPerToken,
+                               static_cast<MicroTokens>(
+                                   static_cast<double>(held.capacity) * kept))};
+}
+
+void HeldShare::Tick(TimePoint aNow, std::vector<ShareMessage>& aOut) {
+  this->DropExpired(aNow);
+  if (this->allocation.version == 0) {
+    return;
+  }
+  this->UpdateDemand(aNow);
+  this->Ask(aNow, aOut);
+  const Portion held = this->bucket.Size();
+  const bool waiting =
+      this->awaiting && aNow - this->statedAt < this->settings.answerTimeout;
+  const bool full = this->bucket.Tokens(aNow) == held.capacity;
+  const bool idle =
+      !held.IsZero() && full &&
+      this->demand * kHeadroom * static_cast<double>(kMicroTokensPerToken) <
+          static_cast<double>(held.rate) * kIdleFraction;
+  if (idle && !waiting) {
+    this->SendReturn(this->IdleKeep(), aNow, aOut);
+  } else if (aNow >= this->nextReportAt &&
+             (!held.IsZero() || this->demand >= kNegligibleDemand)) {
+    this->SendRequest(0, held, aNow, aOut);
+  }
+  if (held.IsZero() && this->demand < kNegligibleDemand && this->dry == 0) {
+    // Nothing is expected from the issuer any more.
+    this->silentSince.reset();
+    this->awaiting = false;
+  }
+}
+
+bool HeldShare::Receive(const ShareTransfer& aTransfer, TimePoint aNow,
+                        std::vector<ShareMessage>& aOut) {
+  this->DropExpired(aNow);
+  const bool answer = aTransfer.id.part == 0;
+  const TimePoint validUntil =
+      answer ? this->statedAt + aTransfer.validFor : this->leaseEnd;
+  if (aTransfer.allocation != this->allocation.version ||
+      aTransfer.issuerIncarnation != this->allocation.issuerIncarnation ||
+      aTransfer.holderIncarnation != this->self.incarnation ||
+      aTransfer.id.statement != this->statement ||
+      aTransfer.id.part < this->nextPart || aNow >= validUntil) {
+    return false;
+  }
+  this->nextPart = aTransfer.id.part + 1;
+  this->bucket.Add(aTransfer.portion, aTransfer.tokens, aNow);
+  this->silentSince.reset();
+  if (!answer) {
+    return true;
+  }
+  this->awaiting = false;
+  this->leaseEnd = std::max(this->leaseEnd, validUntil);
+  this->UpdateUsableUntil();
+  this->reportInterval = aTransfer.reportInterval;
+  this->askSpacing = aTransfer.askSpacing;
+  if (aTransfer.tokens > 0) {
+    this->backoff = Duration::zero();
+  } else if (this->wantedTokens > 0) {
+    this->backoff = std::min(this->reportInterval,
+                             std::max(this->askSpacing, this->backoff * 2));
+    this->nextAskAt = std::max(this->nextAskAt, aNow + this->backoff);
+  }
+  const Portion held = this->bucket.Size();
+  // A tenth of tolerance keeps shares from moving to and fro.
+  if (held.rate > aTransfer.keep.rate + aTransfer.keep.rate / 10) {
+    this->SendReturn(
+        {.rate = aTransfer.keep.rate,
+         .capacity = std::max(aTransfer.keep.capacity, kMicroTokensPerToken)},
+        aNow, aOut);
+  }
+  return true;
+}
+
+void HeldShare::ReturnAll(TimePoint aNow, std::vector<ShareMessage>& aOut) {
+  this->DropExpired(aNow);
+  if (!this->bucket.Size().IsZero()) {
+    this->SendReturn(Portion{}, aNow, aOut);
+  }
+}
+
+Portion HeldShare::Held(TimePoint aNow) {
+  this->DropExpired(aNow);
+  return this->bucket.Size();
+}
+
+MicroTokens HeldShare::Tokens(TimePoint aNow) {
+  this->DropExpired(aNow);
+  return this->bucket.Tokens(aNow);
+}
+
+std::optional<Duration> HeldShare::IssuerSilence(TimePoint aNow) const {
+  if (!this->silentSince || this->next) {
+    return std::nullopt;
+  }
+  return aNow - *this->silentSince;
+}
+
+}  // namespace fescueline
--- a/tests/Freshness/AcceptanceWaitTest.cpp
+++ b/tests/Freshness/AcceptanceWaitTest.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "Freshness/AcceptanceWait.h"
+#include "Freshness/ClockDrift.h"
 #include "Freshness/FreshnessLease.h"
 #include "Freshness/PropertyRun.h"
 #include "Freshness/VouchTally.h"
