Add the stand-in target

Cause: tests, benchmarks and the demo need a target that announces itself, calls other services and records what it saw. Measured: not run yet.

--- a/src/Node/AttemptRegistry.cpp
+++ b/src/Node/AttemptRegistry.cpp
@@ -14,8 +14,7 @@
       return result;
     }
   }
-  const bool added =
-      this->running.emplace(context.attemptId, aAttempt).second;
+  const bool added = this->running.emplace(context.attemptId, aAttempt).second;
   return added ? BeginResult::Started : BeginResult::Duplicate;
 }
 
--- a/src/Node/ControlMessages.cpp
+++ b/src/Node/ControlMessages.cpp
@@ -163,7 +163,8 @@
   if (const auto* transfer = std::get_if<ShareTransfer>(&aMessage.body)) {
     return EncodePayload(ToWire(*transfer));
   }
-  return EncodePayload(ToWire(std::get<ShareReturn>(aMessage.body).statement, 0));
+  return EncodePayload(
+      ToWire(std::get<ShareReturn>(aMessage.body).statement, 0));
 }
 
 std::optional<ShareMessage> DecodeShare(ControlKind aKind,
@@ -182,8 +183,8 @@
     return std::nullopt;
   }
   if (aKind == ControlKind::ShareRequest) {
-    return ShareMessage{
-        .to = "", .body = ShareRequest{*statement, wire->wanted}};
+    return ShareMessage{.to = "",
+                        .body = ShareRequest{*statement, wire->wanted}};
   }
   return ShareMessage{.to = "", .body = ShareReturn{*statement}};
 }
--- a/src/Node/EntryHandler.cpp
+++ b/src/Node/EntryHandler.cpp
@@ -95,10 +95,10 @@
   if (!ok) {
     return;
   }
-  pending.policy = pending.snapshot->Decide(
-      {.route = route,
-       .method = request.method,
-       .organisation = pending.context.organisation});
+  pending.policy =
+      pending.snapshot->Decide({.route = route,
+                                .method = request.method,
+                                .organisation = pending.context.organisation});
   pending.context.idempotent = pending.policy.idempotent;
   pending.context.open = pending.policy.open;
   if (!pending.parent) {
@@ -208,7 +208,8 @@
   aPending->idempotencyKey = *key;
   this->dependencies.claims.Claim(
       aPending->context.organisation, aPending->idempotencyKey,
-      aPending->context.rootId, [this, aPending](IdempotencyClaims::Result aResult) {
+      aPending->context.rootId,
+      [this, aPending](IdempotencyClaims::Result aResult) {
         using Result = IdempotencyClaims::Result;
         if (aResult == Result::Claimed) {
           this->Forward(aPending);
@@ -216,22 +217,22 @@
         }
         // A duplicate's first request may have run; nothing of this one did.
         const bool duplicate = aResult == Result::Duplicate;
-        this->Refuse(*aPending,
-                     {.outcome = duplicate ? Outcome::Unknown : Outcome::NotRun,
-                      .cause = duplicate ? Cause::Duplicate
-                                         : Cause::StoreUnavailable,
-                      .retryAfter = duplicate ? Duration(0)
-                                              : WithJitter(kRetryAfterStale)});
+        this->Refuse(
+            *aPending,
+            {.outcome = duplicate ? Outcome::Unknown : Outcome::NotRun,
+             .cause = duplicate ? Cause::Duplicate : Cause::StoreUnavailable,
+             .retryAfter =
+                 duplicate ? Duration(0) : WithJitter(kRetryAfterStale)});
       });
 }
 
 void EntryHandler::Forward(const PendingPtr& aPending) {
   Pending& pending = *aPending;
   const RunningAttemptPtr budget =
-      pending.parent ? pending.parent
-                     : std::make_shared<RunningAttempt>(
-                           pending.context, pending.deadline,
-                           pending.policy.retries);
+      pending.parent
+          ? pending.parent
+          : std::make_shared<RunningAttempt>(pending.context, pending.deadline,
+                                             pending.policy.retries);
   const auto callNumber = std::make_shared<uint64_t>(0);
   const auto call = std::make_shared<ForwardCall>(ForwardCall::Settings{
       .io = this->dependencies.io,
@@ -247,8 +248,8 @@
       .onEnd = [this, aPending, budget,
                 callNumber](const ForwardCall::Result& aResult) {
         budget->EndCall(*callNumber, SteadyClock().Now());
-        const bool notRun = aResult.status == 0 &&
-                            aResult.refusal.outcome == Outcome::NotRun;
+        const bool notRun =
+            aResult.status == 0 && aResult.refusal.outcome == Outcome::NotRun;
         if (notRun && !aPending->idempotencyKey.empty()) {
           this->dependencies.claims.Release(aPending->context.organisation,
                                             aPending->idempotencyKey,
@@ -264,8 +265,8 @@
       },
       SteadyClock().Now());
   if (*callNumber == 0) {
-    this->Refuse(pending,
-                 {.cause = Cause::Cancelled, .detail = "the attempt has ended"});
+    this->Refuse(pending, {.cause = Cause::Cancelled,
+                           .detail = "the attempt has ended"});
     return;
   }
   call->Start();
--- a/src/Node/FleetMaintenance.cpp
+++ b/src/Node/FleetMaintenance.cpp
@@ -99,13 +99,11 @@
     return;
   }
   std::vector<std::string> next = vouchers.nodes;
-  const bool included =
-      std::find(next.begin(), next.end(), this->settings.self.nodeId) !=
-      next.end();
-  const auto gone =
-      std::find_if(next.begin(), next.end(), [&](const std::string& aNode) {
-        return this->IsSilent(aNode, now);
-      });
+  const bool included = std::find(next.begin(), next.end(),
+                                  this->settings.self.nodeId) != next.end();
+  const auto gone = std::find_if(
+      next.begin(), next.end(),
+      [&](const std::string& aNode) { return this->IsSilent(aNode, now); });
   if (gone != next.end() && next.size() > 1) {
     next.erase(gone);
   } else if (!included && next.size() < this->settings.maxVouchers) {
@@ -123,16 +121,15 @@
   if (!current.nodes.empty() && this->acceptedVouchers < current.version) {
     if (this->awaitedVouchers < current.version) {
       this->awaitedVouchers = current.version;
-      this->settings.gossip.AwaitAcceptance(
-          current.version, [this, version = current.version] {
-            this->acceptedVouchers = version;
-          });
+      this->settings.gossip.AwaitAcceptance(current.version,
+                                            [this, version = current.version] {
+                                              this->acceptedVouchers = version;
+                                            });
     }
     return;
   }
-  const VouchersRecord next{.nodes = std::move(aNodes),
-                            .previous = current.nodes,
-                            .version = 0};
+  const VouchersRecord next{
+      .nodes = std::move(aNodes), .previous = current.nodes, .version = 0};
   this->Write(std::string(kVouchersKey), current.version, next.ToJson());
 }
 
@@ -171,12 +168,12 @@
   if (aCurrent == nullptr) {
     // One node claims a new organisation, so that few writes conflict.
     const auto& members = snapshot->Members().Items();
-    const auto chosen = std::max_element(
-        members.begin(), members.end(),
-        [&](const auto& aLeft, const auto& aRight) {
-          return WeightOf(aOrganisation, aLeft->name) <
-                 WeightOf(aOrganisation, aRight->name);
-        });
+    const auto chosen =
+        std::max_element(members.begin(), members.end(),
+                         [&](const auto& aLeft, const auto& aRight) {
+                           return WeightOf(aOrganisation, aLeft->name) <
+                                  WeightOf(aOrganisation, aRight->name);
+                         });
     return chosen != members.end() &&
            (*chosen)->name == this->settings.self.nodeId;
   }
@@ -187,8 +184,7 @@
   const bool ownedBefore =
       aCurrent->issuer == this->settings.self.nodeId &&
       aCurrent->issuerIncarnation != this->settings.self.incarnation;
-  const auto silence =
-      this->settings.shares.IssuerSilence(aOrganisation, now);
+  const auto silence = this->settings.shares.IssuerSilence(aOrganisation, now);
   return ownedBefore ||
          (silence && *silence >= this->settings.issuerSilentLimit);
 }
@@ -230,8 +226,8 @@
   const auto snapshot = this->settings.config.Snapshot();
   const auto& members = snapshot->Members().Items();
   std::vector<std::string> watched;
-  const auto self = std::find_if(
-      members.begin(), members.end(), [this](const auto& aMember) {
+  const auto self =
+      std::find_if(members.begin(), members.end(), [this](const auto& aMember) {
         return aMember->name == this->settings.self.nodeId;
       });
   if (self == members.end()) {
@@ -259,8 +255,8 @@
   if (aNode == this->settings.self.nodeId) {
     return false;
   }
-  const TimePoint since = this->watchedSince.try_emplace(aNode, aNow)
-                              .first->second;
+  const TimePoint since =
+      this->watchedSince.try_emplace(aNode, aNow).first->second;
   const TimePoint heard =
       this->settings.gossip.LastHeard(aNode).value_or(since);
   return aNow - std::max(heard, since) > this->settings.silentLimit;
--- a/src/Node/FleetView.cpp
+++ b/src/Node/FleetView.cpp
@@ -25,13 +25,13 @@
 }
 
 ThresholdWire ToWire(const ThresholdReport& aReport) {
-  return {.service = aReport.service,
-          .organisation = aReport.organisation,
-          .importance = static_cast<uint8_t>(aReport.threshold.importance),
-          .cutoff = aReport.threshold.cutoff,
-          .age = std::chrono::duration_cast<std::chrono::microseconds>(
-                     aReport.age)
-                     .count()};
+  return {
+      .service = aReport.service,
+      .organisation = aReport.organisation,
+      .importance = static_cast<uint8_t>(aReport.threshold.importance),
+      .cutoff = aReport.threshold.cutoff,
+      .age = std::chrono::duration_cast<std::chrono::microseconds>(aReport.age)
+                 .count()};
 }
 
 }  // namespace
@@ -109,8 +109,7 @@
   if (this->services.insert(aService).second) {
     this->Reselect();
   }
-  const auto target =
-      this->picker.Pick(aService, aExclude, aNow, this->random);
+  const auto target = this->picker.Pick(aService, aExclude, aNow, this->random);
   if (!target) {
     return std::nullopt;
   }
@@ -177,9 +176,9 @@
                                        RootHash(aContext.rootId), aNow);
 }
 
-std::vector<ThresholdWire> FleetView::Thresholds(
-    const RequestContext& aContext, const AdmissionThreshold& aOwn,
-    TimePoint aNow) {
+std::vector<ThresholdWire> FleetView::Thresholds(const RequestContext& aContext,
+                                                 const AdmissionThreshold& aOwn,
+                                                 TimePoint aNow) {
   std::vector<ThresholdReport> reports = {
       {.service = aContext.service,
        .organisation = aContext.organisation,
--- a/src/Node/ForwardCall.cpp
+++ b/src/Node/ForwardCall.cpp
@@ -41,12 +41,11 @@
     self->settings.fleet.CountFirstAttempt(SteadyClock().Now());
     self->TryNext();
   });
-  this->settings.exchange->OnAbort(
-      [weak = this->weak_from_this()] {
-        if (const auto self = weak.lock()) {
-          self->Abort();
-        }
-      });
+  this->settings.exchange->OnAbort([weak = this->weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->Abort();
+    }
+  });
 }
 
 void ForwardCall::Abort() {
@@ -70,8 +69,8 @@
   if (this->done) {
     return;
   }
-  const auto target =
-      this->settings.fleet.Pick(this->settings.context.service, this->tried, now);
+  const auto target = this->settings.fleet.Pick(this->settings.context.service,
+                                                this->tried, now);
   if (!target) {
     this->Refuse(
         {.outcome = this->mayHaveRun ? Outcome::Unknown : Outcome::NotRun,
@@ -129,22 +128,20 @@
   return {
       .onHead =
           [self, number](const ResponseHeadFrame& aFrame) {
-            self->PostFor(number, [aFrame](ForwardCall& aCall) {
-              aCall.OnHead(aFrame);
-            });
+            self->PostFor(
+                number, [aFrame](ForwardCall& aCall) { aCall.OnHead(aFrame); });
           },
       .onData =
           [self, number](std::string aData) {
-            self->PostFor(number,
-                          [data = std::move(aData)](ForwardCall& aCall) mutable {
-                            aCall.OnData(std::move(data));
-                          });
+            self->PostFor(
+                number, [data = std::move(aData)](ForwardCall& aCall) mutable {
+                  aCall.OnData(std::move(data));
+                });
           },
       .onEnd =
           [self, number](const ResponseEndFrame& aFrame) {
-            self->PostFor(number, [aFrame](ForwardCall& aCall) {
-              aCall.OnEnd(aFrame);
-            });
+            self->PostFor(
+                number, [aFrame](ForwardCall& aCall) { aCall.OnEnd(aFrame); });
           },
       .onRefusal =
           [self, number](const RefusalFrame& aFrame) {
@@ -160,11 +157,10 @@
           },
       .onLost =
           [self, number, client](bool aSent) {
-            self->PostFor(number,
-                          [aSent, incarnation = client->RemoteIncarnation()](
-                              ForwardCall& aCall) {
-                            aCall.OnLost(aSent, incarnation);
-                          });
+            self->PostFor(
+                number,
+                [aSent, incarnation = client->RemoteIncarnation()](
+                    ForwardCall& aCall) { aCall.OnLost(aSent, incarnation); });
           }};
 }
 
@@ -173,8 +169,7 @@
   this->status = aFrame.status;
   HttpHeaders headers = FromWire(aFrame.headers);
   StripForCaller(headers);
-  headers.push_back(
-      {"fescueline-outcome", std::string(ToName(Outcome::Ran))});
+  headers.push_back({"fescueline-outcome", std::string(ToName(Outcome::Ran))});
   std::optional<uint64_t> length;
   if (aFrame.contentLength >= 0) {
     length = static_cast<uint64_t>(aFrame.contentLength);
@@ -187,8 +182,8 @@
   const uint64_t size = aData.size();
   // The target's node may send more once the caller has taken this.
   this->settings.exchange->Write(
-      std::move(aData), [client = this->attempt->client,
-                         stream = this->attempt->stream, size] {
+      std::move(aData),
+      [client = this->attempt->client, stream = this->attempt->stream, size] {
         client->Credit(stream, size);
       });
 }
@@ -212,8 +207,8 @@
                            ? Outcome::NotRun
                            : Outcome::Unknown;
   const auto cause = static_cast<Cause>(aFrame.cause);
-  const bool targetFailed = outcome == Outcome::Unknown ||
-                            cause == Cause::ConnectFailed;
+  const bool targetFailed =
+      outcome == Outcome::Unknown || cause == Cause::ConnectFailed;
   this->EndAttempt(targetFailed ? CallResult::Failed : CallResult::Refused,
                    aFrame.unspentRetries);
   this->OnFailed(outcome, cause, std::chrono::milliseconds(aFrame.retryAfter));
@@ -251,22 +246,22 @@
     return;
   }
   this->queryTimer.expires_after(kQueryPause);
-  this->queryTimer.async_wait([self = this->shared_from_this()](
-                                  const asio::error_code& aError) {
-    if (aError || self->done || !self->attempt) {
-      return;
-    }
-    Attempt& lost = *self->attempt;
-    lost.client = self->settings.peers.Get(lost.target.address);
-    PeerStreamHandlers handlers = self->StreamHandlers();
-    // A lost query is repeated whether or not it was sent.
-    handlers.onLost = [self, number = self->attemptNumber](bool) {
-      self->PostFor(number, [](ForwardCall& aCall) { aCall.Query(); });
-    };
-    lost.stream =
-        lost.client->Query(lost.id, SteadyClock().Now() - lost.startedAt,
-                           lost.incarnation, std::move(handlers));
-  });
+  this->queryTimer.async_wait(
+      [self = this->shared_from_this()](const asio::error_code& aError) {
+        if (aError || self->done || !self->attempt) {
+          return;
+        }
+        Attempt& lost = *self->attempt;
+        lost.client = self->settings.peers.Get(lost.target.address);
+        PeerStreamHandlers handlers = self->StreamHandlers();
+        // A lost query is repeated whether or not it was sent.
+        handlers.onLost = [self, number = self->attemptNumber](bool) {
+          self->PostFor(number, [](ForwardCall& aCall) { aCall.Query(); });
+        };
+        lost.stream =
+            lost.client->Query(lost.id, SteadyClock().Now() - lost.startedAt,
+                               lost.incarnation, std::move(handlers));
+      });
 }
 
 void ForwardCall::OnAttemptReply(const AttemptReplyFrame& aFrame) {
@@ -286,12 +281,11 @@
 
 bool ForwardCall::MayRetry(Outcome aOutcome, Cause aCause) const {
   const TimePoint now = SteadyClock().Now();
-  const FailedCall failed{
-      .outcome = aOutcome,
-      .cause = aCause,
-      .idempotent = this->settings.context.idempotent,
-      .adjacent = true,
-      .remaining = this->settings.deadline - now};
+  const FailedCall failed{.outcome = aOutcome,
+                          .cause = aCause,
+                          .idempotent = this->settings.context.idempotent,
+                          .adjacent = true,
+                          .remaining = this->settings.deadline - now};
   return RetryPolicy(RetryPolicySettings{}).MayRetry(failed) &&
          this->settings.budget->SpendRetry() &&
          this->settings.fleet.TryRetry(now);
@@ -332,9 +326,9 @@
     this->Finish();
     return;
   }
-  this->Refuse({.outcome = sent || this->mayHaveRun ? Outcome::Unknown
-                                                    : Outcome::NotRun,
-                .cause = Cause::DeadlineExpired});
+  this->Refuse(
+      {.outcome = sent || this->mayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+       .cause = Cause::DeadlineExpired});
 }
 
 void ForwardCall::Refuse(Refusal aRefusal) {
--- a/src/Node/Gossip.cpp
+++ b/src/Node/Gossip.cpp
@@ -101,8 +101,8 @@
   {
     const std::lock_guard lock(this->mutex);
     ask.question = this->nextQuestion++;
-    this->questions.emplace(
-        ask.question, Question{.tally = tally, .askedAt = aNow});
+    this->questions.emplace(ask.question,
+                            Question{.tally = tally, .askedAt = aNow});
   }
   this->Renew(tally);
   const std::string payload = EncodePayload(ask);
@@ -183,10 +183,9 @@
   const bool more =
       !aReply.changes.empty() && aReply.changesVersion < aReply.version;
   if (!aReply.changes.empty()) {
-    this->settings.sync.Apply(
-        {.version = aReply.changesVersion,
-         .records = FromWire(std::move(aReply.changes)),
-         .more = more});
+    this->settings.sync.Apply({.version = aReply.changesVersion,
+                               .records = FromWire(std::move(aReply.changes)),
+                               .more = more});
   }
   if (aReply.fresh) {
     this->settings.knowledge.RenewByRelay(
--- a/src/Node/InboundAttempt.cpp
+++ b/src/Node/InboundAttempt.cpp
@@ -149,9 +149,8 @@
   }
   this->Keep(aData);
   for (size_t at = 0; at < aData.size(); at += kMaxDataBytes) {
-    this->session->Send(
-        ResponseDataFrame{.stream = this->frame.stream,
-                          .data = aData.substr(at, kMaxDataBytes)});
+    this->session->Send(ResponseDataFrame{
+        .stream = this->frame.stream, .data = aData.substr(at, kMaxDataBytes)});
   }
 }
 
--- a/src/Node/LocalTarget.cpp
+++ b/src/Node/LocalTarget.cpp
@@ -93,8 +93,7 @@
   this->admission.Core().SetWeight(aOrganisation, aWeight);
 }
 
-AdmissionThreshold LocalTarget::ThresholdFor(
-    const std::string& aOrganisation) {
+AdmissionThreshold LocalTarget::ThresholdFor(const std::string& aOrganisation) {
   const std::lock_guard lock(this->mutex);
   return this->admission.Core().ThresholdFor(aOrganisation);
 }
--- a/src/Node/Log.cpp
+++ b/src/Node/Log.cpp
@@ -25,8 +25,8 @@
 void SetUp() {
   boost::log::add_common_attributes();
   boost::log::add_console_log(
-      std::clog, boost::log::keywords::format =
-                     "%TimeStamp% level=%Severity% %Message%");
+      std::clog,
+      boost::log::keywords::format = "%TimeStamp% level=%Severity% %Message%");
 }
 
 /// Quotes a value so that it cannot break the line.
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -87,11 +87,10 @@
                  [this](const std::string& aNode, const std::string&) {
                    this->fleet.OnSilent(aNode);
                  }}),
-      shares({.node = this->self.nodeId, .incarnation = this->self.incarnation},
-             ShareSettings{},
-             [this](const ShareMessage& aMessage) {
-               this->SendShare(aMessage);
-             }),
+      shares(
+          {.node = this->self.nodeId, .incarnation = this->self.incarnation},
+          ShareSettings{},
+          [this](const ShareMessage& aMessage) { this->SendShare(aMessage); }),
       targetHandler({.fleetSecret = this->self.fleetSecret,
                      .config = this->config,
                      .knowledge = this->knowledge,
@@ -136,9 +135,9 @@
     return TableClient(aTables.config ? aTables.config
                                       : std::make_shared<MemoryTableStore>());
   }
-  return TableClient(std::make_shared<HttpTableStore>(HttpTableStore::Options{
-      .http = {.url = this->settings.table},
-      .table = std::string(kConfigTable)}));
+  return TableClient(std::make_shared<HttpTableStore>(
+      HttpTableStore::Options{.http = {.url = this->settings.table},
+                              .table = std::string(kConfigTable)}));
 }
 
 std::shared_ptr<IdempotencyClaims> Node::MakeClaims(
@@ -148,30 +147,28 @@
         aTables.claims ? aTables.claims : std::make_shared<MemoryTableStore>());
   }
   return std::make_shared<TableClaims<HttpTableStore>>(
-      std::make_shared<HttpTableStore>(HttpTableStore::Options{
-          .http = {.url = this->settings.table},
-          .table = std::string(kClaimsTable)}));
+      std::make_shared<HttpTableStore>(
+          HttpTableStore::Options{.http = {.url = this->settings.table},
+                                  .table = std::string(kClaimsTable)}));
 }
 
 void Node::Listen() {
-  this->peerServer = std::make_unique<PeerServer>(PeerServer::Settings{
-      .io = this->io,
-      .self = this->self,
-      .host = this->settings.listenPeers.host,
-      .port = this->settings.listenPeers.port,
-      .handlers = this->targetHandler.PeerHandlers()});
+  this->peerServer = std::make_unique<PeerServer>(
+      PeerServer::Settings{.io = this->io,
+                           .self = this->self,
+                           .host = this->settings.listenPeers.host,
+                           .port = this->settings.listenPeers.port,
+                           .handlers = this->targetHandler.PeerHandlers()});
   const SocketAddress peers =
       Advertised(this->settings.advertisePeers, this->peerServer->Port());
   const SocketAddress& controlAddress = this->settings.advertiseControl;
   this->control = std::make_unique<ControlSocket>(ControlSocket::Settings{
       .self = this->self,
       .listenUrl = "tcp://" + this->settings.listenControl.ToString(),
-      .advertiseUrl = controlAddress.port == 0
-                          ? ""
-                          : "tcp://" + controlAddress.ToString(),
+      .advertiseUrl =
+          controlAddress.port == 0 ? "" : "tcp://" + controlAddress.ToString(),
       .onMessage = [this](const ControlMessage& aMessage) {
-        asio::post(this->io,
-                   [this, aMessage] { this->OnControl(aMessage); });
+        asio::post(this->io, [this, aMessage] { this->OnControl(aMessage); });
       }});
   constexpr std::string_view kScheme = "tcp://";
   this->maintenance =
@@ -189,12 +186,11 @@
           .gossip = this->gossip,
           .shares = this->shares,
           .table = this->writeTable,
-          .refresh =
-              [this] {
-                this->sync.ReadTable([this](uint64_t aVersion, size_t aLimit) {
-                  return this->writeTable.ChangesSince(aVersion, aLimit);
-                });
-              }});
+          .refresh = [this] {
+            this->sync.ReadTable([this](uint64_t aVersion, size_t aLimit) {
+              return this->writeTable.ChangesSince(aVersion, aLimit);
+            });
+          }});
   this->adminApi = std::make_unique<AdminApi>(AdminApi::Dependencies{
       .settings = this->settings,
       .config = this->config,
@@ -208,29 +204,29 @@
       .target = this->target,
       .isReady = [this] { return this->IsReady(); },
       .isRegistered = [this] { return this->maintenance->IsRegistered(); }});
-  this->callers = std::make_unique<HttpServer>(HttpServer::Settings{
-      .io = this->io,
-      .host = this->settings.listenCallers.host,
-      .port = this->settings.listenCallers.port,
-      .maxBody = this->settings.maxBody,
-      .onRequest = [this](HttpExchangePtr aExchange) {
-        this->entryHandler.OnCaller(std::move(aExchange));
-      }});
-  this->localTarget = std::make_unique<HttpServer>(HttpServer::Settings{
-      .io = this->io,
-      .host = this->settings.listenTarget.host,
-      .port = this->settings.listenTarget.port,
-      .maxBody = this->settings.maxBody,
-      .onRequest = [this](HttpExchangePtr aExchange) {
-        this->OnLocalRequest(std::move(aExchange));
-      }});
-  this->admin = std::make_unique<HttpServer>(HttpServer::Settings{
-      .io = this->io,
-      .host = this->settings.listenAdmin.host,
-      .port = this->settings.listenAdmin.port,
-      .onRequest = [this](HttpExchangePtr aExchange) {
-        this->adminApi->Handle(std::move(aExchange));
-      }});
+  this->callers = std::make_unique<HttpServer>(
+      HttpServer::Settings{.io = this->io,
+                           .host = this->settings.listenCallers.host,
+                           .port = this->settings.listenCallers.port,
+                           .maxBody = this->settings.maxBody,
+                           .onRequest = [this](HttpExchangePtr aExchange) {
+                             this->entryHandler.OnCaller(std::move(aExchange));
+                           }});
+  this->localTarget = std::make_unique<HttpServer>(
+      HttpServer::Settings{.io = this->io,
+                           .host = this->settings.listenTarget.host,
+                           .port = this->settings.listenTarget.port,
+                           .maxBody = this->settings.maxBody,
+                           .onRequest = [this](HttpExchangePtr aExchange) {
+                             this->OnLocalRequest(std::move(aExchange));
+                           }});
+  this->admin = std::make_unique<HttpServer>(
+      HttpServer::Settings{.io = this->io,
+                           .host = this->settings.listenAdmin.host,
+                           .port = this->settings.listenAdmin.port,
+                           .onRequest = [this](HttpExchangePtr aExchange) {
+                             this->adminApi->Handle(std::move(aExchange));
+                           }});
 }
 
 void Node::Start() {
@@ -239,9 +235,8 @@
     this->targetHandler.Pump();
     this->shares.Tick(SteadyClock().Now());
   });
-  this->Every(kAcceptancePeriod, [this] {
-    this->gossip.TickAcceptance(SteadyClock().Now());
-  });
+  this->Every(kAcceptancePeriod,
+              [this] { this->gossip.TickAcceptance(SteadyClock().Now()); });
   this->Every(kGossipPeriod,
               [this] { this->gossip.Tick(SteadyClock().Now()); });
   this->Every(kFleetPeriod, [this] {
--- a/src/Node/PeerPool.h
+++ b/src/Node/PeerPool.h
@@ -18,7 +18,8 @@
   /// Events of the connections.
   struct Handlers {
     /// State of a node's target, with the node's incarnation.
-    std::function<void(const std::string& aNode, const std::string& aIncarnation,
+    std::function<void(const std::string& aNode,
+                       const std::string& aIncarnation,
                        const StateWire& aState)>
         onState;
     /// The connection to a node ended.
--- a/src/Node/Refusal.cpp
+++ b/src/Node/Refusal.cpp
@@ -49,10 +49,9 @@
         {"fescueline-retry-after-ms",
          fmt::format("{:.0f}", ToSeconds(aRefusal.retryAfter) * 1000)});
   }
-  response.body = fmt::format("{}: {}{}{}\n", ToName(aRefusal.outcome),
-                              ToName(aRefusal.cause),
-                              aRefusal.detail.empty() ? "" : ": ",
-                              aRefusal.detail);
+  response.body = fmt::format(
+      "{}: {}{}{}\n", ToName(aRefusal.outcome), ToName(aRefusal.cause),
+      aRefusal.detail.empty() ? "" : ": ", aRefusal.detail);
   return response;
 }
 
--- a/src/Node/ShareKeeper.cpp
+++ b/src/Node/ShareKeeper.cpp
@@ -20,9 +20,9 @@
       settings(aSettings),
       ledger(std::move(aSelf), aSettings) {}
 
-void ShareKeeper::Admit(
-    const std::string& aOrganisation, TimePoint aNow, TimePoint aWaitUntil,
-    std::function<void(std::optional<uint64_t>)> aDecided) {
+void ShareKeeper::Admit(const std::string& aOrganisation, TimePoint aNow,
+                        TimePoint aWaitUntil,
+                        std::function<void(std::optional<uint64_t>)> aDecided) {
   std::vector<ShareMessage> messages;
   std::optional<uint64_t> version;
   bool waits = false;
@@ -74,9 +74,8 @@
                                const Allocation& aAllocation, TimePoint aNow) {
   const std::lock_guard lock(this->mutex);
   this->issuers.erase(aOrganisation);
-  this->issuers.emplace(
-      aOrganisation,
-      ShareIssuer(aOrganisation, aAllocation, this->settings, aNow));
+  this->issuers.emplace(aOrganisation, ShareIssuer(aOrganisation, aAllocation,
+                                                   this->settings, aNow));
 }
 
 void ShareKeeper::HolderGone(Id128 aIncarnation) {
@@ -120,9 +119,9 @@
   std::deque<Waiter>& queue = found->second;
   while (!queue.empty() && this->ledger.AdmitWaiting(aOrganisation, aNow) ==
                                Admission::Admitted) {
-    aDecisions.push_back({.decided = std::move(queue.front().decided),
-                          .version =
-                              this->ledger.Version(aOrganisation, aNow)});
+    aDecisions.push_back(
+        {.decided = std::move(queue.front().decided),
+         .version = this->ledger.Version(aOrganisation, aNow)});
     queue.pop_front();
   }
 }
--- a/src/Node/TargetHandler.cpp
+++ b/src/Node/TargetHandler.cpp
@@ -21,37 +21,37 @@
     : dependencies(std::move(aDependencies)) {}
 
 PeerServer::Handlers TargetHandler::PeerHandlers() {
-  return {
-      .onRequest = [this](const PeerServer::SessionPtr& aSession,
-                          RequestFrame aFrame, Duration aHeldUp) {
-        this->OnRequest(aSession, std::move(aFrame), aHeldUp);
-      },
-      .onCredit =
-          [this](const PeerServer::SessionPtr& aSession,
-                 const CreditFrame& aFrame) {
-            if (const auto attempt = this->Find(aSession, aFrame.stream)) {
-              attempt->AddCredit(aFrame.bytes);
-            }
-          },
-      .onCancel =
-          [this](const PeerServer::SessionPtr& aSession, uint64_t aStream) {
-            if (const auto attempt = this->Find(aSession, aStream)) {
-              attempt->Cancel();
-            }
-          },
-      .onQuery =
-          [this](const PeerServer::SessionPtr& aSession,
-                 const AttemptQueryFrame& aFrame) {
-            this->OnQuery(aSession, aFrame);
-          },
-      .onClosed =
-          [this](const PeerServer::SessionPtr& aSession) {
-            this->OnClosed(aSession);
-          },
-      .state =
-          [this] {
-            return this->dependencies.target.Wire(SteadyClock().Now());
-          }};
+  return {.onRequest =
+              [this](const PeerServer::SessionPtr& aSession,
+                     RequestFrame aFrame, Duration aHeldUp) {
+                this->OnRequest(aSession, std::move(aFrame), aHeldUp);
+              },
+          .onCredit =
+              [this](const PeerServer::SessionPtr& aSession,
+                     const CreditFrame& aFrame) {
+                if (const auto attempt = this->Find(aSession, aFrame.stream)) {
+                  attempt->AddCredit(aFrame.bytes);
+                }
+              },
+          .onCancel =
+              [this](const PeerServer::SessionPtr& aSession, uint64_t aStream) {
+                if (const auto attempt = this->Find(aSession, aStream)) {
+                  attempt->Cancel();
+                }
+              },
+          .onQuery =
+              [this](const PeerServer::SessionPtr& aSession,
+                     const AttemptQueryFrame& aFrame) {
+                this->OnQuery(aSession, aFrame);
+              },
+          .onClosed =
+              [this](const PeerServer::SessionPtr& aSession) {
+                this->OnClosed(aSession);
+              },
+          .state =
+              [this] {
+                return this->dependencies.target.Wire(SteadyClock().Now());
+              }};
 }
 
 void TargetHandler::OnRequest(const PeerServer::SessionPtr& aSession,
@@ -128,8 +128,9 @@
   if (key == nullptr) {
     // An unknown key is a grant that has not arrived here yet, unless this
     // node knows as much as the entry node did.
-    return snapshot->Version() >= aContext.configVersion ? Cause::UnknownKey
-                                                         : Cause::StaleKnowledge;
+    return snapshot->Version() >= aContext.configVersion
+               ? Cause::UnknownKey
+               : Cause::StaleKnowledge;
   }
   if (key->state != KeyState::Active ||
       key->organisation != aContext.organisation) {
@@ -234,9 +235,8 @@
   for (size_t i = 0; i < waiters.size(); ++i) {
     if (sessions[i]) {
       sessions[i]->Post([this, session = sessions[i],
-                         stream = waiters[i].stream, reply] {
-        this->Reply(session, stream, reply);
-      });
+                         stream = waiters[i].stream,
+                         reply] { this->Reply(session, stream, reply); });
     }
   }
   this->open--;
@@ -246,7 +246,8 @@
                             const AttemptQueryFrame& aFrame) {
   const auto attempt = Id128::Parse(aFrame.attempt);
   if (!attempt || aFrame.age < 0) {
-    throw Error("peer.query", aSession->RemoteNode(), "malformed attempt query");
+    throw Error("peer.query", aSession->RemoteNode(),
+                "malformed attempt query");
   }
   {
     const std::lock_guard lock(this->mutex);
@@ -263,11 +264,10 @@
 void TargetHandler::Reply(const PeerServer::SessionPtr& aSession,
                           uint64_t aStream, const AttemptReply& aReply) {
   if (aReply.state != AttemptState::Finished || !aReply.response) {
-    const Outcome outcome = aReply.state == AttemptState::NotRun
-                                ? Outcome::NotRun
-                                : aReply.outcome;
-    aSession->Send(AttemptReplyFrame{
-        .stream = aStream, .outcome = static_cast<uint8_t>(outcome)});
+    const Outcome outcome =
+        aReply.state == AttemptState::NotRun ? Outcome::NotRun : aReply.outcome;
+    aSession->Send(AttemptReplyFrame{.stream = aStream,
+                                     .outcome = static_cast<uint8_t>(outcome)});
     return;
   }
   const StoredResponse& response = *aReply.response;
@@ -281,8 +281,7 @@
   }
   aSession->Send(head);
   if (!response.body.empty()) {
-    aSession->Send(
-        ResponseDataFrame{.stream = aStream, .data = response.body});
+    aSession->Send(ResponseDataFrame{.stream = aStream, .data = response.body});
   }
   aSession->Send(ResponseEndFrame{
       .stream = aStream, .whole = true, .unspentRetries = 0, .thresholds = {}});
@@ -317,16 +316,16 @@
 void TargetHandler::RefuseFrame(const PeerServer::SessionPtr& aSession,
                                 const RequestFrame& aFrame, Cause aCause,
                                 Outcome aOutcome) {
-  aSession->Send(RefusalFrame{
-      .stream = aFrame.stream,
-      .outcome = static_cast<uint8_t>(aOutcome),
-      .cause = static_cast<uint8_t>(aCause),
-      .retryAfter = static_cast<uint32_t>(
-          std::chrono::duration_cast<std::chrono::milliseconds>(
-              kOverloadRetryAfter)
-              .count()),
-      .unspentRetries = aFrame.retries,
-      .thresholds = {}});
+  aSession->Send(
+      RefusalFrame{.stream = aFrame.stream,
+                   .outcome = static_cast<uint8_t>(aOutcome),
+                   .cause = static_cast<uint8_t>(aCause),
+                   .retryAfter = static_cast<uint32_t>(
+                       std::chrono::duration_cast<std::chrono::milliseconds>(
+                           kOverloadRetryAfter)
+                           .count()),
+                   .unspentRetries = aFrame.retries,
+                   .thresholds = {}});
 }
 
 }  // namespace fescueline
--- a/src/Transport/PeerServer.cpp
+++ b/src/Transport/PeerServer.cpp
@@ -12,9 +12,7 @@
 
 PeerSession::PeerSession(PeerServer& aServer,
                          std::shared_ptr<FrameChannel> aChannel)
-    : server(aServer),
-      number(++sSessionCount),
-      channel(std::move(aChannel)) {}
+    : server(aServer), number(++sSessionCount), channel(std::move(aChannel)) {}
 
 void PeerSession::Start() {
   this->Post([self = this->shared_from_this()] {
--- /dev/null
+++ b/tools/StandIn/StandInTarget.cpp
@@ -0,0 +1,324 @@
+#include "StandInTarget.h"
+
+#include <nlohmann/json.hpp>
+
+#include "Core/Error.h"
+
+namespace fescueline {
+
+namespace {
+using Json = nlohmann::json;
+
+constexpr std::string_view kContextHeader = "fescueline-context";
+constexpr std::string_view kAttemptHeader = "fescueline-attempt";
+constexpr Duration kStopLimit = std::chrono::seconds(30);
+constexpr size_t kChunk = 16 * 1024;
+
+std::string HeaderOr(const HttpHeaders& aHeaders, std::string_view aName,
+                     std::string_view aDefault) {
+  return std::string(FindHeader(aHeaders, aName).value_or(aDefault));
+}
+
+uint64_t NumberOr(const HttpHeaders& aHeaders, std::string_view aName,
+                  uint64_t aDefault) {
+  const auto text = FindHeader(aHeaders, aName);
+  return text ? std::stoull(std::string(*text)) : aDefault;
+}
+}  // namespace
+
+/// One request in the target.
+struct StandInTarget::Job {
+  HttpExchangePtr exchange;
+  std::unique_ptr<asio::steady_timer> timer;
+  /// Next of the configured calls.
+  size_t nextCall = 0;
+  /// Status of the first call that failed; 0 if none did.
+  int failedCall = 0;
+  std::atomic<bool> aborted{false};
+};
+
+StandInTarget::StandInTarget(Settings aSettings)
+    : settings(std::move(aSettings)),
+      guard(asio::make_work_guard(this->io)),
+      announceTimer(this->io),
+      work(this->settings.workMicroseconds) {
+  this->server = std::make_unique<HttpServer>(
+      HttpServer::Settings{.io = this->io,
+                           .host = "127.0.0.1",
+                           .port = 0,
+                           .onRequest = [this](HttpExchangePtr aExchange) {
+                             this->OnRequest(std::move(aExchange));
+                           }});
+  this->thread = std::thread([this] { this->io.run(); });
+  asio::post(this->io, [this] { this->Announce(); });
+}
+
+StandInTarget::~StandInTarget() { this->Stop(); }
+
+uint16_t StandInTarget::Port() const { return this->server->Port(); }
+
+void StandInTarget::Announce() {
+  Json body = {{"service", this->settings.service},
+               {"address", "127.0.0.1:" + std::to_string(this->Port())}};
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->stopped) {
+      return;
+    }
+    body["state"] = this->state;
+    body["load"] = this->running + this->waiting.size();
+  }
+  if (this->settings.statesSlots) {
+    body["slots"] = this->settings.slots;
+    body["connections"] = this->settings.connections;
+  }
+  this->client.Start({.url = this->settings.nodeUrl + "/v1/announce",
+                      .method = "POST",
+                      .headers = {{"Content-Type", "application/json"}},
+                      .body = body.dump(),
+                      .timeout = std::chrono::seconds(1)},
+                     {.onHead = [](int, HttpHeaders, int64_t) {},
+                      .onData = [](std::string) {},
+                      .onDone = [](const HttpTransferResult&) {}});
+  this->announceTimer.expires_after(this->settings.announcePeriod);
+  this->announceTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      this->Announce();
+    }
+  });
+}
+
+void StandInTarget::SetState(const std::string& aState) {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->state = aState;
+  }
+  asio::post(this->io, [this] { this->Announce(); });
+}
+
+StandInTarget::Stats StandInTarget::GetStats() {
+  const std::lock_guard lock(this->mutex);
+  return this->stats;
+}
+
+void StandInTarget::Stop() {
+  this->SetState("draining");
+  const TimePoint limit = SteadyClock().Now() + kStopLimit;
+  for (;;) {
+    {
+      const std::lock_guard lock(this->mutex);
+      if (this->stopped) {
+        return;
+      }
+      if ((this->running == 0 && this->waiting.empty()) ||
+          SteadyClock().Now() > limit) {
+        this->stopped = true;
+        break;
+      }
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  this->server->StopAccepting();
+  this->guard.reset();
+  this->io.stop();
+  this->thread.join();
+}
+
+bool StandInTarget::OnControl(const HttpExchangePtr& aExchange) {
+  const HttpRequest& request = aExchange->Request();
+  if (request.target == "/stand-in/stats") {
+    const Stats seen = this->GetStats();
+    Json headers = Json::object();
+    for (const HttpHeader& header : seen.lastHeaders) {
+      headers[header.name] = header.value;
+    }
+    const Json body = {
+        {"executions", seen.executions}, {"max_concurrent", seen.maxConcurrent},
+        {"by_work_id", seen.byWorkId},   {"keys_seen", seen.keysSeen},
+        {"cancelled", seen.cancelled},   {"last_headers", headers}};
+    aExchange->Respond({.status = 200, .headers = {}, .body = body.dump()});
+    return true;
+  }
+  if (request.target != "/stand-in/set") {
+    return false;
+  }
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    aExchange->Respond({.status = 400, .headers = {}, .body = "not JSON\n"});
+    return true;
+  }
+  if (body.contains("work_us")) {
+    this->SetWork(body["work_us"].get<uint64_t>());
+  }
+  if (body.contains("shedding")) {
+    this->SetShedding(body["shedding"].get<bool>());
+  }
+  if (body.contains("state")) {
+    this->SetState(body["state"].get<std::string>());
+  }
+  aExchange->Respond({.status = 204, .headers = {}, .body = {}});
+  return true;
+}
+
+void StandInTarget::OnRequest(HttpExchangePtr aExchange) {
+  if (this->OnControl(aExchange)) {
+    return;
+  }
+  const HttpHeaders& headers = aExchange->Request().headers;
+  if (this->shedding) {
+    aExchange->Respond({.status = 503,
+                        .headers = {{"fescueline-shed",
+                                     HeaderOr(headers, kAttemptHeader, "")}},
+                        .body = "shed\n"});
+    return;
+  }
+  const auto job = std::make_shared<Job>();
+  job->exchange = std::move(aExchange);
+  job->exchange->OnAbort([this, weak = std::weak_ptr(job)] {
+    const std::lock_guard lock(this->mutex);
+    if (const auto running = weak.lock()) {
+      running->aborted = true;
+      this->stats.cancelled++;
+    }
+  });
+  this->Enqueue(job);
+}
+
+void StandInTarget::Enqueue(const JobPtr& aJob) {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->waiting.push_back(aJob);
+  }
+  this->StartNext();
+}
+
+void StandInTarget::StartNext() {
+  JobPtr job;
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->waiting.empty() || this->running >= this->settings.slots) {
+      return;
+    }
+    job = this->waiting.front();
+    this->waiting.pop_front();
+    this->running++;
+    this->stats.maxConcurrent =
+        std::max(this->stats.maxConcurrent, this->running);
+    if (!job->aborted) {
+      this->Record(job->exchange->Request());
+    }
+  }
+  if (job->aborted) {
+    this->Finish(job);
+  } else {
+    this->Work(job);
+  }
+}
+
+void StandInTarget::Record(const HttpRequest& aRequest) {
+  this->stats.executions++;
+  this->stats.lastHeaders = aRequest.headers;
+  const auto workId = FindHeader(aRequest.headers, "x-work-id");
+  if (workId) {
+    this->stats.byWorkId[std::string(*workId)]++;
+  }
+  bool key = aRequest.target.find("fk_") != std::string::npos ||
+             aRequest.body.find("fk_") != std::string::npos;
+  for (const HttpHeader& header : aRequest.headers) {
+    key = key || header.value.find("fk_") != std::string::npos ||
+          EqualHeaderName(header.name, "authorization") ||
+          EqualHeaderName(header.name, "x-api-key");
+  }
+  this->stats.keysSeen += key ? 1 : 0;
+}
+
+void StandInTarget::Work(const JobPtr& aJob) {
+  const uint64_t microseconds = NumberOr(aJob->exchange->Request().headers,
+                                         "x-work-us", this->work.load());
+  if (microseconds == 0) {
+    this->CallNext(aJob);
+    return;
+  }
+  aJob->timer = std::make_unique<asio::steady_timer>(this->io);
+  aJob->timer->expires_after(std::chrono::microseconds(microseconds));
+  aJob->timer->async_wait([this, aJob](const asio::error_code& aError) {
+    if (!aError) {
+      this->CallNext(aJob);
+    }
+  });
+}
+
+void StandInTarget::CallNext(const JobPtr& aJob) {
+  if (aJob->failedCall != 0 || aJob->aborted ||
+      aJob->nextCall >= this->settings.calls.size()) {
+    this->Answer(aJob);
+    return;
+  }
+  const std::string& path = this->settings.calls[aJob->nextCall++];
+  const HttpHeaders& headers = aJob->exchange->Request().headers;
+  this->client.Start({.url = this->settings.nodeUrl + path,
+                      .method = "GET",
+                      .headers = {{std::string(kContextHeader),
+                                   HeaderOr(headers, kContextHeader, "")}}},
+                     {.onHead =
+                          [aJob](int aStatus, HttpHeaders, int64_t) {
+                            if (aStatus >= 400) {
+                              aJob->failedCall = aStatus;
+                            }
+                          },
+                      .onData = [](std::string) {},
+                      .onDone =
+                          [this, aJob](const HttpTransferResult& aResult) {
+                            if (!aResult.whole && aJob->failedCall == 0) {
+                              aJob->failedCall = 502;
+                            }
+                            asio::post(this->io,
+                                       [this, aJob] { this->CallNext(aJob); });
+                          }});
+}
+
+void StandInTarget::Answer(const JobPtr& aJob) {
+  const HttpHeaders& headers = aJob->exchange->Request().headers;
+  if (aJob->failedCall != 0) {
+    aJob->exchange->Respond({.status = 502,
+                             .headers = {},
+                             .body = "call failed with status " +
+                                     std::to_string(aJob->failedCall) + "\n"});
+    this->Finish(aJob);
+    return;
+  }
+  const uint64_t bytes = NumberOr(headers, "x-body-bytes", 0);
+  if (bytes == 0) {
+    const Json body = {
+        {"service", this->settings.service},
+        {"organisation", HeaderOr(headers, "fescueline-organisation", "")},
+        {"echo", HeaderOr(headers, "x-echo", "")}};
+    aJob->exchange->Respond({.status = 200,
+                             .headers = {{"Content-Type", "application/json"}},
+                             .body = body.dump()});
+    this->Finish(aJob);
+    return;
+  }
+  const bool breaks = FindHeader(headers, "x-break-body").has_value();
+  const bool chunked = FindHeader(headers, "x-chunked").has_value();
+  aJob->exchange->StartStream(
+      200, {}, chunked ? std::nullopt : std::optional<uint64_t>(bytes));
+  const uint64_t sent = breaks ? bytes / 2 : bytes;
+  for (uint64_t at = 0; at < sent; at += kChunk) {
+    aJob->exchange->Write(
+        std::string(std::min<uint64_t>(kChunk, sent - at), 'x'), {});
+  }
+  aJob->exchange->EndStream(!breaks);
+  this->Finish(aJob);
+}
+
+void StandInTarget::Finish(const JobPtr&) {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->running--;
+  }
+  this->StartNext();
+}
+
+}  // namespace fescueline
