--- /dev/null
+++ b/src/Routing/TargetPicker.cpp
@@ -0,0 +1,138 @@
+#include "Routing/TargetPicker.h"
+
+#include <algorithm>
+
+namespace fescueline {
+
+namespace {
+/// Draws before a target with a reduced weight is taken. With a weight of 0.1
+/// each, half of the choices end here and are uniform, which is right: all
+/// targets are equally cold then.
+constexpr int kDraws = 6;
+}  // namespace
+
+std::optional<TargetRef> TargetPicker::Pick(std::string_view aService,
+                                            std::span<const TargetRef> aExclude,
+                                            TimePoint aNow,
+                                            RandomSource& aRandom) const {
+  const TargetTable::Service* service = this->table.FindService(aService);
+  if (service == nullptr) {
+    return std::nullopt;
+  }
+  const Choice choice{.exclude = aExclude, .now = aNow, .random = aRandom};
+  const Indexes& ejected = service->List(TargetList::Ejected);
+  std::optional<uint32_t> best = this->Probe(choice, ejected);
+  if (best) {
+    return this->table.RefAt(*best);
+  }
+  double utilisation = 0.0;
+  for (const TargetList list : kTargetsInUse) {
+    if (best && utilisation < this->settings.spillFrom) {
+      break;
+    }
+    const auto found = this->BetterOfTwo(choice, service->List(list));
+    if (!found) {
+      continue;
+    }
+    const double candidate = this->table.Utilisation(this->table.At(*found));
+    if (!best || candidate + this->settings.spillMargin < utilisation) {
+      best = found;
+      utilisation = candidate;
+    }
+  }
+  // A bad target is better than none, and a target that was not heard from
+  // yet can be tried: a connect failure is "not run".
+  if (!best) {
+    best = this->Any(choice, ejected);
+  }
+  if (!best) {
+    best = this->Any(choice, service->List(TargetList::Unheard));
+  }
+  if (!best) {
+    return std::nullopt;
+  }
+  return this->table.RefAt(*best);
+}
+
+bool TargetPicker::Excluded(const Choice& aChoice, uint32_t aIndex) const {
+  return std::find(aChoice.exclude.begin(), aChoice.exclude.end(),
+                   this->table.RefAt(aIndex)) != aChoice.exclude.end();
+}
+
+std::optional<uint32_t> TargetPicker::Probe(const Choice& aChoice,
+                                            const Indexes& aEjected) const {
+  if (aEjected.empty() ||
+      aChoice.random.Below(this->settings.probeInterval) != 0) {
+    return std::nullopt;
+  }
+  const uint32_t index = aEjected[aChoice.random.Below(aEjected.size())];
+  if (this->Excluded(aChoice, index) ||
+      !this->table.At(index).health.WantsProbe(aChoice.now)) {
+    return std::nullopt;
+  }
+  return index;
+}
+
+std::optional<uint32_t> TargetPicker::BetterOfTwo(const Choice& aChoice,
+                                                  const Indexes& aList) const {
+  const auto first = this->Draw(aChoice, aList, std::nullopt);
+  if (!first || aList.size() == 1) {
+    return first;
+  }
+  const auto second = this->Draw(aChoice, aList, first);
+  if (!second) {
+    return first;
+  }
+  return this->table.Score(this->table.At(*second)) <
+                 this->table.Score(this->table.At(*first))
+             ? second
+             : first;
+}
+
+std::optional<uint32_t> TargetPicker::Draw(
+    const Choice& aChoice, const Indexes& aList,
+    std::optional<uint32_t> aOther) const {
+  if (aList.empty()) {
+    return std::nullopt;
+  }
+  std::optional<uint32_t> heaviest;
+  double heaviestWeight = 0.0;
+  for (int draw = 0; draw < kDraws; ++draw) {
+    const uint32_t index = aList[aChoice.random.Below(aList.size())];
+    if (index == aOther || this->Excluded(aChoice, index)) {
+      continue;
+    }
+    const double weight =
+        this->table.Weight(this->table.At(index), aChoice.now);
+    if (weight >= 1.0 || aChoice.random.Unit() < weight) {
+      return index;
+    }
+    if (weight > heaviestWeight) {
+      heaviest = index;
+      heaviestWeight = weight;
+    }
+  }
+  // The second choice may be missing; the first must be found if there is
+  // one, however many targets are excluded.
+  if (heaviest || aOther) {
+    return heaviest;
+  }
+  return this->Any(aChoice, aList);
+}
+
+std::optional<uint32_t> TargetPicker::Any(const Choice& aChoice,
+                                          const Indexes& aList) const {
+  const size_t start = aList.empty() ? 0 : aChoice.random.Below(aList.size());
+  for (size_t i = 0; i < aList.size(); ++i) {
+    const uint32_t index = aList[(start + i) % aList.size()];
+    const TargetTable::Target& target = this->table.At(index);
+    const bool usable = target.list == TargetList::Unheard ||
+                        this->table.Weight(target, aChoice.now) > 0.0;
+    if (usable && !this->Excluded(aChoice, index)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Routing/TargetTable.cpp
@@ -0,0 +1,375 @@
+#include "Routing/TargetTable.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fescueline {
+
+namespace {
+double Capacity(const TargetInfo& aInfo) {
+  return std::max(aInfo.capacity, 1U);
+}
+
+/// The lower median: with two targets it is the better one, so that the other
+/// can be judged.
+double LowerMedian(std::vector<double>& aValues) {
+  if (aValues.empty()) {
+    return 0.0;
+  }
+  const auto middle =
+      aValues.begin() + static_cast<std::ptrdiff_t>((aValues.size() - 1) / 2);
+  std::nth_element(aValues.begin(), middle, aValues.end());
+  return *middle;
+}
+}  // namespace
+
+TargetRef TargetTable::Upsert(const TargetInfo& aInfo) {
+  if (const auto known = this->Find(aInfo.node)) {
+    Target& target = this->targets[known->index];
+    if (target.info.incarnation == aInfo.incarnation &&
+        target.info.service == aInfo.service) {
+      target.info = aInfo;
+      target.home = this->HomeOf(aInfo);
+      this->Place(known->index);
+      return *known;
+    }
+    this->Remove(*known);
+  }
+  const uint32_t index = this->TakeSlot();
+  const uint32_t service = this->ServiceIndex(aInfo.service);
+  Target& target = this->targets[index];
+  const uint32_t generation = target.generation;
+  target = Target{};
+  target.info = aInfo;
+  target.generation = generation;
+  target.present = true;
+  target.service = service;
+  target.home = this->HomeOf(aInfo);
+  this->byNode.emplace(aInfo.node, index);
+  // Until the first report the target is used only as a last resort.
+  target.state = TargetState::Ready;
+  this->Insert(index, TargetList::Unheard);
+  return this->RefAt(index);
+}
+
+void TargetTable::Remove(TargetRef aTarget) {
+  Target* target = this->Mutable(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  this->Withdraw(aTarget.index);
+  this->byNode.erase(target->info.node);
+  target->present = false;
+  ++target->generation;
+  this->freeSlots.push_back(aTarget.index);
+}
+
+std::optional<TargetRef> TargetTable::Find(std::string_view aNode) const {
+  const auto found = this->byNode.find(aNode);
+  if (found == this->byNode.end()) {
+    return std::nullopt;
+  }
+  return this->RefAt(found->second);
+}
+
+void TargetTable::OnPong(TargetRef aTarget, const TargetReport& aReport,
+                         TimePoint aNow) {
+  Target* target = this->Mutable(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  target->lastHeard = aNow;
+  if (aReport.capacity > 0) {
+    target->info.capacity = aReport.capacity;
+  }
+  // The report may be wrong, so it makes a target look full at most.
+  const double others =
+      std::min<double>(aReport.load - std::min(aReport.load, target->inFlight),
+                       Capacity(target->info));
+  const double before = target->othersLoad.value_or(others);
+  target->othersLoad =
+      before + this->settings.hintSmoothing * (others - before);
+  target->busy = false;
+  this->SetState(*target, aReport.state, aNow);
+  if (aReport.readyFor && target->readySince) {
+    target->readySince = aNow - *aReport.readyFor;
+  }
+  this->Place(aTarget.index);
+}
+
+void TargetTable::OnState(TargetRef aTarget, TargetState aState,
+                          TimePoint aNow) {
+  Target* target = this->Mutable(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  target->lastHeard = aNow;
+  this->SetState(*target, aState, aNow);
+  this->Place(aTarget.index);
+}
+
+void TargetTable::OnSilent(TargetRef aTarget) {
+  Target* target = this->Mutable(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  target->lastHeard = std::nullopt;
+  this->Withdraw(aTarget.index);
+  this->Insert(aTarget.index, TargetList::Closed);
+}
+
+CallTicket TargetTable::OnStart(TargetRef aTarget, TimePoint aNow) {
+  Target* target = this->Mutable(aTarget);
+  if (target == nullptr) {
+    return {.target = aTarget, .health = {.start = aNow}};
+  }
+  ++target->inFlight;
+  return {.target = aTarget, .health = target->health.OnStart(aNow)};
+}
+
+void TargetTable::OnFinish(const CallTicket& aTicket, CallResult aResult,
+                           TimePoint aNow) {
+  Target* target = this->Mutable(aTicket.target);
+  if (target == nullptr) {
+    return;
+  }
+  assert(target->inFlight > 0);
+  --target->inFlight;
+  if (aResult == CallResult::Refused) {
+    // Busy until the next report says otherwise. Not a fault: ejecting busy
+    // targets would move their load to the others.
+    target->busy = true;
+  }
+  const bool counts =
+      aResult == CallResult::Answered || aResult == CallResult::Failed;
+  const Service& service = this->services[target->service];
+  target->health.OnFinish(aTicket.health, counts,
+                          aResult == CallResult::Answered, aNow, service.norm,
+                          this->settings.health);
+  if (aResult == CallResult::ConnectFailed) {
+    this->OnSilent(aTicket.target);
+  } else if ((target->list == TargetList::Ejected) !=
+             target->health.Ejected()) {
+    this->Place(aTicket.target.index);
+  }
+}
+
+void TargetTable::Tick(TimePoint aNow) {
+  for (Service& service : this->services) {
+    this->CloseSilent(service, aNow);
+    this->Judge(service, aNow);
+  }
+}
+
+const TargetInfo* TargetTable::Info(TargetRef aTarget) const {
+  const Target* target = this->Get(aTarget);
+  return target == nullptr ? nullptr : &target->info;
+}
+
+const TargetTable::Target* TargetTable::Get(TargetRef aTarget) const {
+  if (aTarget.index >= this->targets.size()) {
+    return nullptr;
+  }
+  const Target& target = this->targets[aTarget.index];
+  return target.present && target.generation == aTarget.generation ? &target
+                                                                   : nullptr;
+}
+
+const TargetTable::Service* TargetTable::FindService(
+    std::string_view aService) const {
+  const auto found = this->byService.find(aService);
+  return found == this->byService.end() ? nullptr
+                                        : &this->services[found->second];
+}
+
+double TargetTable::Utilisation(const Target& aTarget) const {
+  const double capacity = Capacity(aTarget.info);
+  const double others =
+      aTarget.busy ? capacity : aTarget.othersLoad.value_or(0.0);
+  return (aTarget.inFlight + 1 + others) / capacity;
+}
+
+double TargetTable::Score(const Target& aTarget) const {
+  if (aTarget.busy) {
+    return this->Utilisation(aTarget);
+  }
+  const double others =
+      this->settings.hintWeight * aTarget.othersLoad.value_or(0.0);
+  return (aTarget.inFlight + 1 + others) / Capacity(aTarget.info);
+}
+
+double TargetTable::Weight(const Target& aTarget, TimePoint aNow) const {
+  if (!aTarget.lastHeard || !aTarget.readySince ||
+      aNow - *aTarget.lastHeard > this->settings.silentAfter) {
+    return 0.0;
+  }
+  const Duration ready = aNow - *aTarget.readySince;
+  double ramp = 1.0;
+  if (ready < this->settings.rampTime) {
+    ramp = this->settings.rampFloor + (1.0 - this->settings.rampFloor) *
+                                          ToSeconds(ready) /
+                                          ToSeconds(this->settings.rampTime);
+  }
+  return std::max(ramp, this->settings.rampFloor) * aTarget.health.Weight();
+}
+
+TargetTable::Target* TargetTable::Mutable(TargetRef aTarget) {
+  return const_cast<Target*>(this->Get(aTarget));
+}
+
+uint32_t TargetTable::TakeSlot() {
+  if (this->freeSlots.empty()) {
+    this->targets.emplace_back();
+    return static_cast<uint32_t>(this->targets.size() - 1);
+  }
+  const uint32_t index = this->freeSlots.back();
+  this->freeSlots.pop_back();
+  return index;
+}
+
+uint32_t TargetTable::ServiceIndex(const std::string& aName) {
+  const auto [entry, added] = this->byService.try_emplace(
+      aName, static_cast<uint32_t>(this->services.size()));
+  if (added) {
+    this->services.emplace_back();
+  }
+  return entry->second;
+}
+
+TargetList TargetTable::HomeOf(const TargetInfo& aInfo) const {
+  if (aInfo.region != this->settings.region) {
+    return TargetList::Far;
+  }
+  return aInfo.dataCentre == this->settings.dataCentre ? TargetList::Near
+                                                       : TargetList::Region;
+}
+
+void TargetTable::Place(uint32_t aIndex) {
+  const Target& target = this->targets[aIndex];
+  TargetList list = TargetList::Closed;
+  if (target.list == TargetList::Unheard && !target.lastHeard) {
+    list = TargetList::Unheard;
+  } else if (target.lastHeard && target.state == TargetState::Ready) {
+    list = target.health.Ejected() ? TargetList::Ejected : target.home;
+  }
+  if (list != target.list) {
+    this->Withdraw(aIndex);
+    this->Insert(aIndex, list);
+  }
+}
+
+void TargetTable::Insert(uint32_t aIndex, TargetList aList) {
+  Target& target = this->targets[aIndex];
+  auto& list = this->services[target.service].lists[static_cast<size_t>(aList)];
+  target.list = aList;
+  target.position = static_cast<uint32_t>(list.size());
+  list.push_back(aIndex);
+}
+
+void TargetTable::Withdraw(uint32_t aIndex) {
+  const Target& target = this->targets[aIndex];
+  auto& list =
+      this->services[target.service].lists[static_cast<size_t>(target.list)];
+  assert(list[target.position] == aIndex);
+  list[target.position] = list.back();
+  this->targets[list.back()].position = target.position;
+  list.pop_back();
+}
+
+void TargetTable::SetState(Target& aTarget, TargetState aState,
+                           TimePoint aNow) {
+  aTarget.state = aState;
+  if (aState != TargetState::Ready) {
+    aTarget.readySince = std::nullopt;
+  } else if (!aTarget.readySince) {
+    aTarget.readySince = aNow;
+  }
+}
+
+void TargetTable::CloseSilent(Service& aService, TimePoint aNow) {
+  this->live.clear();
+  for (const TargetList list : {TargetList::Near, TargetList::Region,
+                                TargetList::Far, TargetList::Ejected}) {
+    for (const uint32_t index : aService.List(list)) {
+      this->live.push_back(index);
+    }
+  }
+  std::erase_if(this->live, [&](uint32_t aIndex) {
+    if (aNow - *this->targets[aIndex].lastHeard <= this->settings.silentAfter) {
+      return false;
+    }
+    this->OnSilent(this->RefAt(aIndex));
+    return true;
+  });
+}
+
+void TargetTable::Judge(Service& aService, TimePoint aNow) {
+  this->UpdateNorm(aService);
+  const auto share = static_cast<size_t>(
+      this->settings.maxImpaired * static_cast<double>(this->live.size()));
+  const size_t limit = this->live.size() < 2 || this->settings.maxImpaired <= 0
+                           ? 0
+                           : std::max<size_t>(share, 1);
+  this->verdicts.clear();
+  size_t impaired = 0;
+  for (const uint32_t index : this->live) {
+    TargetHealth& health = this->targets[index].health;
+    if (health.Ejected() && impaired >= limit) {
+      // Other targets have left; the share of ejected ones is now too large.
+      health.Reinstate(this->settings.health);
+      this->Place(index);
+    }
+    impaired += health.Impaired() ? 1 : 0;
+    if (!health.Ejected()) {
+      const double badness =
+          health.Badness(aNow, aService.norm, this->settings.health);
+      if (badness > 1.0) {
+        this->verdicts.push_back({.index = index, .badness = badness});
+      } else {
+        impaired -= health.Impaired() ? 1 : 0;
+        health.Recover(this->settings.health);
+        impaired += health.Impaired() ? 1 : 0;
+      }
+    }
+  }
+  this->ImpairWorst(impaired, limit, aNow);
+}
+
+void TargetTable::UpdateNorm(Service& aService) {
+  this->latencies.clear();
+  this->failures.clear();
+  for (const uint32_t index : this->live) {
+    const TargetHealth& health = this->targets[index].health;
+    if (!health.Ejected() && health.Latency() > 0.0) {
+      this->latencies.push_back(health.Latency());
+      this->failures.push_back(health.Failures());
+    }
+  }
+  // An ejected target is compared with the last known medians even if no
+  // other target has samples.
+  if (!this->latencies.empty()) {
+    aService.norm = {.latency = LowerMedian(this->latencies),
+                     .failures = LowerMedian(this->failures)};
+  }
+}
+
+void TargetTable::ImpairWorst(size_t aImpaired, size_t aLimit, TimePoint aNow) {
+  std::sort(this->verdicts.begin(), this->verdicts.end(),
+            [](const Verdict& aLeft, const Verdict& aRight) {
+              return aLeft.badness > aRight.badness;
+            });
+  size_t impaired = aImpaired;
+  for (const Verdict& verdict : this->verdicts) {
+    TargetHealth& health = this->targets[verdict.index].health;
+    if (!health.Impaired()) {
+      if (impaired >= aLimit) {
+        continue;
+      }
+      ++impaired;
+    }
+    health.Reduce(aNow, this->settings.health);
+    this->Place(verdict.index);
+  }
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/tests/Routing/TargetHealthTest.cpp
@@ -0,0 +1,131 @@
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "Routing/TargetHealth.h"
+
+using namespace fescueline;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr HealthNorm kNorm{.latency = 0.010, .failures = 0.0};
+
+/// A target's health with a clock and calls of given length.
+struct Subject {
+  void Call(Duration aLatency, bool aSuccess, int aTimes = 1) {
+    for (int i = 0; i < aTimes; ++i) {
+      const HealthTicket ticket = this->health.OnStart(this->clock.Now());
+      this->clock.Advance(aLatency);
+      this->health.OnFinish(ticket, true, aSuccess, this->clock.Now(), kNorm,
+                            this->settings);
+    }
+  }
+  double Badness() const {
+    return this->health.Badness(this->clock.Now(), kNorm, this->settings);
+  }
+  void Eject() {
+    for (int i = 0; i < 4 && !this->health.Ejected(); ++i) {
+      this->health.Reduce(this->clock.Now(), this->settings);
+    }
+  }
+
+  TargetHealth health;
+  HealthSettings settings;
+  ManualClock clock;
+};
+}  // namespace
+
+// Guards against judgement on too few samples and against judging a target
+// that is as slow or as faulty as its peers.
+TEST_CASE("only a clear difference from the peers is bad") {
+  Subject slow;
+  slow.Call(100ms, true, 9);
+  CHECK(slow.Badness() == 0.0);
+  slow.Call(100ms, true);
+  CHECK(slow.Badness() > 1.0);
+  Subject usual;
+  usual.Call(25ms, true, 50);
+  CHECK(usual.Badness() < 1.0);
+  Subject failing;
+  failing.Call(1ms, false, 20);
+  CHECK(failing.Badness() > 1.0);
+  const HealthNorm allFail{.latency = 0.010, .failures = 0.9};
+  CHECK(failing.health.Badness(failing.clock.Now(), allFail, failing.settings) <
+        1.0);
+}
+
+// Guards against a target that hangs: without results it has no latency.
+TEST_CASE("calls without an answer count as hanging, one long call does not") {
+  Subject hanging;
+  hanging.Call(10ms, true, 3);
+  hanging.health.OnStart(hanging.clock.Now());
+  hanging.clock.Advance(150ms);
+  CHECK(hanging.Badness() < 1.0);
+  hanging.clock.Advance(100ms);
+  CHECK(hanging.Badness() > 1.0);
+  Subject mixed;
+  mixed.health.OnStart(mixed.clock.Now());
+  mixed.Call(10ms, true, 100);
+  CHECK(mixed.Badness() <= 1.0);
+}
+
+// Guards against an ejection without a way back, probes without bound, and
+// probes that never become rarer.
+TEST_CASE("an ejected target returns by successful probes only") {
+  Subject subject;
+  subject.Eject();
+  REQUIRE(subject.health.Ejected());
+  CHECK_FALSE(subject.health.WantsProbe(subject.clock.Now()));
+  subject.clock.Advance(2s);
+  CHECK(subject.health.WantsProbe(subject.clock.Now()));
+  const HealthTicket probe = subject.health.OnStart(subject.clock.Now());
+  CHECK(probe.probe);
+  CHECK_FALSE(subject.health.WantsProbe(subject.clock.Now()));
+  // A slow success is not a good probe of a straggler.
+  subject.clock.Advance(100ms);
+  subject.health.OnFinish(probe, true, true, subject.clock.Now(), kNorm,
+                          subject.settings);
+  subject.clock.Advance(3900ms);
+  CHECK_FALSE(subject.health.WantsProbe(subject.clock.Now()));
+  subject.clock.Advance(100ms);
+  CHECK(subject.health.WantsProbe(subject.clock.Now()));
+  subject.Call(10ms, true, 3);
+  CHECK_FALSE(subject.health.Ejected());
+  CHECK(subject.health.Weight() == doctest::Approx(0.1));
+  for (int i = 0; i < 4; ++i) {
+    subject.Call(10ms, true, 10);
+    subject.health.Recover(subject.settings);
+  }
+  CHECK(subject.health.Weight() == 1.0);
+}
+
+// Guards against a cancelled probe that blocks all later ones.
+TEST_CASE("a cancelled probe frees its slot and proves nothing") {
+  Subject subject;
+  subject.Eject();
+  subject.clock.Advance(2s);
+  const HealthTicket probe = subject.health.OnStart(subject.clock.Now());
+  subject.health.OnFinish(probe, false, false, subject.clock.Now(), kNorm,
+                          subject.settings);
+  CHECK(subject.health.Ejected());
+  CHECK(subject.health.WantsProbe(subject.clock.Now()));
+}
+
+// Guards against results of calls from before an ejection that end or extend
+// it.
+TEST_CASE("late results of an earlier epoch do not count") {
+  Subject subject;
+  std::vector<HealthTicket> late;
+  for (int i = 0; i < 8; ++i) {
+    late.push_back(subject.health.OnStart(subject.clock.Now()));
+  }
+  subject.Eject();
+  subject.clock.Advance(2s);
+  for (size_t i = 0; i < late.size(); ++i) {
+    subject.health.OnFinish(late[i], true, i % 2 == 0, subject.clock.Now(),
+                            kNorm, subject.settings);
+  }
+  CHECK(subject.health.Ejected());
+  CHECK(subject.health.WantsProbe(subject.clock.Now()));
+  CHECK(subject.health.Failures() == 0.0);
+}
--- /dev/null
+++ b/tests/Routing/TargetPickerTest.cpp
@@ -0,0 +1,323 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Routing/TargetPicker.h"
+
+using namespace fescueline;
+using namespace std::chrono_literals;
+
+namespace {
+TargetInfo Info(int aNumber, const std::string& aCentre = "dc1",
+                const std::string& aRegion = "r1") {
+  return {.node = "n" + std::to_string(aNumber),
+          .incarnation = {.high = 1, .low = 1},
+          .service = "fees",
+          .dataCentre = aCentre,
+          .region = aRegion,
+          .capacity = 10};
+}
+
+TargetReport Ready(uint32_t aLoad = 0) {
+  return {.state = TargetState::Ready,
+          .load = aLoad,
+          .capacity = 0,
+          .readyFor = std::chrono::minutes(10)};
+}
+
+/// A table with a picker, a clock and a random source.
+struct Fixture {
+  explicit Fixture(int aTargets = 0)
+      : table({.dataCentre = "dc1", .region = "r1"}),
+        picker(table, TargetPickerSettings{}) {
+    for (int i = 0; i < aTargets; ++i) {
+      this->Add(Info(i));
+    }
+  }
+
+  TargetRef Add(const TargetInfo& aInfo) {
+    const TargetRef ref = this->table.Upsert(aInfo);
+    this->table.OnPong(ref, Ready(), this->clock.Now());
+    this->refs.push_back(ref);
+    return ref;
+  }
+
+  std::optional<TargetRef> Pick(std::vector<TargetRef> aExclude = {}) {
+    return this->picker.Pick("fees", aExclude, this->clock.Now(), this->random);
+  }
+
+  /// Number of choices of each target out of aCount, without calls.
+  std::map<uint32_t, int> Count(int aCount) {
+    std::map<uint32_t, int> counts;
+    for (int i = 0; i < aCount; ++i) {
+      if (const auto ref = this->Pick()) {
+        ++counts[ref->index];
+      }
+    }
+    return counts;
+  }
+
+  void Pong() {
+    for (const TargetRef ref : this->refs) {
+      this->table.OnPong(ref, Ready(), this->clock.Now());
+    }
+  }
+
+  /// Reports a load long enough for its average to follow.
+  void Report(TargetRef aRef, uint32_t aLoad) {
+    for (int i = 0; i < 100; ++i) {
+      this->table.OnPong(aRef, Ready(aLoad), this->clock.Now());
+    }
+  }
+
+  /// Failed calls until the target is ejected.
+  void Fail(TargetRef aRef) {
+    for (int i = 0; i < 200 && !this->table.Get(aRef)->health.Ejected(); ++i) {
+      this->Call(aRef, 1ms, CallResult::Failed);
+      if (i % 20 == 19) {
+        this->table.Tick(this->clock.Now());
+      }
+    }
+  }
+
+  void Call(TargetRef aRef, Duration aLatency, CallResult aResult) {
+    const CallTicket ticket = this->table.OnStart(aRef, this->clock.Now());
+    this->clock.Advance(aLatency);
+    this->table.OnFinish(ticket, aResult, this->clock.Now());
+  }
+
+  TargetTable table;
+  TargetPicker picker;
+  ManualClock clock;
+  RandomSource random{42};
+  std::vector<TargetRef> refs;
+};
+
+struct ClosedCase {
+  std::string name;
+  void (*close)(Fixture&);
+};
+}  // namespace
+
+// Guards against new work for a target that cannot or must not take it.
+TEST_CASE("a closed target gets nothing") {
+  const std::vector<ClosedCase> cases = {
+      {"draining",
+       [](Fixture& aF) {
+         aF.table.OnState(aF.refs[0], TargetState::Draining, aF.clock.Now());
+       }},
+      {"starting",
+       [](Fixture& aF) {
+         aF.table.OnPong(aF.refs[0], {.state = TargetState::Starting},
+                         aF.clock.Now());
+       }},
+      {"gone",
+       [](Fixture& aF) {
+         aF.table.OnPong(aF.refs[0], {.state = TargetState::Gone},
+                         aF.clock.Now());
+       }},
+      {"connection closed", [](Fixture& aF) { aF.table.OnSilent(aF.refs[0]); }},
+      {"connect failed",
+       [](Fixture& aF) {
+         aF.Call(aF.refs[0], 0ms, CallResult::ConnectFailed);
+       }},
+      {"left", [](Fixture& aF) { aF.table.Remove(aF.refs[0]); }},
+      {"silent for 3 s",
+       [](Fixture& aF) {
+         aF.clock.Advance(3001ms);
+         aF.table.OnPong(aF.refs[1], Ready(), aF.clock.Now());
+       }},
+  };
+  for (const ClosedCase& row : cases) {
+    CAPTURE(row.name);
+    Fixture fixture(2);
+    row.close(fixture);
+    const auto counts = fixture.Count(500);
+    CHECK(counts.size() == 1);
+    CHECK(counts.contains(fixture.refs[1].index));
+    CHECK_FALSE(fixture.Pick({fixture.refs[1]}).has_value());
+    // Neither a judgement nor another report of a closed target opens it.
+    fixture.table.Tick(fixture.clock.Now());
+    CHECK(fixture.Count(500).size() == 1);
+  }
+}
+
+// Guards against a target that stays closed after it is heard from again, and
+// against knowledge about a replaced incarnation.
+TEST_CASE("a report reopens a target, a new incarnation starts afresh") {
+  Fixture fixture(1);
+  fixture.table.OnSilent(fixture.refs[0]);
+  CHECK_FALSE(fixture.Pick().has_value());
+  fixture.Pong();
+  CHECK(fixture.Pick() == fixture.refs[0]);
+  const CallTicket late =
+      fixture.table.OnStart(fixture.refs[0], fixture.clock.Now());
+  TargetInfo replaced = Info(0);
+  replaced.incarnation = {.high = 2, .low = 2};
+  const TargetRef fresh = fixture.table.Upsert(replaced);
+  CHECK(fresh != fixture.refs[0]);
+  CHECK(fixture.table.Get(fixture.refs[0]) == nullptr);
+  fixture.table.OnFinish(late, CallResult::Failed, fixture.clock.Now());
+  fixture.table.OnPong(fixture.refs[0], Ready(), fixture.clock.Now());
+  REQUIRE(fixture.table.Get(fresh) != nullptr);
+  CHECK(fixture.table.Get(fresh)->inFlight == 0);
+  CHECK_FALSE(fixture.table.Get(fresh)->lastHeard.has_value());
+  CHECK(fixture.table.Size() == 1);
+}
+
+// Guards against a refusal although an unconnected target could be tried, and
+// against a preference for targets that nothing is known about.
+TEST_CASE("an unheard target is a last resort") {
+  Fixture fixture(0);
+  const TargetRef unheard = fixture.table.Upsert(Info(0));
+  CHECK(fixture.Pick() == unheard);
+  const TargetRef heard = fixture.Add(Info(1));
+  CHECK(fixture.Count(200).size() == 1);
+  CHECK(fixture.Pick() == heard);
+}
+
+// Guards against a retry at the target that has just failed.
+TEST_CASE("excluded targets are never chosen") {
+  Fixture fixture(5);
+  const std::vector<TargetRef> exclude = {fixture.refs[0], fixture.refs[1],
+                                          fixture.refs[3], fixture.refs[4]};
+  for (int i = 0; i < 200; ++i) {
+    CHECK(fixture.Pick(exclude) == fixture.refs[2]);
+  }
+  CHECK_FALSE(fixture.Pick(fixture.refs).has_value());
+  CHECK_FALSE(
+      fixture.picker.Pick("unknown", {}, fixture.clock.Now(), fixture.random)
+          .has_value());
+}
+
+// Guards against calls that cross data centres without need, and against a
+// local queue while others idle.
+TEST_CASE("calls stay near until the near targets are loaded") {
+  Fixture fixture(2);
+  const TargetRef far = fixture.Add(Info(8, "dc2"));
+  const TargetRef abroad = fixture.Add(Info(9, "dc9", "r9"));
+  auto counts = fixture.Count(1000);
+  CHECK(counts[far.index] + counts[abroad.index] == 0);
+  for (const TargetRef ref : {fixture.refs[0], fixture.refs[1]}) {
+    fixture.Report(ref, 9);
+  }
+  counts = fixture.Count(1000);
+  CHECK(counts[far.index] == 1000);
+  fixture.Report(far, 9);
+  CHECK(fixture.Count(1000)[abroad.index] == 1000);
+  // Nothing is gained by leaving when all are equally loaded.
+  fixture.Report(abroad, 9);
+  counts = fixture.Count(1000);
+  CHECK(counts[far.index] + counts[abroad.index] == 0);
+}
+
+// Guards against full traffic for a target with cold caches.
+TEST_CASE("a target that became ready ramps up") {
+  Fixture fixture(9);
+  const TargetRef cold = fixture.table.Upsert(Info(9));
+  fixture.table.OnPong(cold, {.state = TargetState::Ready},
+                       fixture.clock.Now());
+  const int atStart = fixture.Count(10000)[cold.index];
+  CHECK(atStart < 250);
+  CHECK(atStart > 30);
+  for (int i = 0; i < 20; ++i) {
+    fixture.clock.Advance(500ms);
+    fixture.Pong();
+    fixture.table.OnPong(cold, {.state = TargetState::Ready},
+                         fixture.clock.Now());
+  }
+  CHECK(fixture.Count(10000)[cold.index] > 800);
+}
+
+// Guards against a load report that outweighs all other knowledge.
+TEST_CASE("a misleading load report has a bounded effect") {
+  Fixture fixture(2);
+  fixture.Report(fixture.refs[0], 1000000);
+  for (int i = 0; i < 11; ++i) {
+    fixture.table.OnStart(fixture.refs[1], fixture.clock.Now());
+  }
+  CHECK(fixture.Count(100)[fixture.refs[0].index] == 100);
+  // One wrong report among others is averaged out.
+  Fixture once(2);
+  once.table.OnPong(once.refs[0], Ready(1000000), once.clock.Now());
+  CHECK(once.table.Utilisation(*once.table.Get(once.refs[0])) < 0.25);
+}
+
+// Guards against a bad judgement that empties a service: the number of
+// impaired targets stays within its limit for any results.
+TEST_CASE("at most a third of the targets is impaired at once") {
+  const bool holds = rc::check("random results", [] {
+    const int count = *rc::gen::inRange(1, 12);
+    Fixture fixture(count);
+    const auto limit =
+        count < 2 ? 0U : std::max(1U, static_cast<unsigned>(0.34 * count));
+    const auto steps = *rc::gen::container<std::vector<uint32_t>>(
+        300, rc::gen::arbitrary<uint32_t>());
+    for (const uint32_t step : steps) {
+      const auto target = fixture.refs[(step >> 4) % fixture.refs.size()];
+      const Duration latency = std::chrono::milliseconds((step >> 12) % 200);
+      for (int i = 0; i < 12; ++i) {
+        fixture.Call(target, latency,
+                     step % 3 == 0 ? CallResult::Failed : CallResult::Answered);
+      }
+      fixture.Pong();
+      fixture.table.Tick(fixture.clock.Now());
+      size_t impaired = 0;
+      for (const TargetRef ref : fixture.refs) {
+        impaired += fixture.table.Get(ref)->health.Impaired();
+      }
+      RC_ASSERT(impaired <= limit);
+      RC_ASSERT(fixture.Pick().has_value());
+    }
+  });
+  CHECK(holds);
+}
+
+// Guards against a failing target that keeps its traffic or never returns,
+// and against an ejected share that grows because healthy targets leave.
+TEST_CASE("a failing target is ejected, probed and reinstated") {
+  Fixture fixture(6);
+  for (size_t i = 1; i < 6; ++i) {
+    for (int call = 0; call < 20; ++call) {
+      fixture.Call(fixture.refs[i], 1ms, CallResult::Answered);
+    }
+  }
+  fixture.Fail(fixture.refs[0]);
+  fixture.Pong();
+  const auto* failing = fixture.table.Get(fixture.refs[0]);
+  REQUIRE(failing->health.Ejected());
+  CHECK(fixture.Count(1000).size() == 5);
+  fixture.clock.Advance(2s);
+  fixture.Pong();
+  const int probes = fixture.Count(6400)[fixture.refs[0].index];
+  CHECK(probes > 50);
+  CHECK(probes < 200);
+  const CallTicket probe =
+      fixture.table.OnStart(fixture.refs[0], fixture.clock.Now());
+  CHECK(fixture.Count(6400)[fixture.refs[0].index] == 0);
+  fixture.table.OnFinish(probe, CallResult::Cancelled, fixture.clock.Now());
+  for (size_t i = 1; i < 6; ++i) {
+    fixture.table.OnSilent(fixture.refs[i]);
+  }
+  // The only one left is used although it is ejected.
+  CHECK(fixture.Pick() == fixture.refs[0]);
+  fixture.table.Tick(fixture.clock.Now());
+  CHECK_FALSE(failing->health.Ejected());
+}
+
+// Guards against ejection of targets that are merely busy.
+TEST_CASE("refusals move load and eject nobody") {
+  Fixture fixture(3);
+  for (int i = 0; i < 100; ++i) {
+    fixture.Call(fixture.refs[0], 1ms, CallResult::Refused);
+    fixture.table.Tick(fixture.clock.Now());
+  }
+  fixture.clock.Advance(1ms);
+  CHECK_FALSE(fixture.table.Get(fixture.refs[0])->health.Impaired());
+  CHECK(fixture.Count(300)[fixture.refs[0].index] == 0);
+  fixture.Pong();
+  CHECK(fixture.Count(300)[fixture.refs[0].index] > 50);
+}
