--- a/src/Config/ConfigSnapshot.h
+++ b/src/Config/ConfigSnapshot.h
@@ -31,7 +31,8 @@
   /// Records that could not be decoded, over all changes so far.
   uint64_t DecodeErrors() const { return this->decodeErrors; }
 
-  /// The key with the SHA-256 digest, withdrawn ones included, or null.
+  /// The key with the SHA-256 digest, withdrawn ones included, or null. A key
+  /// may only be accepted if it is active and its organisation exists.
   const KeyRecord* FindKey(const Digest256& aHash) const;
   /// The route of a request, or null; see RouteIndex::Find.
   const Route* FindRoute(std::string_view aMethod,
