Check the concurrency limit's baseline instead of trusting it

Ruled out: additive increase with multiplicative decrease on latency (a target that becomes 5 times slower keeps 7 to 54% of its throughput) and a gradient of long-term to current latency (22 to 71% on a target that states its slots, and a limit of 2.5 to 6 times the workers after recovery). Keeping the new latency as baseline after every check: the baseline then rose without bound. Change: a check lowers the limit for one measurement and asks whether latency followed; the number of samples follows from the size of the expected effect; completions that began under the old limit are skipped.

--- a/src/Admission/ConcurrencyLimit.cpp
+++ b/src/Admission/ConcurrencyLimit.cpp
@@ -9,13 +9,27 @@
 /// Growth per measurement before queueing was first seen.
 constexpr double kFastGrowth = 1.5;
 /// Gain of the baseline's moving average.
-constexpr double kBaselineGain = 0.2;
+constexpr double kBaselineGain = 0.1;
+/// Lowest limit of a check over the concurrency before it. Lower values show
+/// the effect more clearly but idle more of the target.
+constexpr double kCheckFactor = 0.5;
+/// Half of the effect is this many deviations of the mean away, times two, for
+/// times whose deviation equals their mean.
+constexpr double kCheckPrecision = 4.4;
+/// A check with at least this effect needs no second one.
+constexpr double kClearEffect = 0.45;
+/// Concurrency over the limit below which latency is taken as unqueued.
+constexpr double kIdleShare = 0.5;
 }  // namespace
 
 ConcurrencyLimit::ConcurrencyLimit(const ConcurrencyLimitSettings& aSettings)
     : settings(aSettings),
       limit(aSettings.initial),
-      ceiling(aSettings.maximum) {}
+      ceiling(aSettings.maximum),
+      // The first requests to end are the short ones.
+      skip(aSettings.initial),
+      wanted(aSettings.samples),
+      checkInterval(aSettings.minCheckInterval) {}
 
 void ConcurrencyLimit::SetStated(std::optional<uint32_t> aSlots,
                                  std::optional<uint32_t> aConnections) {
@@ -24,9 +38,9 @@
       1,
       std::min({this->settings.maximum, aSlots.value_or(this->settings.maximum),
                 aConnections.value_or(this->settings.maximum)}));
-  const bool stated = aSlots.has_value() || aConnections.has_value();
-  if (stated && before != this->ceiling && this->baseline == 0) {
+  if (aSlots && before != this->ceiling && this->baseline == 0) {
     this->limit = this->ceiling;
+    this->skip = this->ceiling;
   }
   this->limit = std::min(this->limit, static_cast<double>(this->ceiling));
 }
@@ -43,93 +57,131 @@
   }
   ++this->samples;
   this->latencySum += ToSeconds(aOwnTime);
-  if (aActive >= this->Limit()) {
-    ++this->saturatedSamples;
-  }
-  const auto wanted = std::clamp(2 * this->Limit(), this->settings.minSamples,
-                                 this->settings.maxSamples);
-  if (this->samples < wanted) {
+  this->activeSum += aActive;
+  this->saturatedSamples += aActive >= this->Limit() ? 1 : 0;
+  if (this->samples < this->wanted) {
     return;
   }
-  const double latency = this->latencySum / this->samples;
-  const bool saturated = this->saturatedSamples * 2 >= this->samples;
+  const Measurement measurement{
+      .latency = this->latencySum / this->samples,
+      .active = this->activeSum / this->samples,
+      .saturated = this->saturatedSamples * 2 >= this->samples};
   this->samples = 0;
   this->saturatedSamples = 0;
   this->latencySum = 0;
-  if (this->probing) {
-    this->EndProbe(latency, saturated);
+  this->activeSum = 0;
+  if (this->checked) {
+    this->EndCheck(measurement);
   } else {
-    this->Evaluate(latency, saturated);
+    this->Evaluate(measurement);
   }
 }
 
-void ConcurrencyLimit::Evaluate(double aLatency, bool aSaturated) {
-  if (this->baseline == 0) {
-    this->baseline = aLatency;
+void ConcurrencyLimit::Evaluate(const Measurement& aMeasurement) {
+  const double latency = aMeasurement.latency;
+  const bool idle = aMeasurement.active < kIdleShare * this->limit;
+  if (this->baseline == 0 ||
+      latency * this->settings.tolerance < this->baseline) {
+    this->baseline = latency;
+    this->baselineChecked = idle;
   }
-  if (!aSaturated) {
-    // Below the limit there is no queueing, so this is the baseline, whether
-    // it rose or fell.
-    const bool changed = aLatency > this->baseline * this->settings.tolerance;
-    this->baseline =
-        changed ? aLatency
-                : this->baseline + kBaselineGain * (aLatency - this->baseline);
+  if (latency > this->baseline * this->settings.tolerance) {
+    this->fastGrowth = false;
+    if (aMeasurement.active < this->settings.minimum) {
+      // So few requests do not queue: the target has become slower.
+      this->baseline = latency;
+      return;
+    }
+    const double implied = aMeasurement.active * this->settings.headroom *
+                           this->baseline / latency;
+    this->BeginCheck(aMeasurement,
+                     std::max(implied, aMeasurement.active * kCheckFactor));
     return;
   }
-  if (aLatency < this->baseline) {
-    this->baseline += kBaselineGain * (aLatency - this->baseline);
+  if (!aMeasurement.saturated || latency < this->baseline) {
+    this->baseline += kBaselineGain * (latency - this->baseline);
+    this->baselineChecked = this->baselineChecked || idle;
   }
-  if (aLatency > this->baseline * this->settings.tolerance ||
-      --this->untilProbe == 0) {
-    this->fastGrowth = false;
-    this->BeginProbe(aLatency);
+  if (!aMeasurement.saturated) {
     return;
   }
-  const double grown = this->fastGrowth
-                           ? this->limit * kFastGrowth
-                           : this->limit + std::sqrt(this->limit) / 2;
+  if (!this->baselineChecked || this->untilCheck == 0) {
+    // The baseline may have been measured with requests queued in the target.
+    this->BeginCheck(aMeasurement, aMeasurement.active * kCheckFactor);
+    return;
+  }
+  --this->untilCheck;
   if (this->limit < this->ceiling) {
-    this->SetLimit(grown);
+    this->Grow();
   }
 }
 
-void ConcurrencyLimit::BeginProbe(double aLatency) {
-  this->probing = true;
-  this->limitBeforeProbe = this->limit;
-  this->latencyBeforeProbe = aLatency;
-  this->SetLimit(this->limit * this->settings.probeFactor);
+void ConcurrencyLimit::BeginCheck(const Measurement& aMeasurement,
+                                  double aLimit) {
+  this->checked = aMeasurement;
+  // The change of latency that tells the two explanations apart decides how
+  // many samples are needed.
+  const double latency = aMeasurement.latency;
+  const double queued = std::max(this->baselineChecked ? this->baseline : 0.0,
+                                 latency * aLimit / aMeasurement.active);
+  this->checkEffect = 1 - std::min(1.0, queued / latency);
+  this->limitBeforeCheck = this->limit;
+  this->SetLimit(std::min(aLimit, this->limit));
+  this->wanted = std::clamp(
+      static_cast<uint32_t>(std::pow(kCheckPrecision / this->checkEffect, 2)),
+      this->settings.samples / 2, this->settings.samples * 2);
 }
 
-void ConcurrencyLimit::EndProbe(double aLatency, bool aSaturated) {
-  this->probing = false;
-  const double fall = 1 - aLatency / this->latencyBeforeProbe;
-  const double expected = 1 - this->limit / this->limitBeforeProbe;
-  const bool followed = fall > expected / 2;
-  if (followed && aSaturated) {
-    // The work was queueing in the target: keep the lower limit and look
-    // further at once.
-    this->baseline = std::min(this->baseline, aLatency);
-    this->probeInterval = 1;
-    this->untilProbe = 1;
+void ConcurrencyLimit::EndCheck(const Measurement& aMeasurement) {
+  const double before = this->checked->active;
+  const double slow = this->checked->latency;
+  const double now = aMeasurement.latency;
+  this->checked.reset();
+  this->wanted = this->settings.samples;
+  if (slow > this->baseline * this->settings.tolerance) {
+    // Either the baseline holds and latency followed the limit down, or the
+    // target has become slower and latency stayed.
+    const double queued = std::max(this->baseline, slow * this->limit / before);
+    if (now >= (queued + slow) / 2) {
+      // A wrong verdict would let requests queue in the target, so the new
+      // baseline is checked in turn.
+      this->baseline = now;
+      this->baselineChecked = this->checkEffect >= kClearEffect;
+      this->SetLimit(this->limitBeforeCheck);
+    }
     return;
   }
-  // Latency does not depend on the limit here, so it is the baseline.
-  this->baseline = aLatency;
-  this->probeInterval =
-      std::min(this->probeInterval * 2, this->settings.maxProbeInterval);
-  this->untilProbe = this->probeInterval;
-  this->SetLimit(this->limitBeforeProbe);
+  // Throughput before the check times latency without queueing is the
+  // concurrency that keeps the target just busy.
+  const double implied = before * this->settings.headroom * now / slow;
+  const bool queued = implied < before;
+  this->baseline = now;
+  this->baselineChecked = !queued;
+  this->checkInterval = queued ? this->settings.minCheckInterval
+                               : std::min(this->checkInterval * 2,
+                                          this->settings.maxCheckInterval);
+  this->untilCheck = this->checkInterval;
+  this->SetLimit(queued ? std::max(implied, this->limit)
+                        : this->limitBeforeCheck);
+}
+
+void ConcurrencyLimit::Grow() {
+  this->SetLimit(this->fastGrowth ? this->limit * kFastGrowth
+                                  : this->limit + std::sqrt(this->limit) / 2);
 }
 
 void ConcurrencyLimit::SetLimit(double aLimit) {
-  this->limit = std::clamp(
-      aLimit,
-      static_cast<double>(std::min(this->settings.minimum, this->ceiling)),
-      static_cast<double>(this->ceiling));
-  this->skip = this->Limit();
+  const double lowest = std::min(this->settings.minimum, this->ceiling);
+  const uint32_t before = this->Limit();
+  this->limit = std::clamp(aLimit, lowest, static_cast<double>(this->ceiling));
+  // All that began under the old limit has ended after this many completions,
+  // if they end roughly in order.
+  this->skip = std::max(before, this->Limit());
   this->samples = 0;
   this->saturatedSamples = 0;
   this->latencySum = 0;
+  this->activeSum = 0;
+  this->wanted = this->settings.samples;
 }
 
 }  // namespace fescueline
--- a/src/Admission/ConcurrencyLimit.h
+++ b/src/Admission/ConcurrencyLimit.h
@@ -13,25 +13,28 @@
   uint32_t initial = 8;
   uint32_t minimum = 2;
   uint32_t maximum = 1000;
-  /// Latency above the baseline, as a factor, that counts as queueing.
-  double tolerance = 1.3;
-  /// Factor by which the limit is lowered to see whether latency follows.
-  double probeFactor = 0.7;
-  /// Completions per measurement; fewer make the mean too noisy to compare.
-  uint32_t minSamples = 64;
-  uint32_t maxSamples = 256;
-  /// Saturated measurements between probes, at most.
-  uint32_t maxProbeInterval = 32;
+  /// Latency over the baseline that counts as a sign of queueing. The mean of
+  /// 128 exponential times has a deviation of 9%, so 1.4 is four deviations.
+  double tolerance = 1.4;
+  /// Limit over the concurrency that latency and baseline imply. It stays
+  /// above one so that an error of the estimate idles no slot.
+  double headroom = 1.15;
+  /// Completions per measurement.
+  uint32_t samples = 128;
+  /// Measurements at the limit between two checks of the baseline.
+  uint32_t minCheckInterval = 32;
+  uint32_t maxCheckInterval = 1024;
 };
 
 /// Number of requests the local target can usefully run at once, learned from
 /// the node's own latency and in-flight counts. The latency without queueing
 /// (the baseline) is not taken as constant: when latency exceeds it, the limit
-/// is lowered, and if latency does not follow, the target has become slower
-/// and the baseline moves instead. Not thread-safe.
+/// is lowered for one measurement. If latency follows, the requests had queued
+/// in the target; if it does not, the target has become slower and the
+/// baseline moves instead. Not thread-safe.
 class ConcurrencyLimit {
  public:
-  explicit ConcurrencyLimit(const ConcurrencyLimitSettings& aSettings);
+  explicit ConcurrencyLimit(const ConcurrencyLimitSettings& aSettings = {});
 
   /// Sets what the target states; the limit never exceeds either.
   void SetStated(std::optional<uint32_t> aSlots,
@@ -48,12 +51,20 @@
   double Baseline() const { return this->baseline; }
 
  private:
-  /// Evaluates a full measurement.
-  void Evaluate(double aLatency, bool aSaturated);
-  /// Lowers the limit to see whether latency follows.
-  void BeginProbe(double aLatency);
+  /// Means over one measurement.
+  struct Measurement {
+    double latency = 0;
+    double active = 0;
+    /// Whether the limit was reached most of the time.
+    bool saturated = false;
+  };
+
+  void Evaluate(const Measurement& aMeasurement);
+  /// Lowers the limit for one measurement.
+  void BeginCheck(const Measurement& aMeasurement, double aLimit);
   /// Judges the measurement taken at the lowered limit.
-  void EndProbe(double aLatency, bool aSaturated);
+  void EndCheck(const Measurement& aMeasurement);
+  void Grow();
   /// Sets the limit and discards what was measured under the old one.
   void SetLimit(double aLimit);
 
@@ -61,21 +72,27 @@
   double limit;
   uint32_t ceiling;
   double baseline = 0;
+  /// Whether the baseline was measured well below the limit or in a check.
+  bool baselineChecked = false;
 
   /// Completions still to be ignored since they began under an older limit.
-  uint32_t skip = 0;
+  uint32_t skip;
   uint32_t samples = 0;
+  /// Samples at which the measurement is complete.
+  uint32_t wanted;
   /// Samples taken while the limit was reached.
   uint32_t saturatedSamples = 0;
   double latencySum = 0;
+  double activeSum = 0;
 
-  /// Set while the limit is lowered for a probe.
-  bool probing = false;
-  double limitBeforeProbe = 0;
-  double latencyBeforeProbe = 0;
-  /// Saturated measurements until the next probe, and the current interval.
-  uint32_t untilProbe = 1;
-  uint32_t probeInterval = 1;
+  /// The measurement and limit before the current check.
+  std::optional<Measurement> checked;
+  double limitBeforeCheck = 0;
+  /// Change of latency expected if requests are queued in the target.
+  double checkEffect = 0;
+  /// Measurements at the limit until the next check.
+  uint32_t untilCheck = 0;
+  uint32_t checkInterval;
   /// Whether the limit still grows by large steps.
   bool fastGrowth = true;
 };
