--- /dev/null
+++ b/tests/Transport/HttpTest.cpp
@@ -0,0 +1,247 @@
+#include <doctest/doctest.h>
+
+#include <asio.hpp>
+#include <future>
+#include <thread>
+
+#include "Transport/HttpClient.h"
+#include "Transport/HttpServer.h"
+
+using namespace fescueline;
+
+namespace {
+
+/// Runs an io_context on one thread.
+struct Pool {
+  asio::io_context io;
+  asio::executor_work_guard<asio::io_context::executor_type> guard =
+      asio::make_work_guard(this->io);
+  std::thread thread{[this] { this->io.run(); }};
+  ~Pool() {
+    this->guard.reset();
+    this->io.stop();
+    this->thread.join();
+  }
+};
+
+struct Answer {
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+  HttpTransferResult result;
+};
+
+Answer Fetch(HttpClient& aClient, HttpTransferRequest aRequest) {
+  auto answer = std::make_shared<Answer>();
+  auto done = std::make_shared<std::promise<void>>();
+  aClient.Start(
+      std::move(aRequest),
+      {.onHead =
+           [answer](int aStatus, HttpHeaders aHeaders, int64_t) {
+             answer->status = aStatus;
+             answer->headers = std::move(aHeaders);
+           },
+       .onData = [answer](std::string aData) { answer->body += aData; },
+       .onDone =
+           [answer, done](const HttpTransferResult& aResult) {
+             answer->result = aResult;
+             done->set_value();
+           }});
+  done->get_future().wait();
+  return *answer;
+}
+
+std::string Url(const HttpServer& aServer, const std::string& aPath) {
+  return "http://127.0.0.1:" + std::to_string(aServer.Port()) + aPath;
+}
+
+/// Accepts connections, answers the first request on each and closes the
+/// connection when a second one arrives on it, without an answer.
+class ClosingServer {
+ public:
+  ClosingServer()
+      : acceptor(this->io, {asio::ip::make_address("127.0.0.1"), 0}),
+        thread([this] { this->Run(); }) {}
+  ~ClosingServer() {
+    this->stopping = true;
+    asio::error_code ignored;
+    asio::ip::tcp::socket wake(this->io);
+    wake.connect(this->acceptor.local_endpoint(), ignored);
+    wake.close(ignored);
+    this->thread.join();
+  }
+  std::string Url() {
+    return "http://127.0.0.1:" +
+           std::to_string(this->acceptor.local_endpoint().port()) + "/";
+  }
+  int Requests() const { return this->requests; }
+
+ private:
+  void Run() {
+    while (!this->stopping) {
+      asio::ip::tcp::socket socket(this->io);
+      asio::error_code error;
+      this->acceptor.accept(socket, error);
+      if (!error && this->ReadRequest(socket)) {
+        asio::write(socket,
+                    asio::buffer(std::string(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")),
+                    error);
+        this->ReadRequest(socket);
+      }
+    }
+  }
+
+  bool ReadRequest(asio::ip::tcp::socket& aSocket) {
+    std::string text;
+    asio::error_code error;
+    asio::read_until(aSocket, asio::dynamic_buffer(text), "\r\n\r\n", error);
+    this->requests += error ? 0 : 1;
+    return !error;
+  }
+
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor;
+  std::atomic<bool> stopping{false};
+  std::atomic<int> requests{0};
+  std::thread thread;
+};
+
+}  // namespace
+
+// Guards against libcurl's silent resend, which would run a request twice.
+TEST_CASE("a request on a reused connection that closes is not sent again") {
+  ClosingServer server;
+  HttpClient client;
+  CHECK(Fetch(client, {.url = server.Url()}).status == 200);
+  const Answer second =
+      Fetch(client, {.url = server.Url(), .method = "POST", .body = "x"});
+  CHECK_FALSE(second.result.whole);
+  CHECK(second.result.mayHaveBeenSent);
+  CHECK(server.Requests() == 2);
+}
+
+// Guards against "not run" for a request that was sent, and the reverse.
+TEST_CASE("a refused connection is reported as not sent") {
+  HttpClient client;
+  const Answer answer = Fetch(client, {.url = "http://127.0.0.1:1/"});
+  CHECK_FALSE(answer.result.whole);
+  CHECK_FALSE(answer.result.mayHaveBeenSent);
+}
+
+// Guards against a broken response that reaches the caller as a whole one.
+TEST_CASE("a response that breaks off is seen as broken") {
+  struct Row {
+    const char* name;
+    std::optional<uint64_t> length;
+    bool whole;
+  };
+  const std::vector<Row> rows = {{"length, whole", 10, true},
+                                 {"length, broken", 20, false},
+                                 {"chunked, whole", std::nullopt, true},
+                                 {"chunked, broken", std::nullopt, false}};
+  Pool pool;
+  Row current{};
+  HttpServer server(
+      {.io = pool.io,
+       .host = "127.0.0.1",
+       .onRequest = [&current](HttpExchangePtr aExchange) {
+         aExchange->StartStream(200, {{"x-a", "b"}}, current.length);
+         aExchange->Write("0123456789", {});
+         aExchange->EndStream(current.whole);
+       }});
+  HttpClient client;
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    current = row;
+    const Answer answer = Fetch(client, {.url = Url(server, "/")});
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "0123456789");
+    CHECK(answer.result.whole == row.whole);
+  }
+}
+
+// Guards against work that goes on after its caller has left.
+TEST_CASE("a handler hears of a caller that leaves") {
+  Pool pool;
+  std::promise<void> aborted;
+  HttpExchangePtr held;
+  std::promise<void> arrived;
+  HttpServer server({.io = pool.io,
+                     .host = "127.0.0.1",
+                     .onRequest = [&](HttpExchangePtr aExchange) {
+                       held = std::move(aExchange);
+                       held->OnAbort([&] { aborted.set_value(); });
+                       arrived.set_value();
+                     }});
+  HttpClient client;
+  const uint64_t transfer = client.Start(
+      {.url = Url(server, "/")}, {.onHead = [](int, HttpHeaders, int64_t) {},
+                                  .onData = [](std::string) {},
+                                  .onDone = [](const HttpTransferResult&) {}});
+  arrived.get_future().wait();
+  client.Cancel(transfer);
+  CHECK(aborted.get_future().wait_for(std::chrono::seconds(10)) ==
+        std::future_status::ready);
+  held.reset();
+}
+
+// Guards against unbounded buffering when the receiver is slow.
+TEST_CASE("a transfer stops at its credit and goes on with more") {
+  constexpr size_t kBody = 4 * 1024 * 1024;
+  Pool pool;
+  HttpServer server({.io = pool.io,
+                     .host = "127.0.0.1",
+                     .onRequest = [](HttpExchangePtr aExchange) {
+                       aExchange->Respond({.status = 200,
+                                           .headers = {},
+                                           .body = std::string(kBody, 'x')});
+                     }});
+  HttpClient client;
+  std::atomic<size_t> received{0};
+  std::promise<HttpTransferResult> done;
+  const uint64_t transfer = client.Start(
+      {.url = Url(server, "/"), .credit = 100'000},
+      {.onHead = [](int, HttpHeaders, int64_t) {},
+       .onData = [&](std::string aData) { received += aData.size(); },
+       .onDone =
+           [&](const HttpTransferResult& aResult) {
+             done.set_value(aResult);
+           }});
+  auto finished = done.get_future();
+  CHECK(finished.wait_for(std::chrono::milliseconds(300)) ==
+        std::future_status::timeout);
+  CHECK(received < 200'000);
+  client.Credit(transfer, kBody);
+  CHECK(finished.get().whole);
+  CHECK(received == kBody);
+}
+
+// Guards against request smuggling through a doubtful body length.
+TEST_CASE("conflicting framing is refused") {
+  Pool pool;
+  std::atomic<int> handled{0};
+  HttpServer server({.io = pool.io,
+                     .host = "127.0.0.1",
+                     .onRequest = [&](HttpExchangePtr aExchange) {
+                       handled++;
+                       aExchange->Respond({});
+                     }});
+  const std::vector<std::string> requests = {
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+      "Content-Length: 4\r\n\r\nabcd"};
+  for (const std::string& request : requests) {
+    CAPTURE(request);
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    socket.connect({asio::ip::make_address("127.0.0.1"), server.Port()});
+    asio::write(socket, asio::buffer(request));
+    std::string reply;
+    asio::error_code error;
+    asio::read_until(socket, asio::dynamic_buffer(reply), "\r\n", error);
+    CHECK((reply.empty() || reply.starts_with("HTTP/1.1 400")));
+  }
+  CHECK(handled == 0);
+}
