--- a/src/Node/KeyScan.cpp
+++ b/src/Node/KeyScan.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 constexpr std::string_view kBearer = "bearer ";
-constexpr std::string_view kKeyPrefix = "fk_";
+constexpr std::string_view kKeyTextPrefix = "fk_";
 /// Keys have 160 bits or more, which take at least this many characters.
 constexpr size_t kMinKeyDigits = 27;
 
@@ -20,9 +20,9 @@
 
 /// Whether the text contains something in the form of a key.
 bool ContainsKeyForm(std::string_view aText) {
-  for (size_t at = aText.find(kKeyPrefix); at != std::string_view::npos;
-       at = aText.find(kKeyPrefix, at + 1)) {
-    const std::string_view rest = aText.substr(at + kKeyPrefix.size());
+  for (size_t at = aText.find(kKeyTextPrefix); at != std::string_view::npos;
+       at = aText.find(kKeyTextPrefix, at + 1)) {
+    const std::string_view rest = aText.substr(at + kKeyTextPrefix.size());
     const auto end = std::find_if_not(rest.begin(), rest.end(), IsKeyDigit);
     if (static_cast<size_t>(end - rest.begin()) >= kMinKeyDigits) {
       return true;
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -1,7 +1,5 @@
 #include "Node/Node.h"
 
-#include <nlohmann/json.hpp>
-
 #include "Node/Log.h"
 #include "Node/TargetAnnouncements.h"
 #include "Platform/HttpTableStore.h"
@@ -72,7 +70,6 @@
            }),
       readTable(this->MakeTable(this->tables)),
       writeTable(this->MakeTable(this->tables)),
-      adminTable(this->MakeTable(this->tables)),
       claims(this->MakeClaims(this->tables)),
       target(AdmissionOf(this->settings), ThreadRandom().Next()),
       attempts(AttemptsOf(this->settings)),
@@ -136,7 +133,7 @@
                                       : std::make_shared<MemoryTableStore>());
   }
   return TableClient(std::make_shared<HttpTableStore>(
-      HttpTableStore::Options{.http = {.url = this->settings.table},
+      HttpTableStore::Options{.http = {.baseUrl = this->settings.table},
                               .table = std::string(kConfigTable)}));
 }
 
@@ -148,7 +145,7 @@
   }
   return std::make_shared<TableClaims<HttpTableStore>>(
       std::make_shared<HttpTableStore>(
-          HttpTableStore::Options{.http = {.url = this->settings.table},
+          HttpTableStore::Options{.http = {.baseUrl = this->settings.table},
                                   .table = std::string(kClaimsTable)}));
 }
 
@@ -192,18 +189,15 @@
             });
           }});
   this->adminApi = std::make_unique<AdminApi>(AdminApi::Dependencies{
-      .settings = this->settings,
+      .credential = this->settings.operatorCredential,
       .config = this->config,
-      .sync = this->sync,
       .gossip = this->gossip,
-      .table = this->adminTable,
-      .thread = this->operators,
       .metrics = this->metrics,
-      .knowledge = this->knowledge,
-      .fleet = this->fleet,
-      .target = this->target,
+      .makeTable = [this] { return this->MakeTable(this->tables); },
+      .refresh = [this](TableClient& aTable) { this->Refresh(aTable); },
       .isReady = [this] { return this->IsReady(); },
-      .isRegistered = [this] { return this->maintenance->IsRegistered(); }});
+      .whyNotReady = [this] { return this->WhyNotReady(); },
+      .status = [this] { return this->Status(); }});
   this->callers = std::make_unique<HttpServer>(
       HttpServer::Settings{.io = this->io,
                            .host = this->settings.listenCallers.host,
@@ -354,15 +348,19 @@
   aExchange->Respond({.status = 204, .headers = {}, .body = {}});
 }
 
+void Node::Refresh(TableClient& aTable) {
+  this->sync.ReadTable([&aTable](uint64_t aVersion, size_t aLimit) {
+    return aTable.ChangesSince(aVersion, aLimit);
+  });
+}
+
 void Node::ReadTable() {
   if (this->reading.exchange(true)) {
     return;
   }
   const bool posted = this->reader.Post([this] {
     try {
-      this->sync.ReadTable([this](uint64_t aVersion, size_t aLimit) {
-        return this->readTable.ChangesSince(aVersion, aLimit);
-      });
+      this->Refresh(this->readTable);
       this->metrics.SetGauge("table_up", 1);
     } catch (const std::exception&) {
       this->metrics.SetGauge("table_up", 0);
@@ -427,6 +425,44 @@
          this->maintenance->IsRegistered() && !this->stopping;
 }
 
+std::string Node::WhyNotReady() {
+  if (this->stopping) {
+    return "stopping";
+  }
+  const TimePoint now = SteadyClock().Now();
+  if (!this->knowledge.Age(now)) {
+    return "waiting for the table service";
+  }
+  return this->knowledge.IsFresh(now)
+             ? "waiting for the member record"
+             : "knowledge of the configuration is too old";
+}
+
+nlohmann::json Node::Status() {
+  const TimePoint now = SteadyClock().Now();
+  const auto age = this->knowledge.Age(now);
+  nlohmann::json members = nlohmann::json::array();
+  const auto snapshot = this->config.Snapshot();
+  for (const auto& member : snapshot->Members().Items()) {
+    members.push_back({{"node", member->name},
+                       {"service", member->record.service},
+                       {"data_centre", member->record.dataCentre},
+                       {"incarnation", member->record.incarnation.ToString()}});
+  }
+  return {{"node", this->self.nodeId},
+          {"incarnation", this->self.incarnation.ToString()},
+          {"ready", this->IsReady()},
+          {"knowledge_age_s", age ? ToSeconds(*age) : -1.0},
+          {"target",
+           {{"service", this->target.Service()},
+            {"state", std::string(ToName(this->target.State(now)))},
+            {"in_flight", this->target.InFlight()},
+            {"limit", this->target.Limit()},
+            {"queued", this->target.Queued()}}},
+          {"vouchers", snapshot->Vouchers().nodes},
+          {"members", members}};
+}
+
 bool Node::Stop() {
   Log(LogLevel::Info, "node stopping", {{"node", this->self.nodeId}});
   this->target.SetStopping();
@@ -466,7 +502,7 @@
   this->stopping = true;
   this->reader.Stop();
   this->writer.Stop();
-  this->operators.Stop();
+  this->adminApi->Stop();
   this->callers->StopAccepting();
   this->localTarget->StopAccepting();
   this->admin->StopAccepting();
--- a/src/Node/Node.h
+++ b/src/Node/Node.h
@@ -65,10 +65,14 @@
   void OnLocalRequest(HttpExchangePtr aExchange);
   /// Runs a function on the worker pool every aPeriod until the node stops.
   void Every(Duration aPeriod, std::function<void()> aFunction);
+  /// Applies what the table has; throws what the client throws.
+  void Refresh(TableClient& aTable);
   void ReadTable();
   void Maintain();
   void Connect();
   void PublishGauges();
+  std::string WhyNotReady();
+  nlohmann::json Status();
   bool WaitUntilIdle();
   void Shutdown();
 
@@ -84,7 +88,6 @@
   /// Clients of the configuration table, one per thread that uses it.
   TableClient readTable;
   TableClient writeTable;
-  TableClient adminTable;
   std::shared_ptr<IdempotencyClaims> claims;
   HttpClient http;
   LocalTarget target;
@@ -107,7 +110,6 @@
   /// Threads for blocking calls to the table service.
   TaskThread reader;
   TaskThread writer;
-  TaskThread operators;
   /// Worker pool.
   std::vector<std::thread> workers;
   /// Whether a table read or a maintenance round is queued.
