--- /dev/null
+++ b/tests/Membership/DirectoryTest.cpp
@@ -0,0 +1,154 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Membership/Directory.h"
+
+using namespace fescueline;
+using namespace std::chrono_literals;
+
+namespace {
+MemberInfo Member(int aNumber, uint64_t aIncarnation = 1,
+                  const std::string& aService = "fees",
+                  const std::string& aRegion = "r1") {
+  return {.node = "n" + std::to_string(aNumber),
+          .incarnation = {.high = 1, .low = aIncarnation},
+          .dataCentre = "dc1",
+          .region = aRegion,
+          .service = aService,
+          .peerAddress = "10.0.0.1:1",
+          .controlAddress = "10.0.0.1:2"};
+}
+
+Id128 First() { return {.high = 1, .low = 1}; }
+
+/// A directory whose clock runs without pauses.
+struct Fixture {
+  explicit Fixture(int aMembers) {
+    for (int i = 0; i < aMembers; ++i) {
+      this->directory.Upsert(Member(i));
+      this->directory.OnHeard("n" + std::to_string(i), First());
+    }
+    this->directory.Removable(this->clock.Now());
+  }
+
+  std::vector<MemberRef> After(Duration aTime) {
+    std::vector<MemberRef> removable;
+    const TimePoint end = this->clock.Now() + aTime;
+    while (this->clock.Now() < end) {
+      this->clock.Advance(std::min<Duration>(1s, end - this->clock.Now()));
+      removable = this->directory.Removable(this->clock.Now());
+    }
+    return removable;
+  }
+
+  Directory directory{{.region = "r1"}};
+  ManualClock clock;
+};
+}  // namespace
+
+// Guards against removal of a member that was heard meanwhile, and against
+// records of dead members that stay.
+TEST_CASE("a member is removable 30 s after it fell silent") {
+  Fixture fixture(4);
+  fixture.directory.OnSilent("n1", First());
+  CHECK(fixture.After(20s).empty());
+  fixture.directory.OnSilent("n1", First());
+  CHECK(fixture.After(9999ms).empty());
+  CHECK(fixture.After(1ms) ==
+        std::vector<MemberRef>{{.node = "n1", .incarnation = First()}});
+  fixture.directory.OnHeard("n1", First());
+  CHECK(fixture.After(1s).empty());
+  // A member that this node never talked to is not judged.
+  fixture.directory.Upsert(Member(9));
+  CHECK(fixture.After(60s).empty());
+}
+
+// Guards against a process that was paused and takes its peers for dead.
+TEST_CASE("a pause does not count as silence of the others") {
+  Fixture fixture(4);
+  fixture.directory.OnSilent("n1", First());
+  fixture.clock.Advance(60s);
+  CHECK(fixture.directory.Removable(fixture.clock.Now()).empty());
+  CHECK(fixture.After(28s).empty());
+  CHECK(fixture.After(1s).size() == 1);
+}
+
+// Guards against a partition that removes members which are alive.
+TEST_CASE("nothing is removable from the smaller side of a partition") {
+  Fixture fixture(5);
+  fixture.directory.Upsert(Member(5, 1, "fees", "r2"));
+  fixture.directory.OnSilent("n5", First());
+  fixture.directory.OnSilent("n0", First());
+  fixture.directory.OnSilent("n1", First());
+  CHECK(fixture.After(40s).size() == 2);
+  fixture.directory.OnSilent("n2", First());
+  CHECK(fixture.After(40s).empty());
+  fixture.directory.OnHeard("n2", First());
+  CHECK(fixture.After(1s).size() == 2);
+}
+
+// Guards against news of an old incarnation that are applied to the new one.
+TEST_CASE("a replaced incarnation starts afresh") {
+  Fixture fixture(3);
+  fixture.directory.OnSilent("n1", First());
+  CHECK(fixture.directory.Upsert(Member(1, 2)) == MemberChange::Replaced);
+  CHECK(fixture.After(60s).empty());
+  fixture.directory.OnSilent("n1", First());
+  CHECK(fixture.After(60s).empty());
+  fixture.directory.OnSilent("n1", {.high = 1, .low = 2});
+  const auto removable = fixture.After(30s);
+  REQUIRE(removable.size() == 1);
+  CHECK(removable[0].incarnation == Id128{.high = 1, .low = 2});
+  CHECK(fixture.directory.Upsert(Member(1, 2)) == MemberChange::Unchanged);
+}
+
+// Guards against services and changes that do not match the member records,
+// after any sequence of record sets.
+TEST_CASE("views and changes follow the records") {
+  const bool holds = rc::check("random record sets", [] {
+    Directory directory({.region = "r1"});
+    std::map<std::string, MemberInfo> model;
+    for (const auto& set :
+         *rc::gen::arbitrary<std::vector<std::map<uint8_t, uint8_t>>>()) {
+      std::map<std::string, MemberInfo> next;
+      std::vector<MemberInfo> members;
+      for (const auto& [node, value] : set) {
+        const MemberInfo member =
+            Member(node % 16, value % 3, value % 2 == 0 ? "fees" : "filings");
+        if (next.emplace(member.node, member).second) {
+          members.push_back(member);
+        }
+      }
+      const DirectoryChanges changes = directory.Assign(members);
+      size_t present = 0;
+      size_t gone = 0;
+      for (const auto& [node, member] : next) {
+        const auto old = model.find(node);
+        present += old == model.end() || old->second != member;
+      }
+      for (const auto& [node, member] : model) {
+        const auto now = next.find(node);
+        gone +=
+            now == next.end() || now->second.incarnation != member.incarnation;
+      }
+      RC_ASSERT(changes.present.size() == present);
+      RC_ASSERT(changes.gone.size() == gone);
+      RC_ASSERT(directory.Size() == next.size());
+      size_t viewed = 0;
+      for (const char* service : {"fees", "filings"}) {
+        for (const MemberInfo* member : directory.OfService(service)) {
+          RC_ASSERT(*member == next.at(member->node));
+          RC_ASSERT(member->service == service);
+          ++viewed;
+        }
+      }
+      RC_ASSERT(viewed == next.size());
+      model = next;
+    }
+  });
+  CHECK(holds);
+}
