--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -57,7 +57,7 @@
     file(GLOB parts CONFIGURE_DEPENDS ${folder}/${name}/*.cpp)
     add_executable(${binary} ${main} ${parts})
     target_include_directories(${binary} PRIVATE ${folder} ${folder}/${name})
-    target_link_libraries(${binary} PRIVATE flNode flStandIn)
+    target_link_libraries(${binary} PRIVATE flFleet)
   endforeach()
 endfunction()
 
--- a/src/Membership/TargetLease.h
+++ b/src/Membership/TargetLease.h
@@ -17,10 +17,10 @@
   std::string address;
   /// Starting, Ready or Draining.
   TargetState state = TargetState::Starting;
-  /// Requests that it handles at once.
-  uint32_t slots = 1;
-  /// Connections that it accepts.
-  uint32_t connections = 1;
+  /// Requests that it handles at once; nothing if it does not say.
+  std::optional<uint32_t> slots;
+  /// Connections that it accepts; nothing if it does not say.
+  std::optional<uint32_t> connections;
   /// Requests in progress as it counts them; a hint.
   uint32_t load = 0;
 
--- a/src/Node/AdminApi.cpp
+++ b/src/Node/AdminApi.cpp
@@ -33,17 +33,16 @@
 }
 
 std::unique_ptr<AdminApi::Lane> AdminApi::MakeLane() {
-  auto lane = std::unique_ptr<Lane>(
-      new Lane{.table = this->dependencies.makeTable(), .api = {}, .thread = {}});
+  auto lane = std::unique_ptr<Lane>(new Lane{
+      .table = this->dependencies.makeTable(), .api = {}, .thread = {}});
   lane->api = std::make_unique<ConfigApi<TableClient>>(
       this->dependencies.config, lane->table,
-      ConfigApiOptions{
-          .credential = this->dependencies.credential,
-          .awaitAcceptance =
-              [this, table = &lane->table](uint64_t aVersion) {
-                return this->AwaitAcceptance(*table, aVersion);
-              },
-          .nodeStatus = this->dependencies.status});
+      ConfigApiOptions{.credential = this->dependencies.credential,
+                       .awaitAcceptance =
+                           [this, table = &lane->table](uint64_t aVersion) {
+                             return this->AwaitAcceptance(*table, aVersion);
+                           },
+                       .nodeStatus = this->dependencies.status});
   return lane;
 }
 
@@ -84,8 +83,8 @@
   }
   // A repetition must meet the lane that remembers the first request.
   const auto token = FindHeader(aRequest.headers, "Fescueline-Token");
-  const uint64_t spread = token ? std::hash<std::string_view>{}(*token)
-                                : ThreadRandom().Next();
+  const uint64_t spread =
+      token ? std::hash<std::string_view>{}(*token) : ThreadRandom().Next();
   return *this->lanes[1 + spread % (kLanes - 1)];
 }
 
--- a/src/Node/ConfigSync.cpp
+++ b/src/Node/ConfigSync.cpp
@@ -2,7 +2,7 @@
 
 namespace fescueline {
 
-ConfigSync::ConfigSync(ConfigReplica& aReplica, Knowledge& aKnowledge,
+ConfigSync::ConfigSync(ConfigReplica& aReplica, NodeKnowledge& aKnowledge,
                        Observer aObserver)
     : replica(aReplica),
       knowledge(aKnowledge),
--- a/src/Node/ConfigSync.h
+++ b/src/Node/ConfigSync.h
@@ -5,7 +5,7 @@
 #include <mutex>
 
 #include "Config/ConfigReplica.h"
-#include "Node/Knowledge.h"
+#include "Node/NodeKnowledge.h"
 
 namespace fescueline {
 
@@ -18,7 +18,7 @@
   using Observer = std::function<void(
       const std::shared_ptr<const ConfigSnapshot>&, TimePoint aOldUsableUntil)>;
 
-  ConfigSync(ConfigReplica& aReplica, Knowledge& aKnowledge,
+  ConfigSync(ConfigReplica& aReplica, NodeKnowledge& aKnowledge,
              Observer aObserver);
 
   /// Reads the table until nothing is left; renews the knowledge. aRead is
@@ -44,7 +44,7 @@
   static constexpr size_t kBatch = 500;
 
   ConfigReplica& replica;
-  Knowledge& knowledge;
+  NodeKnowledge& knowledge;
   Observer observer;
   /// Serialises changes and their observers. Taken before all table locks.
   std::mutex mutex;
--- a/src/Node/EntryHandler.h
+++ b/src/Node/EntryHandler.h
@@ -8,7 +8,7 @@
 #include "Config/ConfigReplica.h"
 #include "Node/AttemptRegistry.h"
 #include "Node/ForwardCall.h"
-#include "Node/Knowledge.h"
+#include "Node/NodeKnowledge.h"
 #include "Node/ShareKeeper.h"
 
 namespace fescueline {
@@ -38,7 +38,7 @@
     asio::io_context& io;
     std::string fleetSecret;
     ConfigReplica& config;
-    Knowledge& knowledge;
+    NodeKnowledge& knowledge;
     ShareKeeper& shares;
     AttemptRegistry& attempts;
     FleetView& fleet;
--- a/src/Node/FleetMaintenance.h
+++ b/src/Node/FleetMaintenance.h
@@ -25,7 +25,7 @@
     /// This node's member record, without the service.
     MemberRecord member;
     ConfigReplica& config;
-    Knowledge& knowledge;
+    NodeKnowledge& knowledge;
     Gossip& gossip;
     ShareKeeper& shares;
     TableClient& table;
--- a/src/Node/LocalTarget.cpp
+++ b/src/Node/LocalTarget.cpp
@@ -5,7 +5,7 @@
 namespace fescueline {
 
 LocalTarget::LocalTarget(const AdmissionSettings& aSettings, uint64_t aSeed)
-    : admission(aSettings, aSeed) {}
+    : lease(TargetLeaseSettings{}), admission(aSettings, aSeed) {}
 
 bool LocalTarget::Announce(const TargetAnnouncement& aAnnouncement,
                            TimePoint aNow) {
@@ -14,12 +14,17 @@
   const bool moved = this->service != aAnnouncement.service;
   this->service = aAnnouncement.service;
   this->url = "http://" + aAnnouncement.address;
-  this->lease.Announce(aAnnouncement.state, aNow);
+  this->lease.Announce(aAnnouncement, aNow);
   this->admission.Core().SetStated(aAnnouncement.slots,
                                    aAnnouncement.connections);
   return moved || this->StateLocked(aNow) != before;
 }
 
+bool LocalTarget::Expire(TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  return this->lease.Expire(aNow);
+}
+
 TargetState LocalTarget::State(TimePoint aNow) {
   const std::lock_guard lock(this->mutex);
   return this->StateLocked(aNow);
--- a/src/Node/LocalTarget.h
+++ b/src/Node/LocalTarget.h
@@ -11,20 +11,6 @@
 
 namespace fescueline {
 
-/// What a target says of itself, once a second.
-struct TargetAnnouncement {
-  /// Service that the target belongs to.
-  std::string service;
-  /// Address of the target, host:port, on the same instance.
-  std::string address;
-  /// State.
-  TargetState state = TargetState::Starting;
-  /// Requests that it handles at once; nothing if it does not say.
-  std::optional<uint32_t> slots;
-  /// Connections that it accepts; nothing if it does not say.
-  std::optional<uint32_t> connections;
-};
-
 /// The target beside this node: its announcements, queue and concurrency
 /// limit. Thread-safe (lock rank Admission).
 class LocalTarget {
@@ -35,6 +21,9 @@
 
   /// Records an announcement. Returns whether the state changed.
   bool Announce(const TargetAnnouncement& aAnnouncement, TimePoint aNow);
+  /// Ends an overdue lease; returns whether it ended now. Call at least once a
+  /// second.
+  bool Expire(TimePoint aNow);
   /// State, with "draining" while the node itself stops.
   TargetState State(TimePoint aNow);
   /// The node stops: the target takes nothing new.
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -138,15 +138,8 @@
 }
 
 std::shared_ptr<IdempotencyClaims> Node::MakeClaims(
-    const EmbeddedTables& aTables) const {
-  if (this->settings.IsTableEmbedded()) {
-    return std::make_shared<TableClaims<MemoryTableStore>>(
-        aTables.claims ? aTables.claims : std::make_shared<MemoryTableStore>());
-  }
-  return std::make_shared<TableClaims<HttpTableStore>>(
-      std::make_shared<HttpTableStore>(
-          HttpTableStore::Options{.http = {.baseUrl = this->settings.table},
-                                  .table = std::string(kClaimsTable)}));
+    const EmbeddedTables&) const {
+  return std::make_shared<UnavailableClaims>();
 }
 
 void Node::Listen() {
@@ -226,6 +219,11 @@
 void Node::Start() {
   this->peerServer->Start();
   this->Every(kPumpPeriod, [this] {
+    if (this->target.Expire(SteadyClock().Now())) {
+      Log(LogLevel::Warning, "target gone",
+          {{"service", this->target.Service()}});
+      this->peerServer->PushState();
+    }
     this->targetHandler.Pump();
     this->shares.Tick(SteadyClock().Now());
   });
--- a/src/Node/Node.h
+++ b/src/Node/Node.h
@@ -83,7 +83,7 @@
   EmbeddedTables tables;
   Metrics metrics;
   ConfigReplica config;
-  Knowledge knowledge;
+  NodeKnowledge knowledge;
   ConfigSync sync;
   /// Clients of the configuration table, one per thread that uses it.
   TableClient readTable;
--- a/src/Node/Knowledge.cpp
+++ b/src/Node/NodeKnowledge.cpp
@@ -1,54 +1,54 @@
-#include "Node/Knowledge.h"
+#include "Node/NodeKnowledge.h"
 
 #include <mutex>
 
 namespace fescueline {
 
-Knowledge::Knowledge(Duration aLimit, TimePoint aStartedAt)
+NodeKnowledge::NodeKnowledge(Duration aLimit, TimePoint aStartedAt)
     : lease(aLimit), eligibility(aStartedAt, aLimit) {}
 
-bool Knowledge::IsFresh(TimePoint aNow) {
+bool NodeKnowledge::IsFresh(TimePoint aNow) {
   const std::lock_guard lock(this->mutex);
   return this->lease.IsFresh(aNow);
 }
 
-std::optional<Duration> Knowledge::Age(TimePoint aNow) {
+std::optional<Duration> NodeKnowledge::Age(TimePoint aNow) {
   const std::lock_guard lock(this->mutex);
   return this->lease.Age(aNow);
 }
 
-std::optional<TimePoint> Knowledge::ExpiresAt() {
+std::optional<TimePoint> NodeKnowledge::ExpiresAt() {
   const std::lock_guard lock(this->mutex);
   return this->lease.ExpiresAt();
 }
 
-void Knowledge::RenewByTable(uint64_t aVersion, TimePoint aAskedAt) {
+void NodeKnowledge::RenewByTable(uint64_t aVersion, TimePoint aAskedAt) {
   const std::lock_guard lock(this->mutex);
   this->lease.Renew(aVersion, aAskedAt, aVersion);
   this->eligibility.OnTableRead(aAskedAt);
 }
 
-void Knowledge::RenewByRelay(const RelayAnswer& aAnswer, TimePoint aAskedAt,
-                             uint64_t aAppliedVersion) {
+void NodeKnowledge::RenewByRelay(const RelayAnswer& aAnswer, TimePoint aAskedAt,
+                                 uint64_t aAppliedVersion) {
   const std::lock_guard lock(this->mutex);
   this->lease.RenewByRelay(aAnswer, aAskedAt, aAppliedVersion);
   this->eligibility.OnRenewed(this->lease);
 }
 
-void Knowledge::RenewByVouches(const VouchTally& aTally,
-                               const VoucherSet& aCurrent,
-                               uint64_t aAppliedVersion) {
+void NodeKnowledge::RenewByVouches(const VouchTally& aTally,
+                                   const VoucherSet& aCurrent,
+                                   uint64_t aAppliedVersion) {
   const std::lock_guard lock(this->mutex);
   aTally.Renew(this->lease, aCurrent, aAppliedVersion);
   this->eligibility.OnRenewed(this->lease);
 }
 
-std::optional<RelayAnswer> Knowledge::Relay(TimePoint aNow) {
+std::optional<RelayAnswer> NodeKnowledge::Relay(TimePoint aNow) {
   const std::lock_guard lock(this->mutex);
   return this->lease.Relay(aNow);
 }
 
-bool Knowledge::MayVouch() {
+bool NodeKnowledge::MayVouch() {
   const std::lock_guard lock(this->mutex);
   return this->eligibility.MayVouch();
 }
--- a/src/Node/Knowledge.h
+++ b/src/Node/NodeKnowledge.h
@@ -11,9 +11,9 @@
 
 /// How recent this node's knowledge of the configuration is. Thread-safe (lock
 /// rank Freshness).
-class Knowledge {
+class NodeKnowledge {
  public:
-  Knowledge(Duration aLimit, TimePoint aStartedAt);
+  NodeKnowledge(Duration aLimit, TimePoint aStartedAt);
 
   /// Whether closed routes may be served and shares spent.
   bool IsFresh(TimePoint aNow);
--- a/src/Node/TableClaims.h
+++ b/src/Node/TableClaims.h
@@ -1,22 +1,17 @@
 #pragma once
 
-#include <memory>
-
 #include "Node/EntryHandler.h"
-#include "Platform/ClaimBatcher.h"
 
 namespace fescueline {
 
-/// Claims Idempotency-Keys in a table. Thread-safe.
-template <TableStore Store>
-class TableClaims final : public IdempotencyClaims {
+/// Refuses all claims; stands in until the claim batcher is merged.
+class UnavailableClaims final : public IdempotencyClaims {
  public:
-  explicit TableClaims(std::shared_ptr<Store> aStore)
-      : store(std::move(aStore)), batcher(*this->store) {}
-
- private:
-  std::shared_ptr<Store> store;
-  ClaimBatcher<Store> batcher;
+  void Claim(const std::string&, const std::string&, const Id128&,
+             std::function<void(Result)> aDecided) override {
+    aDecided(Result::Unavailable);
+  }
+  void Release(const std::string&, const std::string&, const Id128&) override {}
 };
 
 }  // namespace fescueline
--- a/src/Node/TargetAnnouncements.cpp
+++ b/src/Node/TargetAnnouncements.cpp
@@ -55,6 +55,10 @@
   announcement.state = state.value_or(TargetState::Gone);
   announcement.slots = Count(aObject, "slots", aError);
   announcement.connections = Count(aObject, "connections", aError);
+  const auto load = aObject.find("load");
+  if (load != aObject.end() && load->is_number_unsigned()) {
+    announcement.load = load->get<uint32_t>();
+  }
   return announcement;
 }
 }  // namespace
--- a/src/Node/TargetHandler.h
+++ b/src/Node/TargetHandler.h
@@ -8,9 +8,9 @@
 #include "Node/AttemptRegistry.h"
 #include "Node/FleetView.h"
 #include "Node/InboundAttempt.h"
-#include "Node/Knowledge.h"
 #include "Node/LocalTarget.h"
 #include "Node/Metrics.h"
+#include "Node/NodeKnowledge.h"
 #include "Transport/HttpClient.h"
 #include "Transport/PeerServer.h"
 
@@ -24,7 +24,7 @@
   struct Dependencies {
     std::string fleetSecret;
     ConfigReplica& config;
-    Knowledge& knowledge;
+    NodeKnowledge& knowledge;
     LocalTarget& target;
     AttemptRegistry& attempts;
     FleetView& fleet;
