--- /dev/null
+++ b/src/Config/ConfigQueries.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+#include "Config/ApiMessages.h"
+#include "Config/ConfigSnapshot.h"
+
+namespace fescueline {
+
+/// Answers the reading requests of the configuration API from one snapshot.
+/// Any thread.
+class ConfigQueries {
+ public:
+  explicit ConfigQueries(const ConfigSnapshot& aSnapshot)
+      : snapshot(aSnapshot) {}
+
+  /// All records of a kind: org, route, rule, alloc or member.
+  ApiResponse List(std::string_view aKind) const;
+  /// One record of a kind.
+  ApiResponse Get(std::string_view aKind, std::string_view aName) const;
+  /// All keys, without their digests.
+  ApiResponse Keys() const;
+  /// Version of the configuration and number of records; aNode is added as
+  /// the node's own state.
+  ApiResponse Status(nlohmann::json aNode) const;
+  /// How a request {method, path, organisation} would be handled and why.
+  ApiResponse Explain(const std::string& aBody) const;
+
+ private:
+  /// Calls aUse with the table of a kind; false if there is no such kind.
+  template <typename Use>
+  bool WithTable(std::string_view aKind, Use aUse) const;
+
+  /// The configuration.
+  const ConfigSnapshot& snapshot;
+};
+
+}  // namespace fescueline
--- a/src/Config/JsonReader.cpp
+++ b/src/Config/JsonReader.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 // Larger than any valid record: 64 labels or 1,000 voucher names.
-constexpr size_t kLargestDocument = 256 * 1024;
+constexpr size_t kLargestDocument = 256UL * 1024;
 // Records nest two levels; the parser's recursion must stay bounded.
 constexpr int kDeepestNesting = 8;
 constexpr size_t kMostLabels = 64;
--- a/src/Config/LabelSet.cpp
+++ b/src/Config/LabelSet.cpp
@@ -12,12 +12,13 @@
          (aChar >= '0' && aChar <= '9');
 }
 
+bool IsBefore(const Label& aLabel, std::string_view aName) {
+  return aLabel.name < aName;
+}
+
 template <typename Items>
 auto LowerBound(Items& aItems, std::string_view aName) {
-  return std::lower_bound(aItems.begin(), aItems.end(), aName,
-                          [](const Label& aLabel, std::string_view aWanted) {
-                            return aLabel.name < aWanted;
-                          });
+  return std::lower_bound(aItems.begin(), aItems.end(), aName, &IsBefore);
 }
 }  // namespace
 
--- a/src/Settings/SettingsLoader.cpp
+++ b/src/Settings/SettingsLoader.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 // Far above any settings file; bounds what the YAML parser may expand.
-constexpr size_t kLargestFile = 64 * 1024;
+constexpr size_t kLargestFile = 64UL * 1024;
 constexpr size_t kLargestSecretFile = 4096;
 constexpr size_t kShortestSecret = 32;
 constexpr size_t kMostSeeds = 64;
@@ -135,7 +135,8 @@
       continue;
     }
     const std::string name = entry.first.Scalar();
-    const std::string key = aPrefix.empty() ? name : aPrefix + "." + name;
+    const std::string key =
+        aPrefix.empty() ? name : fmt::format("{}.{}", aPrefix, name);
     const std::string shown = PrintableKey(key);
     if (!names.insert(name).second) {
       this->Report(line, shown, "is set twice");
--- a/src/Settings/Units.cpp
+++ b/src/Settings/Units.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace fescueline {
 
@@ -64,7 +65,7 @@
       if (nanoseconds > static_cast<double>(kLongestDuration.count())) {
         return std::nullopt;
       }
-      return Duration(static_cast<Duration::rep>(nanoseconds + 0.5));
+      return Duration(std::llround(nanoseconds));
     }
   }
   return std::nullopt;
