--- a/src/Platform/MemoryTableStore.cpp
+++ b/src/Platform/MemoryTableStore.cpp
@@ -17,7 +17,7 @@
   if (known != this->results.end()) {
     return known->second;
   }
-  const TransactResult result = this->Execute(aTransaction);
+  TransactResult result = this->Execute(aTransaction);
   if (!aTransaction.token.empty()) {
     this->Remember(aTransaction.token, result);
   }
--- /dev/null
+++ b/tests/Platform/HttpStoreTest.cpp
@@ -0,0 +1,243 @@
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <asio.hpp>
+#include <vector>
+
+#include "Core/ScopeGuard.h"
+#include "Platform/HttpObjectStore.h"
+#include "Platform/HttpTableStore.h"
+#include "Platform/ScriptedServer.h"
+#include "Platform/StandInProcess.h"
+#include "Platform/StoreContract.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto kUnavailable = Failure::Unavailable;
+constexpr auto kUnknown = Failure::OutcomeUnknown;
+
+/// Raw bytes of an answer and the failures that it must cause.
+struct HostileCase {
+  std::string answer;
+  /// Failure of a transact; nothing if the answer is valid.
+  std::optional<Failure> write;
+  /// Failure of a read of changes; nothing if the answer is valid.
+  std::optional<Failure> read;
+};
+
+HttpTableStore OpenScripted(const ScriptedServer& aServer) {
+  return HttpTableStore({.http = {.baseUrl = aServer.BaseUrl(),
+                                  .totalTimeout = 2s,
+                                  .maxResponseBytes = 4096},
+                         .table = "config"});
+}
+
+}  // namespace
+
+// Guards against a codec or server that changes the meaning of a transaction.
+TEST_CASE("HTTP table: checks, tokens, deletions and changes") {
+  const StandInProcess standIn;
+  HttpTableStore transactions = standIn.OpenTable("transactions");
+  CheckTransactions(transactions);
+  HttpTableStore changes = standIn.OpenTable("changes");
+  CheckChanges(changes);
+  HttpObjectStore objects = standIn.OpenObjects();
+  CheckObjects(objects);
+}
+
+// Guards against keys that change on their way through a URL.
+TEST_CASE("HTTP table: keys and values with special characters") {
+  const StandInProcess standIn;
+  HttpTableStore store = standIn.OpenTable("odd/../name");
+  const std::vector<std::string> keys = {"..",  "a/../b", "q?x=1&y=2", "h#f",
+                                         "50%", "%2F",    "sp ace",    "é",
+                                         "+",   "\n"};
+  for (const std::string& key : keys) {
+    CAPTURE(key);
+    store.Transact({"", {}, {{key, "v:" + key}}});
+    CHECK(store.Get(key)->value == "v:" + key);
+    const std::vector<TableRecord> listed = store.List(key);
+    CHECK(std::any_of(listed.begin(), listed.end(),
+                      [&](const auto& aRecord) { return aRecord.key == key; }));
+  }
+  CHECK(store.List("").size() == keys.size());
+  CHECK(FailureOf([&] {
+          store.Transact({"", {}, {{"x", "\xff"}}});
+        }) == kUnavailable);
+  CHECK_FALSE(store.Get("x").has_value());
+}
+
+// Guards against lost updates between processes.
+TEST_CASE("HTTP table: concurrent compare-and-swap loses no increment") {
+  const StandInProcess standIn;
+  standIn.Control(R"({"writes_per_second":1e6,"reads_per_second":1e6})");
+  CheckConcurrentIncrements([&standIn] { return standIn.OpenTable("n"); }, 3,
+                            30);
+}
+
+// Guards against a crash, an endless loop or a wrong verdict on answers that
+// are truncated, malformed, too long or inconsistent.
+TEST_CASE("HTTP table: hostile answers") {
+  const std::string result =
+      R"({"status":"committed","version":1,"conflict_key":"","conflict_version":0})";
+  const std::string changes = R"({"version":9,"more":true,"records":[]})";
+  const std::string record =
+      R"({"key":"a","value":"1","version":7,"deleted":false})";
+  const std::vector<HostileCase> cases = {
+      {Reply(200, result), std::nullopt, kUnavailable},
+      {Reply(200, changes), kUnknown, std::nullopt},
+      {Reply(200, ""), kUnknown, kUnavailable},
+      {Reply(200, result.substr(0, 20)), kUnknown, kUnavailable},
+      {Reply(200, "[" + result + "]"), kUnknown, kUnavailable},
+      {Reply(200, R"({"status":"done","version":1})"), kUnknown, kUnavailable},
+      {Reply(200, R"({"status":"committed","version":-1})"), kUnknown,
+       kUnavailable},
+      {Reply(200, R"({"status":1,"version":"1"})"), kUnknown, kUnavailable},
+      {Reply(200, "\xff\xfe"), kUnknown, kUnavailable},
+      {Reply(200, std::string(2000, '[')), kUnknown, kUnavailable},
+      // No progress, so that a follower would ask for ever.
+      {Reply(200, R"({"version":5,"more":true,"records":[]})"), kUnknown,
+       kUnavailable},
+      {Reply(200, R"({"version":5,"more":false,"records":[)" + record + "]}"),
+       kUnknown, kUnavailable},
+      {Reply(200, R"({"version":8,"more":false,"records":[)" + record + "]}"),
+       kUnknown, std::nullopt},
+      {Reply(200, std::string(5000, ' ')), kUnknown, kUnavailable},
+      {"HTTP/1.1 200 X\r\nContent-Length: 100\r\n\r\n" + result, kUnknown,
+       kUnavailable},
+      {"HTTP/1.1 200 X\r\nContent-Le", kUnknown, kUnavailable},
+      {"\0\0\0", kUnknown, kUnavailable},
+      {"", kUnknown, kUnavailable},
+      {Reply(204, ""), kUnknown, kUnavailable},
+      {Reply(302, ""), kUnavailable, kUnavailable},
+      {Reply(400, "{}"), kUnavailable, kUnavailable},
+      {Reply(429, ""), kUnavailable, kUnavailable},
+      {Reply(500, ""), kUnknown, kUnavailable},
+      {Reply(502, ""), kUnknown, kUnavailable},
+      {Reply(503, ""), kUnavailable, kUnavailable},
+      {Reply(504, ""), kUnknown, kUnavailable},
+  };
+  for (const HostileCase& row : cases) {
+    CAPTURE(row.answer);
+    const ScriptedServer server(row.answer);
+    HttpTableStore store = OpenScripted(server);
+    CHECK(FailureOf([&] {
+            store.Transact({"t", {}, {{"a", "1"}}});
+          }) == row.write);
+    CHECK(FailureOf([&] { store.ChangesSince(5, 10); }) == row.read);
+    CHECK(server.Requests() == 2);
+  }
+}
+
+// Guards against a key's record that belongs to another key.
+TEST_CASE("HTTP table: an answer about another key is refused") {
+  const ScriptedServer server(
+      Reply(200, R"({"key":"b","value":"1","version":7,"deleted":false})"));
+  HttpTableStore store = OpenScripted(server);
+  CHECK(FailureOf([&] { store.Get("a"); }) == kUnavailable);
+  CHECK(store.Get("b")->version == 7);
+}
+
+// Guards against "nothing happened" for a write that took effect, and against
+// "unknown" for one that cannot have.
+TEST_CASE("HTTP table: injected faults") {
+  StandInProcess standIn;
+  HttpTableStore store = standIn.OpenTable("config", 300ms);
+  const auto write = [&store](const std::string& aKey) {
+    return FailureOf([&] {
+      store.Transact({aKey, {{aKey, 0}}, {{aKey, "1"}}});
+    });
+  };
+  const auto read = [&store] { return FailureOf([&] { store.List(""); }); };
+
+  standIn.Control(R"({"down":true})");
+  CHECK(write("down") == kUnavailable);
+  CHECK(read() == kUnavailable);
+  standIn.Control(R"({"down":false})");
+  CHECK_FALSE(store.Get("down").has_value());
+
+  standIn.Control(R"({"slow":600})");
+  CHECK(write("slow") == kUnknown);
+  CHECK(read() == kUnavailable);
+  standIn.Control(R"({"slow":0})");
+  std::this_thread::sleep_for(600ms);
+  CHECK(store.Get("slow").has_value());
+
+  // libcurl repeats the request once if it had reused a connection; a second
+  // lost answer is reported in any case.
+  standIn.Control(R"({"lose_answers":2})");
+  CHECK(write("lost") == kUnknown);
+  standIn.Control(R"({"lose_answers":0})");
+  CHECK(store.Get("lost").has_value());
+  CHECK(write("lost") == std::nullopt);
+
+  standIn.Control(R"({"lose_requests":2})");
+  CHECK(write("dropped") == kUnknown);
+  standIn.Control(R"({"lose_requests":0})");
+  CHECK_FALSE(store.Get("dropped").has_value());
+
+  standIn.Control(R"({"writes_per_second":0.001,"reads_per_second":0.001})");
+  // The bucket holds one call at this rate.
+  write("throttled");
+  read();
+  CHECK(write("throttled") == kUnavailable);
+  CHECK(read() == kUnavailable);
+  CHECK(standIn.Stat("throttled") == 2);
+
+  standIn.Stop();
+  CHECK(write("stopped") == kUnavailable);
+  CHECK(read() == kUnavailable);
+}
+
+// Guards against a repeated put, whose second answer would deny the first.
+TEST_CASE("HTTP objects: a put with a lost answer is not sent again") {
+  const StandInProcess standIn;
+  HttpObjectStore store = standIn.OpenObjects();
+  CHECK_FALSE(store.Get("k").has_value());  // Opens a connection to reuse.
+  standIn.Control(R"({"lose_answers":1})");
+  CHECK(FailureOf([&] { store.Put("k", "1", {.mustNotExist = true}); }) ==
+        kUnknown);
+  CHECK(standIn.Stat("writes") == 1);
+  CHECK(store.Get("k")->bytes == "1");
+}
+
+// Guards against a connect timeout that is reported as a possible write.
+TEST_CASE("HTTP table: a server that accepts no connection is unavailable") {
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context);
+  acceptor.open(asio::ip::tcp::v4());
+  acceptor.bind({asio::ip::address_v4::loopback(), 0});
+  acceptor.listen(0);
+  // Fills the backlog, so that the kernel drops further connections.
+  std::vector<asio::ip::tcp::socket> fillers;
+  for (int i = 0; i < 4; ++i) {
+    fillers.emplace_back(context).open(asio::ip::tcp::v4());
+    fillers.back().native_non_blocking(true);
+    const auto endpoint = acceptor.local_endpoint();
+    ::connect(fillers.back().native_handle(), endpoint.data(),
+              static_cast<socklen_t>(endpoint.size()));
+  }
+  HttpTableStore store(
+      {.http = {.baseUrl = "http://127.0.0.1:" +
+                           std::to_string(acceptor.local_endpoint().port()),
+                .connectTimeout = 200ms,
+                .totalTimeout = 2s},
+       .table = "config"});
+  CHECK(FailureOf([&] {
+          store.Transact({"t", {}, {{"a", "1"}}});
+        }) == kUnavailable);
+}
+
+// Guards against a proxy of the environment that receives fleet data.
+TEST_CASE("HTTP table: proxies of the environment are not used") {
+  const StandInProcess standIn;
+  setenv("http_proxy", "http://127.0.0.1:1", 1);
+  const ScopeGuard restore([] { unsetenv("http_proxy"); });
+  HttpTableStore store = standIn.OpenTable("config");
+  CHECK(store.Transact({"", {}, {{"a", "1"}}}) == Committed(1));
+}
