--- a/tests/Platform/HttpStoreTest.cpp
+++ b/tests/Platform/HttpStoreTest.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <asio.hpp>
 #include <vector>
 
@@ -216,9 +217,10 @@
   std::vector<asio::ip::tcp::socket> fillers;
   for (int i = 0; i < 4; ++i) {
     fillers.emplace_back(context).open(asio::ip::tcp::v4());
-    fillers.back().non_blocking(true);
-    asio::error_code ignored;
-    fillers.back().connect(acceptor.local_endpoint(), ignored);
+    fillers.back().native_non_blocking(true);
+    const auto endpoint = acceptor.local_endpoint();
+    ::connect(fillers.back().native_handle(), endpoint.data(),
+              static_cast<socklen_t>(endpoint.size()));
   }
   HttpTableStore store(
       {.http = {.baseUrl = "http://127.0.0.1:" +
--- a/tests/Platform/StandInProcess.h
+++ b/tests/Platform/StandInProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <doctest/doctest.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
@@ -24,23 +25,28 @@
     const char* folder = std::getenv("FESCUELINE_BIN");
     REQUIRE_MESSAGE(folder != nullptr, "FESCUELINE_BIN is not set");
     std::string binary = std::string(folder) + "/fescueline-table-stand-in";
-    int ends[2];
-    REQUIRE(pipe(ends) == 0);
+    int output[2];
+    int input[2];
+    REQUIRE(pipe2(output, O_CLOEXEC) == 0);
+    REQUIRE(pipe2(input, O_CLOEXEC) == 0);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-    posix_spawn_file_actions_addclose(&actions, ends[0]);
-    char* const arguments[] = {binary.data(), nullptr};
+    posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, input[0], STDIN_FILENO);
+    std::string option = "--exit-with-stdin";
+    char* const arguments[] = {binary.data(), option.data(), nullptr};
     const int failed = posix_spawn(&this->pid, binary.c_str(), &actions,
                                    nullptr, arguments, environ);
     posix_spawn_file_actions_destroy(&actions);
-    close(ends[1]);
+    close(output[1]);
+    close(input[0]);
+    this->lifeline = input[1];
     REQUIRE_MESSAGE(failed == 0, binary);
     std::string line;
-    for (char byte = 0; read(ends[0], &byte, 1) == 1 && byte != '\n';) {
+    for (char byte = 0; read(output[0], &byte, 1) == 1 && byte != '\n';) {
       line.push_back(byte);
     }
-    close(ends[0]);
+    close(output[0]);
     const std::string prefix = "listening ";
     REQUIRE(line.starts_with(prefix));
     this->baseUrl = "http://" + line.substr(prefix.size());
@@ -54,6 +60,7 @@
     if (this->pid > 0) {
       kill(this->pid, SIGTERM);
       waitpid(this->pid, nullptr, 0);
+      close(this->lifeline);
       this->pid = -1;
     }
   }
@@ -95,6 +102,9 @@
  private:
   /// The process; -1 after it was stopped.
   pid_t pid = -1;
+  /// Write end of its standard input. The process ends when it closes, so a
+  /// test that crashes leaves none behind.
+  int lifeline = -1;
   /// Where it listens.
   std::string baseUrl;
 };
--- a/tools/TableStandIn/StandInServer.cpp
+++ b/tools/TableStandIn/StandInServer.cpp
@@ -1,6 +1,7 @@
 #include "StandInServer.h"
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <asio.hpp>
 #include <csignal>
@@ -81,13 +82,13 @@
 
 }  // namespace
 
-void RunStandInServer(const std::string& aAddress, uint16_t aPort) {
+void RunStandInServer(const StandInServerOptions& aOptions) {
   StandInService service;
   asio::io_context context(1);
-  uint16_t boundPort = aPort;
+  uint16_t boundPort = aOptions.port;
   Server server(restinio::external_io_context(context), [&](auto& aSettings) {
-    aSettings.address(aAddress)
-        .port(aPort)
+    aSettings.address(aOptions.address)
+        .port(aOptions.port)
         .handle_request_timeout(kHandleTimeout)
         .incoming_http_msg_limits(
             restinio::incoming_http_msg_limits_t{}.max_body_size(kMaxBodyBytes))
@@ -102,8 +103,16 @@
   });
   asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait([&](const asio::error_code&, int) { context.stop(); });
+  asio::posix::stream_descriptor input(context);
+  char unused = 0;
+  if (aOptions.exitWithStdin) {
+    input.assign(dup(STDIN_FILENO));
+    input.async_read_some(
+        asio::buffer(&unused, 1),
+        [&](const asio::error_code&, size_t) { context.stop(); });
+  }
   server.open_sync();
-  fmt::print("listening {}:{}\n", aAddress, boundPort);
+  fmt::print("listening {}:{}\n", aOptions.address, boundPort);
   std::fflush(stdout);
   context.run();
 }
