Adjust thresholds by standing queue, count complete work only

Cause: at capacity any request that was pushed out lowered the threshold, the allowance fell far below what the target could do, and it rose too slowly after a surge. Requests that failed in a call of their own ended early, lowered the baseline of the concurrency limit and so lowered the limit to 4 of 35. Change: overload is a standing wait over 10 ms or over 5% of arrivals shed; the allowance stays above 90% of what is in flight in an overloaded period and rises faster while the target is partly idle; Finished() takes AdmissionCompletion, whose `complete` says whether the time may be learned from; the limit grows by more when latency is far from a sign of queueing.

--- a/benchmarks/Admission/ChainSimulation.h
+++ b/benchmarks/Admission/ChainSimulation.h
@@ -239,7 +239,8 @@
     ChainNode& node = *this->nodes[call.target];
     node.target.Release();
     if (this->Full()) {
-      node.controller.Finished(call.handle, call.childTime, this->loop.Now());
+      node.controller.Finished(call.handle, {call.childTime, aSucceeded},
+                               this->loop.Now());
       this->Pump(node);
     } else if (this->scenario.policy == ChainPolicy::FixedFifo) {
       --node.running;
--- a/src/Admission/AdmissionController.h
+++ b/src/Admission/AdmissionController.h
@@ -63,10 +63,10 @@
     }
   }
 
-  /// Ends a running request; aChildTime is the time in which it waited for
-  /// calls of its own, zero if unknown.
-  void Finished(AdmissionHandle aHandle, Duration aChildTime, TimePoint aNow) {
-    this->core.Finished(aHandle, aChildTime, aNow);
+  /// Ends a running request.
+  void Finished(AdmissionHandle aHandle, const AdmissionCompletion& aCompletion,
+                TimePoint aNow) {
+    this->core.Finished(aHandle, aCompletion, aNow);
   }
 
   /// Removes a queued request whose caller cancelled it and returns its
--- a/src/Admission/AdmissionCore.cpp
+++ b/src/Admission/AdmissionCore.cpp
@@ -22,6 +22,7 @@
                                  TimePoint aNow) {
   this->Advance(aNow);
   ++this->counters.offered;
+  ++this->offeredInPeriod;
   const uint32_t organisation = this->shares.IndexOf(aRequest.organisation);
   this->control.Arrived(organisation, aRequest.importance,
                         RootHash(aRequest.rootId));
@@ -43,12 +44,12 @@
   if (this->queue.Size() > 0 && this->meanTime > 0) {
     const double wait = this->queue.CountAhead(item) / this->DrainRate();
     if (wait > ToSeconds(aRequest.deadline - aNow)) {
-      this->shedInPeriod = true;
+      ++this->shedInPeriod;
       return refuse(Cause::Overloaded, this->counters.hopeless);
     }
   }
   if (this->queue.Size() >= this->Capacity()) {
-    this->shedInPeriod = true;
+    ++this->shedInPeriod;
     const std::optional<QueuedItem> victim = this->queue.PopVictimFor(item);
     if (!victim) {
       return refuse(Cause::Overloaded, this->counters.refused);
@@ -97,7 +98,8 @@
   this->drops.clear();
 }
 
-void AdmissionCore::Finished(AdmissionHandle aHandle, Duration aChildTime,
+void AdmissionCore::Finished(AdmissionHandle aHandle,
+                             const AdmissionCompletion& aCompletion,
                              TimePoint aNow) {
   Entry* entry = this->Find(aHandle, State::Running);
   assert(entry != nullptr);
@@ -106,8 +108,10 @@
     --this->waiting;
   }
   const Duration total = aNow - entry->startedAt;
-  this->limit.Finished(std::max(Duration(0), total - aChildTime),
-                       this->Active());
+  if (aCompletion.complete) {
+    this->limit.Finished(std::max(Duration(0), total - aCompletion.childTime),
+                         this->Active());
+  }
   this->shares.ChargeEnd(entry->item.organisation, entry->charged,
                          ToSeconds(total));
   this->meanTime =
@@ -237,12 +241,13 @@
   this->control.Adjust(
       {.meanInFlight = this->inFlightSeconds / ToSeconds(elapsed),
        .standingWait = FromSeconds(wait),
-       .shed = this->shedInPeriod},
+       .shedShare = this->shedInPeriod / std::max(1.0, this->offeredInPeriod)},
       elapsed);
   this->periodStart = aNow;
   this->inFlightSeconds = 0;
   this->shortestQueue = this->queue.Size();
-  this->shedInPeriod = false;
+  this->shedInPeriod = 0;
+  this->offeredInPeriod = 0;
 }
 
 }  // namespace fescueline
--- a/src/Admission/AdmissionCore.h
+++ b/src/Admission/AdmissionCore.h
@@ -71,9 +71,9 @@
   /// Appends the requests to start now and those that are dropped.
   void Next(TimePoint aNow, std::vector<AdmissionHandle>& aStarted,
             std::vector<DroppedSlot>& aDropped);
-  /// Ends a running request; aChildTime is the part of its time in which it
-  /// waited for calls of its own.
-  void Finished(AdmissionHandle aHandle, Duration aChildTime, TimePoint aNow);
+  /// Ends a running request.
+  void Finished(AdmissionHandle aHandle, const AdmissionCompletion& aCompletion,
+                TimePoint aNow);
   /// Removes a queued request whose caller cancelled it; false if it is not
   /// queued any more.
   bool Cancel(AdmissionHandle aHandle);
@@ -153,7 +153,8 @@
   /// Integral of the in-flight count over the period.
   double inFlightSeconds = 0;
   size_t shortestQueue = 0;
-  bool shedInPeriod = false;
+  double shedInPeriod = 0;
+  double offeredInPeriod = 0;
 };
 
 }  // namespace fescueline
--- a/src/Admission/AdmissionRequest.h
+++ b/src/Admission/AdmissionRequest.h
@@ -34,6 +34,15 @@
   Duration retryAfter{0};
 };
 
+/// How a running request ended.
+struct AdmissionCompletion {
+  /// Time in which the request waited for calls of its own; zero if unknown.
+  Duration childTime{0};
+  /// Whether the target did all of the work. The time of a request that failed
+  /// early says nothing about the target's speed.
+  bool complete = true;
+};
+
 /// Names a queued or running request of one controller. Slots are reused; the
 /// generation tells the uses apart.
 struct AdmissionHandle {
--- a/src/Admission/ConcurrencyLimit.cpp
+++ b/src/Admission/ConcurrencyLimit.cpp
@@ -19,7 +19,7 @@
 /// A check with at least this effect needs no second one.
 constexpr double kClearEffect = 0.45;
 /// Concurrency over the limit below which latency is taken as unqueued.
-constexpr double kIdleShare = 0.5;
+constexpr double kIdleShare = 0.75;
 }  // namespace
 
 ConcurrencyLimit::ConcurrencyLimit(const ConcurrencyLimitSettings& aSettings)
@@ -112,7 +112,7 @@
   }
   --this->untilCheck;
   if (this->limit < this->ceiling) {
-    this->Grow();
+    this->Grow(latency);
   }
 }
 
@@ -165,9 +165,11 @@
                         : this->limitBeforeCheck);
 }
 
-void ConcurrencyLimit::Grow() {
-  this->SetLimit(this->fastGrowth ? this->limit * kFastGrowth
-                                  : this->limit + std::sqrt(this->limit) / 2);
+void ConcurrencyLimit::Grow(double aLatency) {
+  // The further latency is from a sign of queueing, the larger the step.
+  const double room = this->settings.tolerance * this->baseline / aLatency - 1;
+  const double factor = this->fastGrowth ? kFastGrowth : 1 + room / 2;
+  this->SetLimit(std::max(this->limit + 1, this->limit * factor));
 }
 
 void ConcurrencyLimit::SetLimit(double aLimit) {
--- a/src/Admission/ConcurrencyLimit.h
+++ b/src/Admission/ConcurrencyLimit.h
@@ -64,7 +64,7 @@
   void BeginCheck(const Measurement& aMeasurement, double aLimit);
   /// Judges the measurement taken at the lowered limit.
   void EndCheck(const Measurement& aMeasurement);
-  void Grow();
+  void Grow(double aLatency);
   /// Sets the limit and discards what was measured under the old one.
   void SetLimit(double aLimit);
 
--- a/src/Admission/ThresholdControl.cpp
+++ b/src/Admission/ThresholdControl.cpp
@@ -12,6 +12,8 @@
 constexpr double kMinMeasuredShare = 0.02;
 /// The threshold opens when the allowance exceeds the demand by this factor.
 constexpr double kOpenMargin = 1.1;
+/// Use of the allowance below which the target counts as idle.
+constexpr double kIdleShare = 0.7;
 /// Bisection steps for the fair share; the error is below 1e-9 of the range.
 constexpr int kBisectionSteps = 30;
 }  // namespace
@@ -35,15 +37,20 @@
 void ThresholdControl::Adjust(const ThresholdSample& aSample,
                               Duration aElapsed) {
   this->UpdateDemands(ToSeconds(aElapsed));
-  const bool overloaded =
-      aSample.shed || aSample.standingWait > this->settings.targetWait;
+  const bool overloaded = aSample.standingWait > this->settings.targetWait ||
+                          aSample.shedShare > this->settings.targetShed;
   if (overloaded) {
-    // In the first overloaded period the target runs at its capacity.
-    this->allowance = this->open ? aSample.meanInFlight
-                                 : this->allowance * this->settings.decrease;
+    // The target is busy now, so what is in flight is what it can do.
+    const double floor = aSample.meanInFlight * this->settings.lowestAllowance;
+    this->allowance =
+        this->open ? aSample.meanInFlight
+                   : std::max(floor, this->allowance * this->settings.decrease);
     this->open = false;
-  } else if (!this->open && aSample.standingWait == Duration(0)) {
-    this->allowance *= this->settings.increase;
+  } else if (!this->open) {
+    // With slots idle the allowance holds back more than intended.
+    const bool idle = aSample.meanInFlight < kIdleShare * this->allowance;
+    this->allowance *=
+        idle ? this->settings.idleIncrease : this->settings.increase;
   }
   if (!this->open) {
     this->Divide();
--- a/src/Admission/ThresholdControl.h
+++ b/src/Admission/ThresholdControl.h
@@ -17,10 +17,17 @@
   Duration period = std::chrono::milliseconds(100);
   /// Wait in the queue above which the target counts as overloaded.
   Duration targetWait = std::chrono::milliseconds(10);
+  /// Share of the arrivals that the queue may shed before that.
+  double targetShed = 0.05;
   /// Factor on the allowance in an overloaded period.
   double decrease = 0.95;
   /// Factor on the allowance in a period without overload.
   double increase = 1.03;
+  /// The same while the target is partly idle.
+  double idleIncrease = 1.1;
+  /// Lowest allowance over what is in flight while the target is overloaded. A
+  /// lower one idles the target until the loop has raised it again.
+  double lowestAllowance = 0.9;
 };
 
 /// What was seen in one period.
@@ -29,8 +36,8 @@
   double meanInFlight = 0;
   /// Shortest wait of the queue's length during the period: a standing queue.
   Duration standingWait{0};
-  /// Whether requests were refused or pushed out for overload.
-  bool shed = false;
+  /// Requests refused or pushed out for overload over arrivals.
+  double shedShare = 0;
 };
 
 /// Feedback loop that sets the admission thresholds of one target. The
--- a/tests/Admission/AdmissionControllerTest.cpp
+++ b/tests/Admission/AdmissionControllerTest.cpp
@@ -55,7 +55,7 @@
   /// Ends the running request after the given time and starts the next.
   std::string FinishAndNext(Duration aTime = 1ms) {
     this->clock.Advance(aTime);
-    this->controller.Finished(this->running, 0ns, this->clock.Now());
+    this->controller.Finished(this->running, {}, this->clock.Now());
     return this->Next();
   }
 
