Claim Idempotency-Keys in the table before a run

Cause: a client that repeats a request through another node must not run it twice. Ruled out: claims by the entry node's memory, which another node cannot see. Change: TableClaims over the claim batcher; a claim of a request that did not run is released.

--- a/apps/Fescueline.cpp
+++ b/apps/Fescueline.cpp
@@ -26,7 +26,7 @@
 
 int RunNode(const std::string& aSettingsFile) {
   const sigset_t stops = BlockStopSignals();
-  fescueline::Node node(fescueline::LoadNodeSettings(aSettingsFile));
+  fescueline::Node node(fescueline::SettingsLoader().Load(aSettingsFile));
   node.Start();
   int signal = 0;
   sigwait(&stops, &signal);
--- a/src/Node/InboundAttempt.cpp
+++ b/src/Node/InboundAttempt.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 constexpr int kStatusShed = 503;
+constexpr int kServerError = 500;
 /// Wait suggested after a refusal that has no estimate of its own.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(200);
 }  // namespace
@@ -29,7 +30,7 @@
   this->handle = aHandle;
   const Duration left = this->running->Deadline() - SteadyClock().Now();
   if (this->state != State::Queued || left <= Duration(0)) {
-    this->handler.Release(this->handle, Duration(0));
+    this->handler.Release(this->handle, {.complete = false});
     if (this->state == State::Queued) {
       this->Refuse(Cause::DeadlineExpired, Duration(0));
     }
@@ -125,6 +126,7 @@
     return;
   }
   this->headSeen = true;
+  this->status = aStatus;
   this->declaredShed = this->IsDeclaredShed(aStatus, aHeaders);
   if (this->declaredShed) {
     return;
@@ -169,8 +171,9 @@
   if (this->state != State::Running) {
     return;
   }
-  this->handler.Release(this->handle,
-                        this->running->CallTime(SteadyClock().Now()));
+  this->handler.Release(
+      this->handle, {.childTime = this->running->CallTime(SteadyClock().Now()),
+                     .complete = aResult.whole && this->status < kServerError});
   if (this->declaredShed) {
     this->FinishFailed(Outcome::NotRun, Cause::TargetShed, kDefaultRetryAfter);
   } else if (this->headSeen) {
--- a/src/Node/InboundAttempt.h
+++ b/src/Node/InboundAttempt.h
@@ -71,6 +71,8 @@
   uint64_t transfer = 0;
   /// Whether the target's status line has arrived.
   bool headSeen = false;
+  /// Status of the target's response.
+  int status = 0;
   /// Whether the target declared shed.
   bool declaredShed = false;
   /// Response to keep for queries; only for attempts that are not idempotent.
--- a/src/Node/LocalTarget.cpp
+++ b/src/Node/LocalTarget.cpp
@@ -72,10 +72,11 @@
   this->admission.Next(aNow, aBatch);
 }
 
-void LocalTarget::Finished(AdmissionHandle aHandle, Duration aCallTime,
+void LocalTarget::Finished(AdmissionHandle aHandle,
+                           const AdmissionCompletion& aCompletion,
                            TimePoint aNow) {
   const std::lock_guard lock(this->mutex);
-  this->admission.Finished(aHandle, aCallTime, aNow);
+  this->admission.Finished(aHandle, aCompletion, aNow);
 }
 
 void LocalTarget::Cancel(AdmissionHandle aHandle) {
--- a/src/Node/LocalTarget.h
+++ b/src/Node/LocalTarget.h
@@ -39,7 +39,8 @@
   OfferResult Offer(const AdmissionRequest& aRequest,
                     InboundAttemptPtr aAttempt, TimePoint aNow);
   void Next(TimePoint aNow, Controller::Batch& aBatch);
-  void Finished(AdmissionHandle aHandle, Duration aCallTime, TimePoint aNow);
+  void Finished(AdmissionHandle aHandle, const AdmissionCompletion& aCompletion,
+                TimePoint aNow);
   void Cancel(AdmissionHandle aHandle);
   void CallStarted(AdmissionHandle aHandle);
   void CallEnded(AdmissionHandle aHandle);
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -16,8 +16,18 @@
 constexpr Duration kIdlePoll = std::chrono::milliseconds(20);
 /// Time for the last responses and returned shares to leave the process.
 constexpr Duration kLastWrites = std::chrono::milliseconds(200);
-constexpr std::string_view kConfigTable = "config";
-constexpr std::string_view kClaimsTable = "claims";
+constexpr const char* kConfigTable = "config";
+constexpr const char* kClaimsTable = "claims";
+
+EmbeddedTables Complete(EmbeddedTables aTables) {
+  if (!aTables.config) {
+    aTables.config = std::make_shared<MemoryTableStore>();
+  }
+  if (!aTables.claims) {
+    aTables.claims = std::make_shared<MemoryTableStore>();
+  }
+  return aTables;
+}
 
 PeerIdentity IdentityOf(const NodeSettings& aSettings) {
   return {.nodeId = aSettings.node,
@@ -61,16 +71,16 @@
       self(IdentityOf(this->settings)),
       io(static_cast<int>(this->settings.workers)),
       work(asio::make_work_guard(this->io)),
-      tables(std::move(aTables)),
+      tables(Complete(std::move(aTables))),
       knowledge(this->settings.freshnessLimit, SteadyClock().Now()),
       sync(this->config, this->knowledge,
            [this](const std::shared_ptr<const ConfigSnapshot>& aSnapshot,
                   TimePoint aOldUsableUntil) {
              this->OnConfig(aSnapshot, aOldUsableUntil);
            }),
-      readTable(this->MakeTable(this->tables)),
-      writeTable(this->MakeTable(this->tables)),
-      claims(this->MakeClaims(this->tables)),
+      readTable(this->MakeTable(kConfigTable)),
+      writeTable(this->MakeTable(kConfigTable)),
+      claims(this->MakeTable(kClaimsTable), this->MakeTable(kClaimsTable)),
       target(AdmissionOf(this->settings), ThreadRandom().Next()),
       attempts(AttemptsOf(this->settings)),
       fleet(FleetOf(this->settings)),
@@ -105,7 +115,7 @@
                     .fleet = this->fleet,
                     .peers = this->peers,
                     .metrics = this->metrics,
-                    .claims = *this->claims,
+                    .claims = this->claims,
                     .shareWait = this->settings.shareWait}),
       gossip({.self = this->self,
               .config = this->config,
@@ -127,19 +137,13 @@
   }
 }
 
-TableClient Node::MakeTable(const EmbeddedTables& aTables) const {
+TableClient Node::MakeTable(const std::string& aTable) const {
   if (this->settings.IsTableEmbedded()) {
-    return TableClient(aTables.config ? aTables.config
-                                      : std::make_shared<MemoryTableStore>());
+    return TableClient(aTable == kClaimsTable ? this->tables.claims
+                                              : this->tables.config);
   }
-  return TableClient(std::make_shared<HttpTableStore>(
-      HttpTableStore::Options{.http = {.baseUrl = this->settings.table},
-                              .table = std::string(kConfigTable)}));
-}
-
-std::shared_ptr<IdempotencyClaims> Node::MakeClaims(
-    const EmbeddedTables&) const {
-  return std::make_shared<UnavailableClaims>();
+  return TableClient(std::make_shared<HttpTableStore>(HttpTableStore::Options{
+      .http = {.baseUrl = this->settings.table}, .table = aTable}));
 }
 
 void Node::Listen() {
@@ -186,7 +190,7 @@
       .config = this->config,
       .gossip = this->gossip,
       .metrics = this->metrics,
-      .makeTable = [this] { return this->MakeTable(this->tables); },
+      .makeTable = [this] { return this->MakeTable(kConfigTable); },
       .refresh = [this](TableClient& aTable) { this->Refresh(aTable); },
       .isReady = [this] { return this->IsReady(); },
       .whyNotReady = [this] { return this->WhyNotReady(); },
--- a/src/Node/Node.h
+++ b/src/Node/Node.h
@@ -52,9 +52,8 @@
   uint16_t AdminPort() const { return this->admin->Port(); }
 
  private:
-  TableClient MakeTable(const EmbeddedTables& aTables) const;
-  std::shared_ptr<IdempotencyClaims> MakeClaims(
-      const EmbeddedTables& aTables) const;
+  /// Client of a table, embedded or remote.
+  TableClient MakeTable(const std::string& aTable) const;
   void Listen();
   void OnConfig(const std::shared_ptr<const ConfigSnapshot>& aSnapshot,
                 TimePoint aOldUsableUntil);
@@ -88,7 +87,7 @@
   /// Clients of the configuration table, one per thread that uses it.
   TableClient readTable;
   TableClient writeTable;
-  std::shared_ptr<IdempotencyClaims> claims;
+  TableClaims claims;
   HttpClient http;
   LocalTarget target;
   AttemptRegistry attempts;
--- a/src/Node/TableClaims.h
+++ b/src/Node/TableClaims.h
@@ -1,17 +1,35 @@
 #pragma once
 
+#include <memory>
+
 #include "Node/EntryHandler.h"
+#include "Node/TableClient.h"
+#include "Node/TaskThread.h"
+#include "Platform/ClaimBatcher.h"
 
 namespace fescueline {
 
-/// Refuses all claims; stands in until the claim batcher is merged.
-class UnavailableClaims final : public IdempotencyClaims {
+/// Claims Idempotency-Keys in the table of claims. Thread-safe.
+class TableClaims final : public IdempotencyClaims {
  public:
-  void Claim(const std::string&, const std::string&, const Id128&,
-             std::function<void(Result)> aDecided) override {
-    aDecided(Result::Unavailable);
-  }
-  void Release(const std::string&, const std::string&, const Id128&) override {}
+  /// Both clients are of the table of claims; each is used by one thread.
+  TableClaims(TableClient aClaims, TableClient aReleases);
+
+  void Claim(const std::string& aOrganisation, const std::string& aKey,
+             const Id128& aRootId,
+             std::function<void(Result)> aDecided) override;
+  void Release(const std::string& aOrganisation, const std::string& aKey,
+               const Id128& aRootId) override;
+
+ private:
+  /// Deletes the claim if it is still the one of that request.
+  void Delete(const std::string& aTableKey, const Id128& aRootId);
+
+  TableClient claims;
+  TableClient releases;
+  ClaimBatcher<TableClient> batcher;
+  /// Runs the releases.
+  TaskThread thread;
 };
 
 }  // namespace fescueline
--- a/src/Node/TargetHandler.cpp
+++ b/src/Node/TargetHandler.cpp
@@ -193,8 +193,9 @@
   }
 }
 
-void TargetHandler::Release(AdmissionHandle aHandle, Duration aCallTime) {
-  this->dependencies.target.Finished(aHandle, aCallTime, SteadyClock().Now());
+void TargetHandler::Release(AdmissionHandle aHandle,
+                            const AdmissionCompletion& aCompletion) {
+  this->dependencies.target.Finished(aHandle, aCompletion, SteadyClock().Now());
   this->Pump();
 }
 
--- a/src/Node/TargetHandler.h
+++ b/src/Node/TargetHandler.h
@@ -46,7 +46,7 @@
   const std::string& FleetSecret() const {
     return this->dependencies.fleetSecret;
   }
-  void Release(AdmissionHandle aHandle, Duration aCallTime);
+  void Release(AdmissionHandle aHandle, const AdmissionCompletion& aCompletion);
   void CancelQueued(AdmissionHandle aHandle);
   std::vector<ThresholdWire> Thresholds(const RequestContext& aContext);
   void OnFinished(InboundAttempt& aAttempt, AttemptResult aResult);
--- a/src/Platform/ClaimBatcher.inl
+++ b/src/Platform/ClaimBatcher.inl
@@ -86,20 +86,20 @@
     const SettledWrite write =
         this->writer.Write(aBatch.MakeTransaction(), aStop);
     switch (write.status) {
-      case WriteStatus::Committed:
+      case SettleStatus::Committed:
         aBatch.SettleAll(ClaimResult::Claimed);
         break;
-      case WriteStatus::Unknown:
+      case SettleStatus::Unknown:
         aBatch.SettleAll(ClaimResult::Unknown);
         break;
-      case WriteStatus::Conflict:
+      case SettleStatus::Conflict:
         this->ResolveConflict(aBatch, write);
         if (++conflicts == this->options.conflictsBeforeReads &&
             !this->SettleExisting(aBatch)) {
           aBatch.SettleAll(ClaimResult::Unavailable);
         }
         break;
-      case WriteStatus::Unavailable:
+      case SettleStatus::Unavailable:
         if (clock.Now() - start > this->options.patience ||
             !SleepUnlessStopped(aStop, this->options.interval)) {
           aBatch.SettleAll(ClaimResult::Unavailable);
--- a/src/Platform/TokenisedWriter.h
+++ b/src/Platform/TokenisedWriter.h
@@ -15,7 +15,7 @@
 namespace fescueline {
 
 /// What is known about a transaction after it was settled.
-enum class WriteStatus : uint8_t {
+enum class SettleStatus : uint8_t {
   /// All writes took effect.
   Committed,
   /// A check failed; nothing was written.
@@ -27,18 +27,18 @@
 };
 
 template <>
-struct EnumNames<WriteStatus> {
-  static constexpr std::array<EnumName<WriteStatus>, 4> kNames{
-      {{WriteStatus::Committed, "committed"},
-       {WriteStatus::Conflict, "conflict"},
-       {WriteStatus::Unavailable, "unavailable"},
-       {WriteStatus::Unknown, "unknown"}}};
+struct EnumNames<SettleStatus> {
+  static constexpr std::array<EnumName<SettleStatus>, 4> kNames{
+      {{SettleStatus::Committed, "committed"},
+       {SettleStatus::Conflict, "conflict"},
+       {SettleStatus::Unavailable, "unavailable"},
+       {SettleStatus::Unknown, "unknown"}}};
 };
 
 /// A settled transaction.
 struct SettledWrite {
   /// What is known.
-  WriteStatus status = WriteStatus::Unavailable;
+  SettleStatus status = SettleStatus::Unavailable;
   /// The table's answer; set if committed or in conflict.
   TransactResult result = {};
   /// Token under which an unknown transaction can be repeated.
@@ -94,7 +94,7 @@
   while (!this->Attempt(aTransaction, settled)) {
     settled.repeated = true;
     if (this->clock.Now() + pause >= end || !SleepUnlessStopped(aStop, pause)) {
-      settled.status = WriteStatus::Unknown;
+      settled.status = SettleStatus::Unknown;
       break;
     }
     pause = std::min(2 * pause, this->options.longestPause);
@@ -108,13 +108,13 @@
   try {
     aSettled.result = this->store.Transact(aTransaction);
     aSettled.status = aSettled.result.status == TransactStatus::Committed
-                          ? WriteStatus::Committed
-                          : WriteStatus::Conflict;
+                          ? SettleStatus::Committed
+                          : SettleStatus::Conflict;
     return true;
   } catch (const PlatformError& error) {
     // An attempt without effect says nothing about an earlier one whose
     // outcome is unknown.
-    aSettled.status = WriteStatus::Unavailable;
+    aSettled.status = SettleStatus::Unavailable;
     return error.GetFailure() == Failure::Unavailable && !aSettled.repeated;
   }
 }
--- a/tests/Platform/TokenisedWriterTest.cpp
+++ b/tests/Platform/TokenisedWriterTest.cpp
@@ -22,7 +22,7 @@
   TableFault then;
   /// Whether the checked key exists before.
   bool taken;
-  WriteStatus expected;
+  SettleStatus expected;
   /// Whether the write took effect.
   bool written;
 };
@@ -32,17 +32,17 @@
 // "nothing was written" after a lost answer and a later refusal.
 TEST_CASE("a lost answer is settled with the same token") {
   const std::vector<SettleCase> cases = {
-      {{}, kNone, false, WriteStatus::Committed, true},
-      {{}, kNone, true, WriteStatus::Conflict, false},
-      {{}, kRefuse, false, WriteStatus::Unavailable, false},
-      {{kLoseAnswer}, kNone, false, WriteStatus::Committed, true},
-      {{kLoseAnswer}, kNone, true, WriteStatus::Conflict, false},
-      {{kLoseRequest}, kNone, false, WriteStatus::Committed, true},
-      {{kLoseAnswer, kRefuse}, kNone, false, WriteStatus::Committed, true},
-      {{kLoseAnswer}, kRefuse, false, WriteStatus::Unknown, true},
-      {{kLoseRequest}, kRefuse, false, WriteStatus::Unknown, false},
-      {{}, kLoseAnswer, false, WriteStatus::Unknown, true},
-      {{}, kLoseRequest, false, WriteStatus::Unknown, false},
+      {{}, kNone, false, SettleStatus::Committed, true},
+      {{}, kNone, true, SettleStatus::Conflict, false},
+      {{}, kRefuse, false, SettleStatus::Unavailable, false},
+      {{kLoseAnswer}, kNone, false, SettleStatus::Committed, true},
+      {{kLoseAnswer}, kNone, true, SettleStatus::Conflict, false},
+      {{kLoseRequest}, kNone, false, SettleStatus::Committed, true},
+      {{kLoseAnswer, kRefuse}, kNone, false, SettleStatus::Committed, true},
+      {{kLoseAnswer}, kRefuse, false, SettleStatus::Unknown, true},
+      {{kLoseRequest}, kRefuse, false, SettleStatus::Unknown, false},
+      {{}, kLoseAnswer, false, SettleStatus::Unknown, true},
+      {{}, kLoseRequest, false, SettleStatus::Unknown, false},
   };
   for (size_t i = 0; i < cases.size(); ++i) {
     CAPTURE(i);
@@ -69,7 +69,7 @@
   TableTransaction write{"", {{"k", 0}}, {{"k", "own"}}};
   write.token = writer.Write(write).token;
   store.Script({}, kNone);
-  CHECK(writer.Write(write).status == WriteStatus::Committed);
+  CHECK(writer.Write(write).status == SettleStatus::Committed);
   CHECK(store.ChangesSince(0, 9).version == 1);
 }
 
@@ -88,6 +88,6 @@
   const SettledWrite settled =
       writer.Write({"", {}, {{"k", "own"}}}, stop.get_token());
   stopper.join();
-  CHECK(settled.status == WriteStatus::Unknown);
+  CHECK(settled.status == SettleStatus::Unknown);
   CHECK(store.Attempts() == 1);
 }
