--- a/benchmarks/Routing/RoutingSimulation.cpp
+++ b/benchmarks/Routing/RoutingSimulation.cpp
@@ -16,9 +16,6 @@
 constexpr Duration kRunTime = 60s;
 constexpr Duration kReportInterval = 500ms;
 constexpr Duration kDrainDelay = 1ms;
-/// Latency from which the breaker counts an answer as bad, in service times.
-/// The same factor as HealthSettings::latencyFactor.
-constexpr double kBreakerSlow = 3.0;
 constexpr const char* kService = "fees";
 }  // namespace
 
@@ -180,9 +177,14 @@
   const double seconds = ToSeconds(now - call.start);
   caller.table.OnFinish(
       call.ticket, call.fails ? CallResult::Failed : CallResult::Answered, now);
-  caller.breakers[aCompletion.server].OnFinish(
-      call.generation, !call.fails && seconds < kBreakerSlow * kServiceSeconds,
-      now);
+  // The breaker judges latency by the same rule as TargetHealth.
+  const HealthSettings rules;
+  const double norm = caller.table.FindService(kService)->norm.latency;
+  const bool slow =
+      norm > 0.0 && seconds > std::max(norm * rules.latencyFactor,
+                                       norm + ToSeconds(rules.latencySlack));
+  caller.breakers[aCompletion.server].OnFinish(call.generation,
+                                               !call.fails && !slow, now);
   this->latencies.push_back(seconds);
   this->failures += call.fails;
 }
