Confirm queueing at the old limit before lowering it

Cause: after a straggler recovered, its last slow requests were taken for queueing, the limit fell to 2 of 15 and stayed there (recovery 8 s). Ruled out: skipping a number of completions after a change of the limit, since slow requests end late; a faster moving average of the baseline at the limit, which followed the lowest of the noise. Change: a measurement uses only requests that started after the last change of the limit; after a check the old limit is measured once more and is given up only if latency exceeds the baseline again. Entry nodes probe only the class that the threshold divides and refuse critical requests only when no instance admits less important work. A request whose wait exceeds its deadline is refused as DeadlineExpired.

--- a/benchmarks/Admission/ChainBench.cpp
+++ b/benchmarks/Admission/ChainBench.cpp
@@ -26,6 +26,7 @@
   aState.counters["fail_low"] = aResult.failed[3];
   aState.counters["crit_shed"] = static_cast<double>(aResult.criticalShed);
   aState.counters["inversions"] = static_cast<double>(aResult.inversions);
+  aState.counters["early_inv"] = static_cast<double>(aResult.earlyInversions);
   aState.counters["late_per_s"] = aResult.shedLate;
   aState.counters["early_per_s"] = aResult.shedEarly;
   aState.counters["p99_s"] = aResult.latency99;
--- a/benchmarks/Admission/ChainMeasurement.h
+++ b/benchmarks/Admission/ChainMeasurement.h
@@ -37,6 +37,7 @@
   uint64_t shedEarly = 0;
   uint64_t criticalShed = 0;
   uint64_t inversions = 0;
+  uint64_t earlyInversions = 0;
 };
 
 /// Time after the surge from which 95% of the requests begun in every 250 ms
@@ -134,6 +135,7 @@
   result.shedEarly = static_cast<double>(aCounts.shedEarly) / length;
   result.criticalShed = aCounts.criticalShed;
   result.inversions = aCounts.inversions;
+  result.earlyInversions = aCounts.earlyInversions;
   result.recovery = RecoveryTime(aScenario, aStart, aRequests);
   return result;
 }
--- a/benchmarks/Admission/ChainNode.h
+++ b/benchmarks/Admission/ChainNode.h
@@ -26,6 +26,7 @@
   /// Own work in seconds.
   double work = 0;
   AdmissionHandle handle{};
+  TimePoint receivedAt{};
   TimePoint childBegun{};
   Duration childTime{0};
   bool succeeded = false;
--- a/benchmarks/Admission/ChainScenario.h
+++ b/benchmarks/Admission/ChainScenario.h
@@ -113,11 +113,14 @@
   double worstShare = 0;
   /// Share of requests that failed, by importance.
   std::array<double, kImportanceClasses> failed{};
-  /// Critical requests that a node refused for overload.
+  /// Attempts of critical requests that a node refused for overload.
   uint64_t criticalShed = 0;
-  /// Of these, while the same target had less important work queued or had
-  /// started some in the last 20 ms.
+  /// Of these, after they had reached a target that had less important work
+  /// queued or started some while they waited.
   uint64_t inversions = 0;
+  /// Of these, refused by an entry node although an instance on the path had
+  /// less important work queued or had started some in the last 20 ms.
+  uint64_t earlyInversions = 0;
   /// Requests that were shed in a queue or at the entry, per second.
   double shedLate = 0;
   double shedEarly = 0;
--- a/benchmarks/Admission/LimitCandidates.h
+++ b/benchmarks/Admission/LimitCandidates.h
@@ -68,7 +68,7 @@
 /// multiplicative decrease above.
 class AimdLimit : public LimitCandidate {
  public:
-  void Finished(Duration aOwnTime, uint32_t aActive) {
+  void Finished(Duration aOwnTime, uint32_t aActive, TimePoint, TimePoint) {
     if (!this->Add(aOwnTime, aActive)) {
       return;
     }
@@ -89,7 +89,7 @@
 /// square root of the limit.
 class GradientLimit : public LimitCandidate {
  public:
-  void Finished(Duration aOwnTime, uint32_t aActive) {
+  void Finished(Duration aOwnTime, uint32_t aActive, TimePoint, TimePoint) {
     if (!this->Add(aOwnTime, aActive)) {
       return;
     }
--- a/src/Admission/AdmissionCore.cpp
+++ b/src/Admission/AdmissionCore.cpp
@@ -45,7 +45,7 @@
     const double wait = this->queue.CountAhead(item) / this->DrainRate();
     if (wait > ToSeconds(aRequest.deadline - aNow)) {
       ++this->shedInPeriod;
-      return refuse(Cause::Overloaded, this->counters.hopeless);
+      return refuse(Cause::DeadlineExpired, this->counters.hopeless);
     }
   }
   if (this->queue.Size() >= this->Capacity()) {
@@ -110,7 +110,7 @@
   const Duration total = aNow - entry->startedAt;
   if (aCompletion.complete) {
     this->limit.Finished(std::max(Duration(0), total - aCompletion.childTime),
-                         this->Active());
+                         this->Active(), entry->startedAt, aNow);
   }
   this->shares.ChargeEnd(entry->item.organisation, entry->charged,
                          ToSeconds(total));
--- a/src/Admission/ConcurrencyLimit.cpp
+++ b/src/Admission/ConcurrencyLimit.cpp
@@ -10,6 +10,9 @@
 constexpr double kFastGrowth = 1.5;
 /// Gain of the baseline's moving average.
 constexpr double kBaselineGain = 0.1;
+/// The same at the limit, where only lower values count; a higher gain would
+/// make the baseline the lowest of the noise.
+constexpr double kSaturatedGain = 0.02;
 /// Lowest limit of a check over the concurrency before it. Lower values show
 /// the effect more clearly but idle more of the target.
 constexpr double kCheckFactor = 0.5;
@@ -18,6 +21,9 @@
 constexpr double kCheckPrecision = 4.4;
 /// A check with at least this effect needs no second one.
 constexpr double kClearEffect = 0.45;
+/// Latency over what it would be if all of it were queueing, below which it
+/// may be queueing.
+constexpr double kFullFall = 1.2;
 /// Concurrency over the limit below which latency is taken as unqueued.
 constexpr double kIdleShare = 0.75;
 }  // namespace
@@ -50,7 +56,12 @@
                               this->ceiling);
 }
 
-void ConcurrencyLimit::Finished(Duration aOwnTime, uint32_t aActive) {
+void ConcurrencyLimit::Finished(Duration aOwnTime, uint32_t aActive,
+                                TimePoint aStarted, TimePoint aNow) {
+  this->lastFinish = aNow;
+  if (aStarted < this->changedAt) {
+    return;
+  }
   if (this->skip > 0) {
     --this->skip;
     return;
@@ -94,13 +105,21 @@
     }
     const double implied = aMeasurement.active * this->settings.headroom *
                            this->baseline / latency;
-    this->BeginCheck(aMeasurement,
-                     std::max(implied, aMeasurement.active * kCheckFactor));
+    const double lower = std::max(implied, aMeasurement.active * kCheckFactor);
+    if (this->confirming) {
+      this->confirming = false;
+      this->SetLimit(lower);
+    } else {
+      this->BeginCheck(aMeasurement, lower);
+    }
     return;
   }
-  if (!aMeasurement.saturated || latency < this->baseline) {
+  this->confirming = false;
+  if (!aMeasurement.saturated) {
     this->baseline += kBaselineGain * (latency - this->baseline);
     this->baselineChecked = this->baselineChecked || idle;
+  } else if (latency < this->baseline) {
+    this->baseline += kSaturatedGain * (latency - this->baseline);
   }
   if (!aMeasurement.saturated) {
     return;
@@ -133,36 +152,35 @@
 }
 
 void ConcurrencyLimit::EndCheck(const Measurement& aMeasurement) {
-  const double before = this->checked->active;
   const double slow = this->checked->latency;
   const double now = aMeasurement.latency;
+  const double lowered = this->limit / this->checked->active;
+  const bool suspected = slow > this->baseline * this->settings.tolerance;
   this->checked.reset();
-  this->wanted = this->settings.samples;
-  if (slow > this->baseline * this->settings.tolerance) {
+  // The target may have changed its speed by chance just now, so latency must
+  // exceed the baseline at the old limit again before that is given up.
+  this->confirming = true;
+  this->SetLimit(this->limitBeforeCheck);
+  if (suspected) {
     // Either the baseline holds and latency followed the limit down, or the
     // target has become slower and latency stayed.
-    const double queued = std::max(this->baseline, slow * this->limit / before);
+    const double queued = std::max(this->baseline, slow * lowered);
     if (now >= (queued + slow) / 2) {
-      // A wrong verdict would let requests queue in the target, so the new
-      // baseline is checked in turn.
+      // A wrong verdict would let requests queue in the target, so an unclear
+      // one is checked in turn.
       this->baseline = now;
       this->baselineChecked = this->checkEffect >= kClearEffect;
-      this->SetLimit(this->limitBeforeCheck);
     }
     return;
   }
-  // Throughput before the check times latency without queueing is the
-  // concurrency that keeps the target just busy.
-  const double implied = before * this->settings.headroom * now / slow;
-  const bool queued = implied < before;
   this->baseline = now;
-  this->baselineChecked = !queued;
-  this->checkInterval = queued ? this->settings.minCheckInterval
-                               : std::min(this->checkInterval * 2,
-                                          this->settings.maxCheckInterval);
+  // Latency that fell as much as the limit may still include queueing.
+  this->baselineChecked = now > slow * lowered * kFullFall;
+  this->checkInterval =
+      now < slow / this->settings.headroom
+          ? this->settings.minCheckInterval
+          : std::min(this->checkInterval * 2, this->settings.maxCheckInterval);
   this->untilCheck = this->checkInterval;
-  this->SetLimit(queued ? std::max(implied, this->limit)
-                        : this->limitBeforeCheck);
 }
 
 void ConcurrencyLimit::Grow(double aLatency) {
@@ -174,11 +192,11 @@
 
 void ConcurrencyLimit::SetLimit(double aLimit) {
   const double lowest = std::min(this->settings.minimum, this->ceiling);
-  const uint32_t before = this->Limit();
   this->limit = std::clamp(aLimit, lowest, static_cast<double>(this->ceiling));
-  // All that began under the old limit has ended after this many completions,
-  // if they end roughly in order.
-  this->skip = std::max(before, this->Limit());
+  // Only requests that start from now on count, and of these the first to end
+  // are the short ones.
+  this->changedAt = this->lastFinish;
+  this->skip = this->Limit();
   this->samples = 0;
   this->saturatedSamples = 0;
   this->latencySum = 0;
--- a/src/Admission/ConcurrencyLimit.h
+++ b/src/Admission/ConcurrencyLimit.h
@@ -29,9 +29,10 @@
 /// Number of requests the local target can usefully run at once, learned from
 /// the node's own latency and in-flight counts. The latency without queueing
 /// (the baseline) is not taken as constant: when latency exceeds it, the limit
-/// is lowered for one measurement. If latency follows, the requests had queued
-/// in the target; if it does not, the target has become slower and the
-/// baseline moves instead. Not thread-safe.
+/// is lowered for one measurement. If latency stays, the target has become
+/// slower and the baseline moves. If latency follows, and rises again with the
+/// limit, the requests queue in the target and the limit is lowered for good.
+/// Not thread-safe.
 class ConcurrencyLimit {
  public:
   explicit ConcurrencyLimit(const ConcurrencyLimitSettings& aSettings = {});
@@ -44,9 +45,10 @@
   uint32_t Limit() const;
   /// Bound on all requests in flight to the target.
   uint32_t Ceiling() const { return this->ceiling; }
-  /// Records a completed request: the time it took without its own calls, and
-  /// the number active just before it ended.
-  void Finished(Duration aOwnTime, uint32_t aActive);
+  /// Records a completed request: the time it took without its own calls, the
+  /// number active just before it ended, and when it started.
+  void Finished(Duration aOwnTime, uint32_t aActive, TimePoint aStarted,
+                TimePoint aNow);
   /// Latency without queueing, in seconds; 0 until measured.
   double Baseline() const { return this->baseline; }
 
@@ -75,7 +77,11 @@
   /// Whether the baseline was measured well below the limit or in a check.
   bool baselineChecked = false;
 
-  /// Completions still to be ignored since they began under an older limit.
+  /// When the limit was last changed; requests that started earlier are
+  /// ignored.
+  TimePoint changedAt{};
+  TimePoint lastFinish{};
+  /// Completions still to be ignored after that.
   uint32_t skip;
   uint32_t samples = 0;
   /// Samples at which the measurement is complete.
@@ -90,6 +96,8 @@
   double limitBeforeCheck = 0;
   /// Change of latency expected if requests are queued in the target.
   double checkEffect = 0;
+  /// Set for the measurement after a check, at the old limit.
+  bool confirming = false;
   /// Measurements at the limit until the next check.
   uint32_t untilCheck = 0;
   uint32_t checkInterval;
--- a/src/Admission/ThresholdControl.cpp
+++ b/src/Admission/ThresholdControl.cpp
@@ -12,8 +12,6 @@
 constexpr double kMinMeasuredShare = 0.02;
 /// The threshold opens when the allowance exceeds the demand by this factor.
 constexpr double kOpenMargin = 1.1;
-/// Use of the allowance below which the target counts as idle.
-constexpr double kIdleShare = 0.7;
 /// Bisection steps for the fair share; the error is below 1e-9 of the range.
 constexpr int kBisectionSteps = 30;
 }  // namespace
@@ -48,7 +46,8 @@
     this->open = false;
   } else if (!this->open) {
     // With slots idle the allowance holds back more than intended.
-    const bool idle = aSample.meanInFlight < kIdleShare * this->allowance;
+    const bool idle =
+        aSample.meanInFlight < this->settings.idleShare * this->allowance;
     this->allowance *=
         idle ? this->settings.idleIncrease : this->settings.increase;
   }
--- a/src/Admission/ThresholdTable.cpp
+++ b/src/Admission/ThresholdTable.cpp
@@ -29,7 +29,10 @@
   if (lowest.Admits(aImportance, aRootHash)) {
     return false;
   }
-  return this->random.Unit() >= this->settings.probeShare;
+  // Only the class that the threshold divides is probed: lower ones would take
+  // the place of more important requests.
+  const bool marginal = static_cast<double>(aImportance) <= lowest.Level();
+  return !marginal || this->random.Unit() >= this->settings.probeShare;
 }
 
 AdmissionThreshold ThresholdTable::Lowest(std::string_view aRoute,
@@ -156,12 +159,17 @@
     return;
   }
   double sum = 0;
+  double highest = 0;
   for (const SourceLevel& level : aCell.sources) {
     sum += level.level;
+    highest = std::max(highest, level.level);
     aCell.expiresAt = std::min(
         aCell.expiresAt, level.takenAt + this->settings.thresholdLifetime);
   }
   aCell.level = sum / static_cast<double>(aCell.sources.size());
+  // An instance that can do nothing must not keep critical work away from
+  // others that still admit less important work.
+  aCell.level = std::max(aCell.level, std::min(highest, 1.0));
 }
 
 }  // namespace fescueline
