Drop overdue requests from the least important class only

Ruled out: no limit on the wait; work that starves in the queue then takes the place of work that could still succeed. Change: the longest wait applies to the least important class with queued work.

--- a/src/Admission/FairQueue.cpp
+++ b/src/Admission/FairQueue.cpp
@@ -124,21 +124,32 @@
   }
   this->earliestDeadline = TimePoint::max();
   this->oldestQueued = TimePoint::max();
-  for (ClassQueue& queue : this->classes) {
-    for (size_t at = queue.backlogged.size(); at-- > 0;) {
-      const uint32_t organisation = queue.backlogged[at];
-      // Take() swaps the last backlogged organisation into the place of one
-      // that became empty; counting down, that one was already visited.
-      for (size_t i = queue.lanes[organisation].items.size(); i-- > 0;) {
-        const QueuedItem& item = queue.lanes[organisation].items[i];
-        if (item.deadline <= aNow || item.queuedAt < aQueuedBefore) {
-          aDropped.push_back(this->Take(queue, organisation, i));
-          continue;
-        }
-        this->earliestDeadline =
-            std::min(this->earliestDeadline, item.deadline);
-        this->oldestQueued = std::min(this->oldestQueued, item.queuedAt);
+  // An important request may wait too long only when nothing less important
+  // is left that could be dropped instead.
+  bool dropOverdue = true;
+  for (auto queue = this->classes.rbegin(); queue != this->classes.rend();
+       ++queue) {
+    this->PopExpiredOf(
+        *queue, aNow, dropOverdue ? aQueuedBefore : TimePoint::min(), aDropped);
+    dropOverdue = dropOverdue && queue->size == 0;
+  }
+}
+
+void FairQueue::PopExpiredOf(ClassQueue& aClass, TimePoint aNow,
+                             TimePoint aQueuedBefore,
+                             std::vector<QueuedItem>& aDropped) {
+  for (size_t at = aClass.backlogged.size(); at-- > 0;) {
+    const uint32_t organisation = aClass.backlogged[at];
+    // Take() swaps the last backlogged organisation into the place of one
+    // that became empty; counting down, that one was already visited.
+    for (size_t i = aClass.lanes[organisation].items.size(); i-- > 0;) {
+      const QueuedItem& item = aClass.lanes[organisation].items[i];
+      if (item.deadline <= aNow || item.queuedAt < aQueuedBefore) {
+        aDropped.push_back(this->Take(aClass, organisation, i));
+        continue;
       }
+      this->earliestDeadline = std::min(this->earliestDeadline, item.deadline);
+      this->oldestQueued = std::min(this->oldestQueued, item.queuedAt);
     }
   }
 }
--- a/src/Admission/FairQueue.h
+++ b/src/Admission/FairQueue.h
@@ -45,8 +45,8 @@
   std::optional<QueuedItem> PopVictimFor(const QueuedItem& aItem);
   /// Removes one item; false if it is not queued.
   bool Remove(const QueuedItem& aItem);
-  /// Moves all items whose deadline has passed or that were queued before
-  /// aQueuedBefore to aDropped.
+  /// Moves all items whose deadline has passed to aDropped, and of the least
+  /// important class also those that were queued before aQueuedBefore.
   void PopExpired(TimePoint aNow, TimePoint aQueuedBefore,
                   std::vector<QueuedItem>& aDropped);
   /// Expected number of items started before the given one.
@@ -75,6 +75,8 @@
                 size_t aExtra) const;
   /// Removes the item at a position of a lane.
   QueuedItem Take(ClassQueue& aClass, uint32_t aOrganisation, size_t aPosition);
+  void PopExpiredOf(ClassQueue& aClass, TimePoint aNow, TimePoint aQueuedBefore,
+                    std::vector<QueuedItem>& aDropped);
   /// Advances the system's virtual time before an item starts.
   void AdvanceSystem();
 
