Measure fair shares by importance first, set the threshold loop

Change: fair shares are computed class by class of the reachable capacity (the goodput of plain forwarding at a load of one); the plain share stays as worst_plain. Wait target 30 ms, shed target 15%, faster rise while partly idle.

--- a/benchmarks/Admission/ChainBench.cpp
+++ b/benchmarks/Admission/ChainBench.cpp
@@ -14,12 +14,14 @@
     scenario.slots = {35, 35, 35, 15};
     scenario.connections = {300, 300, 300, 200};
   }
+  scenario.reachable = ReachableGoodput(scenario);
   return scenario;
 }
 
 void Report(benchmark::State& aState, const ChainResult& aResult) {
   aState.counters["goodput"] = aResult.goodput;
   aState.counters["worst"] = aResult.worstShare;
+  aState.counters["worst_plain"] = aResult.worstPlainShare;
   aState.counters["fail_crit"] = aResult.failed[0];
   aState.counters["fail_high"] = aResult.failed[1];
   aState.counters["fail_norm"] = aResult.failed[2];
@@ -62,12 +64,13 @@
   for (auto _ : aState) {
     const ChainResult result = ChainSimulation(scenario).Run();
     aState.counters["recovery_s"] = result.recovery;
-    aState.counters["inversions"] = static_cast<double>(result.inversions);
+    aState.counters["inversions"] =
+        static_cast<double>(result.inversions + result.earlyInversions);
   }
 }
 BENCHMARK(ChainRecovery)
     ->ArgNames({"policy", "deployment", "seed"})
-    ->ArgsProduct({{0, 1, 2}, {0, 1}, {1, 2, 3}})
+    ->ArgsProduct({{0, 1, 2}, {0, 1}, {1, 2, 3, 4, 5, 6}})
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
--- a/benchmarks/Admission/ChainMeasurement.h
+++ b/benchmarks/Admission/ChainMeasurement.h
@@ -67,28 +67,42 @@
   return static_cast<double>(recovered) * kBucket;
 }
 
-/// Max-min fair division of a capacity among demands.
-inline std::array<double, kOrganisations> FairShares(
-    const std::array<double, kOrganisations>& aDemands, double aCapacity) {
-  std::array<double, kOrganisations> order = aDemands;
-  std::sort(order.begin(), order.end());
-  double level = 0;
-  double remaining = aCapacity;
-  for (size_t i = 0; i < order.size(); ++i) {
-    level = remaining / static_cast<double>(order.size() - i);
-    if (order[i] > level) {
-      break;
+using ShareArray = std::array<double, kOrganisations>;
+
+/// Max-min fair division of a capacity among demands, where each organisation
+/// already uses some.
+inline ShareArray FairShares(const ShareArray& aDemands,
+                             const ShareArray& aUsed, double aCapacity) {
+  const auto granted = [&](size_t aIndex, double aLevel) {
+    return std::clamp(aLevel - aUsed[aIndex], 0.0, aDemands[aIndex]);
+  };
+  double low = 0;
+  double high = 1e9;
+  for (int step = 0; step < 100; ++step) {
+    const double level = (low + high) / 2;
+    double sum = 0;
+    for (size_t i = 0; i < aDemands.size(); ++i) {
+      sum += granted(i, level);
     }
-    level = order[i];
-    remaining -= order[i];
+    (sum > aCapacity ? high : low) = level;
   }
-  std::array<double, kOrganisations> shares{};
+  ShareArray shares{};
   for (size_t i = 0; i < shares.size(); ++i) {
-    shares[i] = std::min(aDemands[i], level);
+    shares[i] = granted(i, low);
   }
   return shares;
 }
 
+/// Lowest ratio of completed requests to the share.
+inline double WorstShare(const ShareArray& aCompleted,
+                         const ShareArray& aShares) {
+  double worst = 1e9;
+  for (size_t i = 0; i < aShares.size(); ++i) {
+    worst = std::min(worst, aCompleted[i] / std::max(1.0, aShares[i]));
+  }
+  return worst;
+}
+
 /// Computes the figures of a run that began at aStart.
 inline ChainResult MeasureChain(const ChainScenario& aScenario,
                                 TimePoint aStart,
@@ -96,8 +110,8 @@
                                 const ChainCounts& aCounts) {
   const TimePoint from = aStart + aScenario.warmUp;
   const TimePoint to = aStart + aScenario.length;
-  std::array<double, kOrganisations> completed{};
-  std::array<double, kOrganisations> demands{};
+  ShareArray completed{};
+  std::array<ShareArray, kImportanceClasses> demands{};
   std::array<double, kImportanceClasses> total{};
   std::vector<double> times;
   ChainResult result;
@@ -110,19 +124,31 @@
     if (request.begun >= from && request.begun < to) {
       const auto importance = static_cast<size_t>(request.importance);
       ++total[importance];
-      ++demands[request.organisation];
+      ++demands[importance][request.organisation];
       result.failed[importance] += request.Succeeded() ? 0 : 1;
     }
   }
   for (size_t i = 0; i < kImportanceClasses; ++i) {
     result.failed[i] /= std::max(1.0, total[i]);
   }
-  result.worstShare = 1e9;
   const double served = CapacityOf(aScenario) * ToSeconds(to - from);
-  const auto fair = FairShares(demands, served);
-  for (uint32_t i = 0; i < kOrganisations; ++i) {
-    result.goodput += completed[i] / served;
-    result.worstShare = std::min(result.worstShare, completed[i] / fair[i]);
+  ShareArray all{};
+  ShareArray byClass{};
+  const double reachable = served * aScenario.reachable;
+  double left = reachable;
+  for (const ShareArray& demand : demands) {
+    const ShareArray shares = FairShares(demand, byClass, left);
+    for (size_t i = 0; i < shares.size(); ++i) {
+      all[i] += demand[i];
+      byClass[i] += shares[i];
+      left -= shares[i];
+    }
+  }
+  result.worstShare = WorstShare(completed, byClass);
+  result.worstPlainShare =
+      WorstShare(completed, FairShares(all, {}, reachable));
+  for (const double count : completed) {
+    result.goodput += count / served;
   }
   if (!times.empty()) {
     const auto at =
--- a/benchmarks/Admission/ChainScenario.h
+++ b/benchmarks/Admission/ChainScenario.h
@@ -44,6 +44,10 @@
   /// What targets state, as a factor on their slots; nothing if not set.
   std::optional<double> statedFactor = 1.0;
 
+  /// Part of CapacityOf() that can be reached: the goodput of plain forwarding
+  /// at a load of one. Fair shares are shares of this.
+  double reachable = 1;
+
   /// Offered load over capacity, and during the surge.
   double load = 1;
   double surgeLoad = 0;
@@ -109,8 +113,13 @@
 struct ChainResult {
   /// Whole requests completed per second after the warm-up, over the capacity.
   double goodput = 0;
-  /// Lowest goodput of an organisation over its fair share.
+  /// Lowest goodput of an organisation over its fair share: the reachable
+  /// capacity divided by importance first and max-min fairly within each class.
   double worstShare = 0;
+  /// The same over the max-min share without regard to importance. It cannot
+  /// reach 1 under overload while important requests go first, since the large
+  /// organisation's important requests exceed an equal share.
+  double worstPlainShare = 0;
   /// Share of requests that failed, by importance.
   std::array<double, kImportanceClasses> failed{};
   /// Attempts of critical requests that a node refused for overload.
--- a/benchmarks/Admission/ChainSimulation.h
+++ b/benchmarks/Admission/ChainSimulation.h
@@ -164,7 +164,6 @@
   }
 
   void Shed(uint32_t aCall, Cause aCause) {
-    const ChainCall& call = this->calls[aCall];
     ++this->counts.shedLate;
     if (aCause == Cause::Overloaded) {
       this->CountLate(aCall);
@@ -363,4 +362,11 @@
   ChainCounts counts;
 };
 
+/// Goodput of plain forwarding at a load of one in the given deployment.
+inline double ReachableGoodput(ChainScenario aScenario) {
+  aScenario.policy = ChainPolicy::None;
+  aScenario.load = 1;
+  return std::min(1.0, ChainSimulation(aScenario).Run().goodput);
+}
+
 }  // namespace fescueline
--- a/src/Admission/ThresholdControl.h
+++ b/src/Admission/ThresholdControl.h
@@ -16,17 +16,17 @@
   /// Time between adjustments.
   Duration period = std::chrono::milliseconds(100);
   /// Wait in the queue above which the target counts as overloaded.
-  Duration targetWait = std::chrono::milliseconds(20);
+  Duration targetWait = std::chrono::milliseconds(30);
   /// Share of the arrivals that the queue may shed before that.
-  double targetShed = 0.1;
+  double targetShed = 0.15;
   /// Factor on the allowance in an overloaded period.
   double decrease = 0.9;
   /// Factor on the allowance in a period without overload.
   double increase = 1.03;
   /// Use of the allowance below which the target counts as partly idle.
-  double idleShare = 0.85;
+  double idleShare = 0.9;
   /// Factor on the allowance while the target is partly idle.
-  double idleIncrease = 1.1;
+  double idleIncrease = 1.2;
   /// Lowest allowance over what is in flight while the target is overloaded. A
   /// lower one idles the target until the loop has raised it again.
   double lowestAllowance = 0.9;
