Close acceptors on their own executor and drain handlers before destruction

Cause: the path test crashed once and hung once in 25 runs; acceptors were closed from the main thread while a worker accepted, and queued handlers were destroyed after the tables that they refer to. Ruled out: the control socket (its thread ends before the tables) and the table threads (stopped first). Change: acceptors are closed by a posted handler; Shutdown runs left-over handlers; exchanges do not respond when their server is gone. Conclusion: shutdown order is io, handlers, then tables.

--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kIdlePoll = std::chrono::milliseconds(20);
 /// Time for the last responses and returned shares to leave the process.
 constexpr Duration kLastWrites = std::chrono::milliseconds(200);
+/// Longest time for handlers that are left when the workers have ended.
+constexpr Duration kLastHandlers = std::chrono::milliseconds(500);
 constexpr const char* kConfigTable = "config";
 constexpr const char* kClaimsTable = "claims";
 
@@ -517,6 +519,12 @@
     worker.join();
   }
   this->control.reset();
+  // Handlers that were queued or are cancelled refer to the tables, so they
+  // run before anything is destroyed.
+  const TimePoint limit = SteadyClock().Now() + kLastHandlers;
+  do {
+    this->io.restart();
+  } while (this->io.poll() > 0 && SteadyClock().Now() < limit);
 }
 
 }  // namespace fescueline
--- a/src/Transport/HttpServer.cpp
+++ b/src/Transport/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <atomic>
+#include <future>
 #include <mutex>
 #include <restinio/all.hpp>
 #include <unordered_map>
@@ -87,6 +88,8 @@
 /// pending and so would not notice that the caller left.
 constexpr size_t kPipelinedRequests = 2;
 constexpr std::chrono::seconds kIdleLimit{300};
+/// Longest wait for the workers to close the acceptor.
+constexpr std::chrono::seconds kCloseLimit{1};
 constexpr std::chrono::seconds kWriteLimit{30};
 /// Above the longest deadline of a request, so that it never fires first.
 constexpr std::chrono::seconds kHandlerLimit{3700};
@@ -130,8 +133,9 @@
 
 class ExchangeImpl final : public HttpExchange {
  public:
-  explicit ExchangeImpl(restinio::request_handle_t aHandle)
-      : handle(std::move(aHandle)) {
+  ExchangeImpl(restinio::request_handle_t aHandle,
+               std::shared_ptr<const std::atomic<bool>> aServerAlive)
+      : handle(std::move(aHandle)), serverAlive(std::move(aServerAlive)) {
     this->request.method = this->handle->header().method().c_str();
     this->request.target = this->handle->header().request_target();
     this->handle->header().for_each_field([this](const auto& aField) {
@@ -143,6 +147,10 @@
   ExchangeImpl& operator=(const ExchangeImpl&) = delete;
 
   ~ExchangeImpl() override {
+    // The io_context may be gone together with the server.
+    if (!*this->serverAlive) {
+      return;
+    }
     try {
       if (this->builder) {
         this->EndStream(false);
@@ -258,6 +266,8 @@
 
   /// RESTinio's request.
   restinio::request_handle_t handle;
+  /// Whether the server still exists.
+  std::shared_ptr<const std::atomic<bool>> serverAlive;
   /// The request as handed out.
   HttpRequest request;
   /// Guards the members below.
@@ -314,17 +324,24 @@
 }  // namespace
 
 struct HttpServer::Impl {
+  explicit Impl(asio::io_context& aIo) : io(aIo) {}
+
+  /// Worker pool of the listener.
+  asio::io_context& io;
   std::shared_ptr<ConnectionRegistry> registry =
       std::make_shared<ConnectionRegistry>();
+  std::shared_ptr<std::atomic<bool>> alive =
+      std::make_shared<std::atomic<bool>>(true);
   std::atomic<uint16_t> port{0};
   std::unique_ptr<restinio::http_server_t<ServerTraits>> server;
 };
 
-HttpServer::HttpServer(Settings aSettings) : impl(std::make_unique<Impl>()) {
-  auto handler = [registry = this->impl->registry,
+HttpServer::HttpServer(Settings aSettings)
+    : impl(std::make_unique<Impl>(aSettings.io)) {
+  auto handler = [registry = this->impl->registry, alive = this->impl->alive,
                   onRequest = std::move(aSettings.onRequest)](
                      const restinio::request_handle_t& aHandle) {
-    auto exchange = std::make_shared<ExchangeImpl>(aHandle);
+    auto exchange = std::make_shared<ExchangeImpl>(aHandle, alive);
     registry->Add(aHandle->connection_id(), exchange);
     if (HasConflictingFraming(exchange->Request().headers)) {
       exchange->Respond({.status = 400,
@@ -367,10 +384,25 @@
   }
 }
 
-HttpServer::~HttpServer() { this->StopAccepting(); }
+HttpServer::~HttpServer() {
+  if (!this->impl->io.stopped()) {
+    // Workers still run; let them close the acceptor.
+    const auto closed = std::make_shared<std::promise<void>>();
+    this->impl->server->close_async(
+        [closed]() noexcept { closed->set_value(); },
+        [closed](std::exception_ptr) noexcept { closed->set_value(); });
+    closed->get_future().wait_for(kCloseLimit);
+  }
+  *this->impl->alive = false;
+}
 
 uint16_t HttpServer::Port() const { return this->impl->port; }
 
-void HttpServer::StopAccepting() { this->impl->server->close_sync(); }
+void HttpServer::StopAccepting() {
+  // The acceptor belongs to the worker pool; closing it from this thread would
+  // race with a running accept.
+  this->impl->server->close_async([]() noexcept {},
+                                  [](std::exception_ptr) noexcept {});
+}
 
 }  // namespace fescueline
--- a/src/Transport/PeerServer.cpp
+++ b/src/Transport/PeerServer.cpp
@@ -96,7 +96,8 @@
 }
 
 PeerServer::PeerServer(Settings aSettings)
-    : settings(std::move(aSettings)), acceptor(this->settings.io) {
+    : settings(std::move(aSettings)),
+      acceptor(asio::make_strand(this->settings.io)) {
   try {
     const asio::ip::tcp::endpoint endpoint(
         asio::ip::make_address(this->settings.host), this->settings.port);
@@ -111,7 +112,9 @@
   }
 }
 
-void PeerServer::Start() { this->Accept(); }
+void PeerServer::Start() {
+  asio::post(this->acceptor.get_executor(), [this] { this->Accept(); });
+}
 
 uint16_t PeerServer::Port() const {
   return this->acceptor.local_endpoint().port();
@@ -120,27 +123,30 @@
 void PeerServer::Accept() {
   const Strand strand = asio::make_strand(this->settings.io);
   this->acceptor.async_accept(
-      strand, [this, strand](const asio::error_code& aError,
-                             asio::ip::tcp::socket aSocket) {
-        if (!this->acceptor.is_open()) {
-          return;
-        }
-        if (!aError) {
-          asio::error_code ignored;
-          const auto remote = aSocket.remote_endpoint(ignored);
-          auto session = std::make_shared<PeerSession>(
-              *this, std::make_shared<FrameChannel>(FrameChannel::Settings{
-                         .socket = std::move(aSocket),
-                         .strand = strand,
-                         .peer = remote.address().to_string()}));
-          {
-            const std::lock_guard lock(this->mutex);
-            this->sessions.insert(session);
-          }
-          session->Start();
-        }
-        this->Accept();
-      });
+      strand, asio::bind_executor(
+                  this->acceptor.get_executor(),
+                  [this, strand](const asio::error_code& aError,
+                                 asio::ip::tcp::socket aSocket) {
+                    if (!this->acceptor.is_open()) {
+                      return;
+                    }
+                    if (!aError) {
+                      asio::error_code ignored;
+                      const auto remote = aSocket.remote_endpoint(ignored);
+                      auto session = std::make_shared<PeerSession>(
+                          *this,
+                          std::make_shared<FrameChannel>(FrameChannel::Settings{
+                              .socket = std::move(aSocket),
+                              .strand = strand,
+                              .peer = remote.address().to_string()}));
+                      {
+                        const std::lock_guard lock(this->mutex);
+                        this->sessions.insert(session);
+                      }
+                      session->Start();
+                    }
+                    this->Accept();
+                  }));
 }
 
 std::set<PeerServer::SessionPtr> PeerServer::Sessions() {
@@ -162,8 +168,10 @@
 }
 
 void PeerServer::StopAccepting() {
-  asio::error_code ignored;
-  this->acceptor.close(ignored);
+  asio::post(this->acceptor.get_executor(), [this] {
+    asio::error_code ignored;
+    this->acceptor.close(ignored);
+  });
 }
 
 void PeerServer::CloseSessions(const std::string& aReason) {
