--- a/src/Limits/ShareLedger.h
+++ b/src/Limits/ShareLedger.h
@@ -44,7 +44,8 @@
   /// Takes over an allocation when its record has been applied. The old share
   /// may be spent until aOldUsableUntil: `FreshnessLease::ExpiresAt` as it was
   /// before the lease was renewed under the version with the record. Until then
-  /// the allocation cannot have been accepted. An older version is ignored.
+  /// neither this allocation nor one that the node has missed in between can
+  /// have been accepted. An older version is ignored.
   void Install(std::string_view aOrganisation, const Allocation& aAllocation,
                TimePoint aOldUsableUntil, TimePoint aNow);
   /// Drops an organisation.
