Let old shares run out before their requests are refused

Ruled out: no check at all, since an entry node may pause between debit and send. Change: ShareKeeper::IsVoid uses the bound under which the ledger spends. Conclusion: same bound at both ends.

--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -103,6 +103,7 @@
       targetHandler({.fleetSecret = this->self.fleetSecret,
                      .config = this->config,
                      .knowledge = this->knowledge,
+                     .shares = this->shares,
                      .target = this->target,
                      .attempts = this->attempts,
                      .fleet = this->fleet,
--- a/src/Node/ShareKeeper.cpp
+++ b/src/Node/ShareKeeper.cpp
@@ -49,7 +49,11 @@
                           const Allocation& aAllocation,
                           TimePoint aOldUsableUntil, TimePoint aNow) {
   const std::lock_guard lock(this->mutex);
-  this->installed.insert(aOrganisation);
+  Fence& fence = this->fences[aOrganisation];
+  if (fence.version < aAllocation.version) {
+    fence = {.version = aAllocation.version,
+             .olderUsableUntil = aOldUsableUntil};
+  }
   this->ledger.Install(aOrganisation, aAllocation, aOldUsableUntil, aNow);
   const auto issuer = this->issuers.find(aOrganisation);
   if (issuer != this->issuers.end() &&
@@ -60,16 +64,24 @@
 
 void ShareKeeper::Retain(const ConfigSnapshot& aSnapshot) {
   const std::lock_guard lock(this->mutex);
-  std::erase_if(this->installed, [&](const std::string& aOrganisation) {
-    if (aSnapshot.FindOrganisation(aOrganisation) != nullptr) {
+  std::erase_if(this->fences, [&](const auto& aEntry) {
+    if (aSnapshot.FindOrganisation(aEntry.first) != nullptr) {
       return false;
     }
-    this->ledger.Remove(aOrganisation);
-    this->issuers.erase(aOrganisation);
+    this->ledger.Remove(aEntry.first);
+    this->issuers.erase(aEntry.first);
     return true;
   });
 }
 
+bool ShareKeeper::IsVoid(const std::string& aOrganisation, uint64_t aVersion,
+                         TimePoint aNow) {
+  const std::lock_guard lock(this->mutex);
+  const auto fence = this->fences.find(aOrganisation);
+  return fence != this->fences.end() && aVersion < fence->second.version &&
+         aNow >= fence->second.olderUsableUntil;
+}
+
 void ShareKeeper::StartIssuing(const std::string& aOrganisation,
                                const Allocation& aAllocation, TimePoint aNow) {
   const std::lock_guard lock(this->mutex);
--- a/src/Node/ShareKeeper.h
+++ b/src/Node/ShareKeeper.h
@@ -3,7 +3,6 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -38,6 +37,10 @@
                TimePoint aOldUsableUntil, TimePoint aNow);
   /// Drops the organisations that the configuration does not have any more.
   void Retain(const ConfigSnapshot& aSnapshot);
+  /// Whether a request that was admitted under an allocation version must not
+  /// run any more, since a newer allocation is about to be accepted.
+  bool IsVoid(const std::string& aOrganisation, uint64_t aVersion,
+              TimePoint aNow);
   /// Begins to issue an allocation that has been accepted.
   void StartIssuing(const std::string& aOrganisation,
                     const Allocation& aAllocation, TimePoint aNow);
@@ -63,6 +66,14 @@
     TimePoint until;
     std::function<void(std::optional<uint64_t>)> decided;
   };
+  /// Latest allocation of an organisation.
+  struct Fence {
+    /// Allocation version.
+    uint64_t version = 0;
+    /// Until then shares of older versions may be spent: the allocation cannot
+    /// be accepted before.
+    TimePoint olderUsableUntil;
+  };
   /// A decision to report without the lock.
   struct Decision {
     std::function<void(std::optional<uint64_t>)> decided;
@@ -82,8 +93,8 @@
   Sender sender;
   ShareSettings settings;
   ShareLedger ledger;
-  /// Organisations with an allocation in the ledger.
-  std::set<std::string> installed;
+  /// Allocations in the ledger by organisation.
+  std::unordered_map<std::string, Fence> fences;
   /// Allocations that this node issues, by organisation.
   std::map<std::string, ShareIssuer> issuers;
   /// Waiting requests by organisation.
--- a/src/Node/TargetHandler.cpp
+++ b/src/Node/TargetHandler.cpp
@@ -136,10 +136,10 @@
       key->organisation != aContext.organisation) {
     return Cause::UnknownKey;
   }
-  const AllocationRecord* allocation =
-      snapshot->FindAllocation(aContext.organisation);
-  const bool shareIsVoid = aContext.depth == 0 && allocation != nullptr &&
-                           aContext.allocationVersion < allocation->version;
+  const bool shareIsVoid =
+      aContext.depth == 0 &&
+      this->dependencies.shares.IsVoid(aContext.organisation,
+                                       aContext.allocationVersion, aNow);
   return shareIsVoid ? Cause::StaleKnowledge : Cause::None;
 }
 
--- a/src/Node/TargetHandler.h
+++ b/src/Node/TargetHandler.h
@@ -11,6 +11,7 @@
 #include "Node/LocalTarget.h"
 #include "Node/Metrics.h"
 #include "Node/NodeKnowledge.h"
+#include "Node/ShareKeeper.h"
 #include "Transport/HttpClient.h"
 #include "Transport/PeerServer.h"
 
@@ -25,6 +26,7 @@
     std::string fleetSecret;
     ConfigReplica& config;
     NodeKnowledge& knowledge;
+    ShareKeeper& shares;
     LocalTarget& target;
     AttemptRegistry& attempts;
     FleetView& fleet;
