Lift thresholds sooner, check the limit only under full load

Cause: recovery took up to 2.0 s with thresholds and 0.25 to 0.5 s without. A node reported the mean of its sources with the age of the newest, so hops kept an old threshold alive for each other. A periodic check of the baseline halved the limit right after the surge (one recovery of 2.75 s). Change: reports carry the age of the oldest source; thresholds live 1 s; a threshold opens after two periods with idle slots; the periodic check needs 95% of the limit in use, and below the limit two suspicious measurements.

--- a/src/Admission/ConcurrencyLimit.cpp
+++ b/src/Admission/ConcurrencyLimit.cpp
@@ -25,6 +25,8 @@
 constexpr double kCheckPrecision = 5.5;
 /// A check with at least this effect needs no second one.
 constexpr double kClearEffect = 0.45;
+/// Concurrency over the limit from which the target counts as overloaded.
+constexpr double kFullShare = 0.95;
 /// Latency over what it would be if all of it were queueing, below which it
 /// may be queueing.
 constexpr double kFullFall = 1.2;
@@ -101,6 +103,13 @@
     this->baselineChecked = idle;
   }
   if (latency > this->baseline * this->settings.tolerance) {
+    if (!aMeasurement.saturated && !this->suspected) {
+      // The last requests of a slow time can look like queueing. A check costs
+      // throughput, and below the limit nothing is lost by waiting.
+      this->suspected = true;
+      return;
+    }
+    this->suspected = false;
     this->fastGrowth = false;
     if (aMeasurement.active < this->settings.minimum) {
       // So few requests do not queue: the target has become slower.
@@ -119,6 +128,7 @@
     return;
   }
   this->confirming = false;
+  this->suspected = false;
   if (!aMeasurement.saturated) {
     this->baseline += kBaselineGain * (latency - this->baseline);
     this->baselineChecked = this->baselineChecked || idle;
@@ -133,12 +143,14 @@
     this->Grow(latency);
     return;
   }
-  if (!this->baselineChecked || this->untilCheck == 0) {
+  // A check lowers the limit; without overload that would only shed requests.
+  const bool full = aMeasurement.active >= kFullShare * this->Limit();
+  if (full && (!this->baselineChecked || this->untilCheck == 0)) {
     // The baseline may have been measured with requests queued in the target.
     this->BeginCheck(aMeasurement, aMeasurement.active * kCheckFactor);
     return;
   }
-  --this->untilCheck;
+  this->untilCheck -= this->untilCheck > 0 ? 1 : 0;
   if (this->limit < this->ceiling) {
     this->Grow(latency);
   }
--- a/src/Admission/ConcurrencyLimit.h
+++ b/src/Admission/ConcurrencyLimit.h
@@ -97,6 +97,8 @@
   double limitBeforeCheck = 0;
   /// Change of latency expected if requests are queued in the target.
   double checkEffect = 0;
+  /// Set after one measurement below the limit that suggested queueing.
+  bool suspected = false;
   /// Set for the measurement after a check, at the old limit.
   bool confirming = false;
   /// Measurements at the limit until the next check.
--- a/src/Admission/ThresholdControl.cpp
+++ b/src/Admission/ThresholdControl.cpp
@@ -37,19 +37,26 @@
   this->UpdateDemands(ToSeconds(aElapsed));
   const bool overloaded = aSample.standingWait > this->settings.targetWait ||
                           aSample.shedShare > this->settings.targetShed;
+  // Short of that, slots that stay idle show that the threshold holds back
+  // more than the target needs.
+  const bool idle =
+      !overloaded && aSample.standingWait == Duration(0) &&
+      aSample.meanInFlight < this->settings.idleShare * this->busyInFlight;
+  this->idlePeriods = idle ? this->idlePeriods + 1 : 0;
   if (overloaded) {
     // The target is busy now, so what is in flight is what it can do.
+    this->busyInFlight = aSample.meanInFlight;
     const double floor = aSample.meanInFlight * this->settings.lowestAllowance;
     this->allowance =
         this->open ? aSample.meanInFlight
                    : std::max(floor, this->allowance * this->settings.decrease);
     this->open = false;
   } else if (!this->open) {
-    // With slots idle the allowance holds back more than intended.
-    const bool idle =
-        aSample.meanInFlight < this->settings.idleShare * this->allowance;
     this->allowance *=
         idle ? this->settings.idleIncrease : this->settings.increase;
+    if (this->idlePeriods >= this->settings.idlePeriods) {
+      this->Open();
+    }
   }
   if (!this->open) {
     this->Divide();
@@ -109,11 +116,15 @@
     remaining = std::max(0.0, remaining - wanted);
   }
   if (this->allowance > total * kOpenMargin) {
-    this->open = true;
-    for (ClassDemands& organisation : this->demands) {
-      for (Demand& demand : organisation) {
-        demand.admitted = 1;
-      }
+    this->Open();
+  }
+}
+
+void ThresholdControl::Open() {
+  this->open = true;
+  for (ClassDemands& organisation : this->demands) {
+    for (Demand& demand : organisation) {
+      demand.admitted = 1;
     }
   }
 }
--- a/src/Admission/ThresholdControl.h
+++ b/src/Admission/ThresholdControl.h
@@ -23,8 +23,12 @@
   double decrease = 0.9;
   /// Factor on the allowance in a period without overload.
   double increase = 1.03;
-  /// Use of the allowance below which the target counts as partly idle.
-  double idleShare = 0.9;
+  /// What is in flight over what was in flight in the last overloaded period,
+  /// below which the target counts as partly idle.
+  double idleShare = 0.75;
+  /// Consecutive idle periods after which the threshold opens. The queue deals
+  /// with what comes if that was too early.
+  uint32_t idlePeriods = 2;
   /// Factor on the allowance while the target is partly idle.
   double idleIncrease = 1.2;
   /// Lowest allowance over what is in flight while the target is overloaded. A
@@ -82,6 +86,8 @@
   void UpdateDemands(double aSeconds);
   /// Divides the allowance; opens the threshold when it suffices for all.
   void Divide();
+  /// Stops refusing.
+  void Open();
   /// Divides what is left for one class among the organisations.
   void DivideClass(size_t aClass, double aRemaining);
 
@@ -91,6 +97,9 @@
   std::vector<ClassDemands> demands;
   bool open = true;
   double allowance = 0;
+  /// Mean in flight in the last overloaded period.
+  double busyInFlight = 0;
+  uint32_t idlePeriods = 0;
   /// Class in which the allowance runs out.
   size_t marginal = kImportanceClasses - 1;
 };
--- a/src/Admission/ThresholdTable.cpp
+++ b/src/Admission/ThresholdTable.cpp
@@ -86,7 +86,7 @@
     if (cell.sources.empty()) {
       continue;
     }
-    const auto newest = std::max_element(
+    const auto oldest = std::min_element(
         cell.sources.begin(), cell.sources.end(),
         [](const SourceLevel& aLeft, const SourceLevel& aRight) {
           return aLeft.takenAt < aRight.takenAt;
@@ -94,7 +94,7 @@
     aReports.push_back({.service = this->names.NameOf(step.service),
                         .organisation = std::string(aOrganisation),
                         .threshold = AdmissionThreshold::FromLevel(cell.level),
-                        .age = aNow - newest->takenAt});
+                        .age = aNow - oldest->takenAt});
   }
 }
 
--- a/src/Admission/ThresholdTable.h
+++ b/src/Admission/ThresholdTable.h
@@ -25,8 +25,9 @@
 
 /// Settings of ThresholdTable.
 struct ThresholdTableSettings {
-  /// Age at which a threshold is forgotten.
-  Duration thresholdLifetime = std::chrono::seconds(2);
+  /// Age at which a threshold is forgotten: two pings, so that one lost pong
+  /// does not lift it.
+  Duration thresholdLifetime = std::chrono::seconds(1);
   /// Time after which a service that no answer named leaves a route's path.
   Duration pathLifetime = std::chrono::seconds(60);
   /// Share of the requests below a threshold that pass nevertheless, so that
@@ -54,7 +55,8 @@
                             std::string_view aOrganisation,
                             TimePoint aNow) const;
   /// Appends what this node knows about the path of a route, to be passed on
-  /// with its own answer.
+  /// with its own answer. The age is that of the oldest source; a younger one
+  /// would let hops keep an old threshold alive for each other.
   void Report(std::string_view aRoute, std::string_view aOrganisation,
               TimePoint aNow, std::vector<ThresholdReport>& aReports) const;
   /// Forgets a peer that left.
