--- a/src/Admission/ThresholdControl.h
+++ b/src/Admission/ThresholdControl.h
@@ -40,7 +40,7 @@
 struct ThresholdSample {
   /// Mean number of requests in flight to the target.
   double meanInFlight = 0;
-  /// Shortest wait of the queue's length during the period: a standing queue.
+  /// Expected wait in the shortest queue of the period: a standing queue.
   Duration standingWait{0};
   /// Requests refused or pushed out for overload over arrivals.
   double shedShare = 0;
