--- a/src/Node/AdminApi.cpp
+++ b/src/Node/AdminApi.cpp
@@ -46,7 +46,7 @@
   return lane;
 }
 
-void AdminApi::Handle(HttpExchangePtr aExchange) {
+void AdminApi::Handle(const HttpExchangePtr& aExchange) {
   const HttpRequest& request = aExchange->Request();
   const std::string_view path = PathOf(request.target);
   if (path == "/metrics") {
--- a/src/Node/AdminApi.h
+++ b/src/Node/AdminApi.h
@@ -40,7 +40,7 @@
   explicit AdminApi(Dependencies aDependencies);
 
   /// Handles one request.
-  void Handle(HttpExchangePtr aExchange);
+  void Handle(const HttpExchangePtr& aExchange);
   /// Ends the threads.
   void Stop();
 
--- a/src/Node/EntryHandler.cpp
+++ b/src/Node/EntryHandler.cpp
@@ -276,7 +276,7 @@
   call->Start();
 }
 
-void EntryHandler::Refuse(Pending& aPending, Refusal aRefusal) {
+void EntryHandler::Refuse(Pending& aPending, const Refusal& aRefusal) {
   this->dependencies.metrics.CountRefusal(aPending.context.organisation,
                                           aPending.context.importance,
                                           aRefusal.cause);
--- a/src/Node/EntryHandler.h
+++ b/src/Node/EntryHandler.h
@@ -73,7 +73,7 @@
   void AdmitByRate(const PendingPtr& aPending);
   void Claim(const PendingPtr& aPending);
   void Forward(const PendingPtr& aPending);
-  void Refuse(Pending& aPending, Refusal aRefusal);
+  void Refuse(Pending& aPending, const Refusal& aRefusal);
 
   Dependencies dependencies;
   /// Whether callers' requests are taken.
--- a/src/Node/FleetView.cpp
+++ b/src/Node/FleetView.cpp
@@ -156,6 +156,7 @@
 std::vector<PeerAddress> FleetView::WantedPeers() {
   const std::lock_guard lock(this->mutex);
   std::vector<PeerAddress> peers;
+  peers.reserve(this->addresses.size());
   for (const auto& [node, address] : this->addresses) {
     peers.push_back(address);
   }
@@ -190,6 +191,7 @@
                             reports);
   }
   std::vector<ThresholdWire> wires;
+  wires.reserve(reports.size());
   for (const ThresholdReport& report : reports) {
     wires.push_back(ToWire(report));
   }
--- a/src/Node/ForwardCall.cpp
+++ b/src/Node/ForwardCall.cpp
@@ -328,7 +328,7 @@
        .cause = Cause::DeadlineExpired});
 }
 
-void ForwardCall::Refuse(Refusal aRefusal) {
+void ForwardCall::Refuse(const Refusal& aRefusal) {
   if (this->headSent) {
     this->Finish(false);
     return;
--- a/src/Node/ForwardCall.h
+++ b/src/Node/ForwardCall.h
@@ -97,7 +97,7 @@
   bool MayRetry(Outcome aOutcome, Cause aCause) const;
   void EndAttempt(CallResult aResult, uint32_t aUnspentRetries);
   void OnDeadline();
-  void Refuse(Refusal aRefusal);
+  void Refuse(const Refusal& aRefusal);
   /// Ends a response that has started.
   void Finish(bool aWhole);
 
--- a/src/Node/Headers.h
+++ b/src/Node/Headers.h
@@ -28,7 +28,7 @@
 /// Caller's name for a request that must not run twice.
 inline constexpr std::string_view kIdempotencyHeader = "idempotency-key";
 /// Longest response body that is kept for attempt queries.
-inline constexpr size_t kMaxStoredBody = 64 * 1024;
+inline constexpr size_t kMaxStoredBody = size_t{64} * 1024;
 
 /// Conversions between headers and their wire form.
 HttpHeaders FromWire(const std::vector<HeaderWire>& aHeaders);
--- a/src/Node/InboundAttempt.cpp
+++ b/src/Node/InboundAttempt.cpp
@@ -59,9 +59,8 @@
            },
        .onData =
            [self](std::string aData) {
-             self->session->Post([self, data = std::move(aData)]() mutable {
-               self->OnData(std::move(data));
-             });
+             self->session->Post(
+                 [self, data = std::move(aData)] { self->OnData(data); });
            },
        .onDone =
            [self](const HttpTransferResult& aResult) {
@@ -148,7 +147,7 @@
                         .contentLength = aLength});
 }
 
-void InboundAttempt::OnData(std::string aData) {
+void InboundAttempt::OnData(const std::string& aData) {
   if (this->state != State::Running || this->declaredShed) {
     return;
   }
--- a/src/Node/InboundAttempt.h
+++ b/src/Node/InboundAttempt.h
@@ -46,7 +46,7 @@
 
   HttpHeaders TargetHeaders() const;
   void OnHead(int aStatus, HttpHeaders aHeaders, int64_t aLength);
-  void OnData(std::string aData);
+  void OnData(const std::string& aData);
   void OnDone(const HttpTransferResult& aResult);
   /// Whether the target declared that it did not start this attempt.
   bool IsDeclaredShed(int aStatus, const HttpHeaders& aHeaders) const;
--- a/src/Node/RunningAttempt.cpp
+++ b/src/Node/RunningAttempt.cpp
@@ -2,9 +2,9 @@
 
 namespace fescueline {
 
-RunningAttempt::RunningAttempt(RequestContext aContext, TimePoint aDeadline,
+RunningAttempt::RunningAttempt(RequestContext aContext, const Times& aTimes,
                                uint32_t aRetries)
-    : context(std::move(aContext)), deadline(aDeadline), budget(aRetries) {}
+    : context(std::move(aContext)), times(aTimes), budget(aRetries) {}
 
 uint32_t RunningAttempt::GrantForCall() {
   const std::lock_guard lock(this->mutex);
--- a/src/Node/RunningAttempt.h
+++ b/src/Node/RunningAttempt.h
@@ -17,13 +17,23 @@
 /// Thread-safe; its lock is a leaf.
 class RunningAttempt {
  public:
-  RunningAttempt(RequestContext aContext, TimePoint aDeadline,
+  /// Times of an attempt.
+  struct Times {
+    /// When the caller's request arrived at the entry node.
+    TimePoint rootStart;
+    /// When the request expires.
+    TimePoint deadline;
+  };
+
+  RunningAttempt(RequestContext aContext, const Times& aTimes,
                  uint32_t aRetries);
 
   /// Organisation, importance and identifiers that its calls inherit.
   const RequestContext& Context() const { return this->context; }
   /// When the request expires.
-  TimePoint Deadline() const { return this->deadline; }
+  TimePoint Deadline() const { return this->times.deadline; }
+  /// When the caller's request arrived at the entry node.
+  TimePoint RootStart() const { return this->times.rootStart; }
 
   /// Retries to pass on with a call. One is kept for this hop if there are
   /// several, so that a lost connection, which spends all that was passed on,
@@ -56,8 +66,8 @@
   std::mutex mutex;
   /// What the calls inherit.
   const RequestContext context;
-  /// Expiry.
-  const TimePoint deadline;
+  /// Start and expiry.
+  const Times times;
   /// Retries left.
   RetryBudget budget;
   /// Cancel functions of calls in progress.
--- a/src/Node/TargetHandler.cpp
+++ b/src/Node/TargetHandler.cpp
@@ -73,7 +73,10 @@
     return;
   }
   const auto running = std::make_shared<RunningAttempt>(
-      *context, now + context->remaining - aHeldUp, aFrame.retries);
+      *context,
+      RunningAttempt::Times{.rootStart = now - context->age - aHeldUp,
+                            .deadline = now + context->remaining - aHeldUp},
+      aFrame.retries);
   switch (this->dependencies.attempts.Begin(running, now)) {
     case BeginResult::Started:
       break;
@@ -150,7 +153,7 @@
        .importance = context.importance,
        .rootId = context.rootId,
        .depth = context.depth,
-       .rootStart = aNow,
+       .rootStart = aAttempt->Running()->RootStart(),
        .deadline = aAttempt->Running()->Deadline()},
       aAttempt, aNow);
   if (result.enqueued) {
--- a/src/Transport/FrameChannel.cpp
+++ b/src/Transport/FrameChannel.cpp
@@ -55,11 +55,11 @@
 }
 
 void FrameChannel::SendBytes(std::string aBytes,
-                             std::function<void()> aOnWriting) {
+                             const std::function<void()>& aOnWriting) {
   if (!this->open) {
     return;
   }
-  this->writes.push_back({std::move(aBytes), std::move(aOnWriting)});
+  this->writes.push_back({std::move(aBytes), aOnWriting});
   if (this->writing == 0) {
     this->WriteNext();
   }
--- a/src/Transport/FrameChannel.h
+++ b/src/Transport/FrameChannel.h
@@ -52,8 +52,8 @@
   /// Queues a frame. `aOnWriting` is called just before its bytes are handed
   /// to the socket.
   template <typename T>
-  void Send(const T& aFrame, std::function<void()> aOnWriting = {}) {
-    this->SendBytes(EncodeFrame(aFrame), std::move(aOnWriting));
+  void Send(const T& aFrame, const std::function<void()>& aOnWriting = {}) {
+    this->SendBytes(EncodeFrame(aFrame), aOnWriting);
   }
 
   /// Closes the connection and reports the reason to onClosed.
@@ -81,7 +81,7 @@
     std::function<void()> onWriting;
   };
 
-  void SendBytes(std::string aBytes, std::function<void()> aOnWriting);
+  void SendBytes(std::string aBytes, const std::function<void()>& aOnWriting);
   void WriteNext();
   void ReadPrefix();
   void ReadBody(size_t aLength);
--- a/src/Transport/FrameCodec.h
+++ b/src/Transport/FrameCodec.h
@@ -10,7 +10,7 @@
 namespace fescueline {
 
 /// Longest frame: a request body of 1 MiB, its headers and framing.
-inline constexpr size_t kMaxFrameBytes = 1280 * 1024;
+inline constexpr size_t kMaxFrameBytes = size_t{1280} * 1024;
 /// Length prefix of a frame.
 inline constexpr size_t kFramePrefixBytes = 4;
 
--- a/src/Transport/Frames.h
+++ b/src/Transport/Frames.h
@@ -123,9 +123,9 @@
 };
 
 /// Body bytes of one response that may be under way without credit.
-inline constexpr int64_t kInitialCredit = 256 * 1024;
+inline constexpr int64_t kInitialCredit = int64_t{256} * 1024;
 /// Longest body part of one ResponseData frame.
-inline constexpr size_t kMaxDataBytes = 64 * 1024;
+inline constexpr size_t kMaxDataBytes = size_t{64} * 1024;
 
 /// End of a response.
 struct ResponseEndFrame {
--- a/src/Transport/HttpServer.h
+++ b/src/Transport/HttpServer.h
@@ -50,7 +50,7 @@
     /// TCP port; 0 picks one.
     uint16_t port = 0;
     /// Longest request body, bytes. Longer ones close the connection.
-    size_t maxBody = 1024 * 1024;
+    size_t maxBody = size_t{1024} * 1024;
     /// Called for each request; must not block.
     std::function<void(HttpExchangePtr)> onRequest;
   };
--- a/src/Transport/RequestContext.cpp
+++ b/src/Transport/RequestContext.cpp
@@ -23,35 +23,40 @@
   bool idempotent = false;
   bool open = false;
   int64_t remainingMicroseconds = 0;
+  int64_t ageMicroseconds = 0;
   uint64_t configVersion = 0;
   uint64_t allocationVersion = 0;
   uint32_t depth = 0;
 
   MSGPACK_DEFINE_ARRAY(organisation, keyHash, rootHigh, rootLow, attemptHigh,
                        attemptLow, route, service, importance, idempotent, open,
-                       remainingMicroseconds, configVersion, allocationVersion,
-                       depth)
+                       remainingMicroseconds, ageMicroseconds, configVersion,
+                       allocationVersion, depth)
 };
 
 ContextWire ToWire(const RequestContext& aContext) {
-  return ContextWire{.organisation = aContext.organisation,
-                     .keyHash = aContext.keyHash,
-                     .rootHigh = aContext.rootId.high,
-                     .rootLow = aContext.rootId.low,
-                     .attemptHigh = aContext.attemptId.high,
-                     .attemptLow = aContext.attemptId.low,
-                     .route = aContext.route,
-                     .service = aContext.service,
-                     .importance = static_cast<uint8_t>(aContext.importance),
-                     .idempotent = aContext.idempotent,
-                     .open = aContext.open,
-                     .remainingMicroseconds =
-                         std::chrono::duration_cast<std::chrono::microseconds>(
-                             aContext.remaining)
-                             .count(),
-                     .configVersion = aContext.configVersion,
-                     .allocationVersion = aContext.allocationVersion,
-                     .depth = aContext.depth};
+  return ContextWire{
+      .organisation = aContext.organisation,
+      .keyHash = aContext.keyHash,
+      .rootHigh = aContext.rootId.high,
+      .rootLow = aContext.rootId.low,
+      .attemptHigh = aContext.attemptId.high,
+      .attemptLow = aContext.attemptId.low,
+      .route = aContext.route,
+      .service = aContext.service,
+      .importance = static_cast<uint8_t>(aContext.importance),
+      .idempotent = aContext.idempotent,
+      .open = aContext.open,
+      .remainingMicroseconds =
+          std::chrono::duration_cast<std::chrono::microseconds>(
+              aContext.remaining)
+              .count(),
+      .ageMicroseconds =
+          std::chrono::duration_cast<std::chrono::microseconds>(aContext.age)
+              .count(),
+      .configVersion = aContext.configVersion,
+      .allocationVersion = aContext.allocationVersion,
+      .depth = aContext.depth};
 }
 
 RequestContext FromWire(const ContextWire& aWire) {
@@ -66,6 +71,7 @@
       .idempotent = aWire.idempotent,
       .open = aWire.open,
       .remaining = std::chrono::microseconds(aWire.remainingMicroseconds),
+      .age = std::chrono::microseconds(aWire.ageMicroseconds),
       .configVersion = aWire.configVersion,
       .allocationVersion = aWire.allocationVersion,
       .depth = aWire.depth};
@@ -74,7 +80,8 @@
 bool IsValid(const ContextWire& aWire) {
   constexpr int64_t kMaxRemaining = 3'600'000'000;  // one hour
   return aWire.importance < kImportanceClasses && aWire.depth <= kMaxDepth &&
-         aWire.remainingMicroseconds >= 0 &&
+         aWire.remainingMicroseconds >= 0 && aWire.ageMicroseconds >= 0 &&
+         aWire.ageMicroseconds <= kMaxRemaining &&
          aWire.remainingMicroseconds <= kMaxRemaining;
 }
 }  // namespace
--- a/src/Transport/RequestContext.h
+++ b/src/Transport/RequestContext.h
@@ -35,6 +35,8 @@
   bool open = false;
   /// Time left when the token was made.
   Duration remaining{0};
+  /// Time since the caller's request arrived, when the token was made.
+  Duration age{0};
   /// Configuration version under which the request was admitted.
   uint64_t configVersion = 0;
   /// Allocation version of the share that was debited; 0 if none.
