Test one request through a fleet of processes

Cause: the path was tested with all nodes in one process only, so nothing showed that the binaries, their settings files and the table's protocol work together. Ports from the kernel's range for outgoing connections; one could be taken before its listener starts or while a node restarts. Change: tests/Process with a fleet of real processes that are signalled by pid and killed with the test; the first cases cover keys, contexts and wrong input. Each case is a ctest of its own.

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -73,3 +73,25 @@
     set_tests_properties(model-${name} PROPERTIES TIMEOUT 600)
   endforeach()
 endfunction()
+
+# Tests of the promises with real processes on loopback. Each test case is a
+# ctest of its own and runs alone, as the cases measure under load.
+function(fl_process_tests)
+  file(GLOB tests CONFIGURE_DEPENDS tests/Process/*.cpp)
+  add_executable(ProcessTests ${tests} tests/TestMain.cpp)
+  target_include_directories(ProcessTests PRIVATE tests)
+  target_link_libraries(ProcessTests PRIVATE flFleet doctest::doctest)
+  add_dependencies(ProcessTests fescueline fescueline-table-stand-in
+    fescueline-target-stand-in)
+  foreach(test ${tests})
+    file(STRINGS ${test} cases REGEX "^TEST_CASE\\(\"process-")
+    set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${test})
+    foreach(case ${cases})
+      string(REGEX REPLACE "^TEST_CASE\\(\"([a-z0-9-]+)\".*" "\\1" name
+        "${case}")
+      add_test(NAME ${name} COMMAND ProcessTests -tc=${name})
+      set_tests_properties(${name} PROPERTIES TIMEOUT 120 RUN_SERIAL ON
+        ENVIRONMENT "FESCUELINE_BIN=${CMAKE_BINARY_DIR}")
+    endforeach()
+  endforeach()
+endfunction()
--- /dev/null
+++ b/tests/Process/ProcessFleet.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "Process/ChildProcess.h"
+#include "Transport/HttpClient.h"
+
+namespace fescueline::test {
+
+/// Response to one request.
+struct Reply {
+  /// 0 if no head arrived.
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+  /// How the transfer ended; `whole` only if every byte arrived.
+  HttpTransferResult result;
+
+  /// Value of a header, or an empty text.
+  std::string Header(std::string_view aName) const;
+  /// "not-run", "unknown" or "ran".
+  std::string Outcome() const { return this->Header("fescueline-outcome"); }
+  std::string Cause() const { return this->Header("fescueline-cause"); }
+  nlohmann::json Json() const;
+};
+
+/// Requests that are open or done, by the id under which targets count their
+/// executions. Any thread.
+class CallSeries {
+ public:
+  /// Starts a request with `x-work-id: aWorkId`.
+  void Start(HttpClient& aClient, const std::string& aWorkId,
+             HttpTransferRequest aRequest);
+  /// Waits until all are done; false on timeout.
+  bool WaitAll(Duration aLimit);
+  /// Those that are done.
+  std::map<std::string, Reply> Replies();
+
+ private:
+  struct State;
+  std::shared_ptr<State> state = MakeState();
+  static std::shared_ptr<State> MakeState();
+};
+
+/// Whether the condition came true within the limit.
+bool WaitFor(Duration aLimit, const std::function<bool()>& aCondition);
+
+/// A fleet of processes on loopback: the table stand-in, and for each instance
+/// a node and a target stand-in. Everything is killed at the end. One thread.
+class ProcessFleet {
+ public:
+  /// One instance.
+  struct Instance {
+    /// Service of the target.
+    std::string service = "fees";
+    /// Further arguments of the target stand-in.
+    std::vector<std::string> targetArguments;
+  };
+
+  /// Construction parameters.
+  struct Settings {
+    std::vector<Instance> instances = std::vector<Instance>(3);
+    /// Short, so that acceptance takes little time.
+    std::string freshnessLimit = "1s";
+  };
+
+  explicit ProcessFleet(Settings aSettings);
+  ProcessFleet(const ProcessFleet&) = delete;
+  ProcessFleet& operator=(const ProcessFleet&) = delete;
+  ~ProcessFleet();
+
+  /// Waits until every node is ready and knows the targets of all.
+  bool WaitReady(Duration aLimit = std::chrono::seconds(30));
+  /// Starts a node again under its settings; its target keeps running.
+  void StartNode(size_t aNode);
+  void StartTarget(size_t aTarget);
+  ChildProcess& Node(size_t aNode) { return this->nodes[aNode].process; }
+  ChildProcess& Target(size_t aTarget) { return this->nodes[aTarget].target; }
+
+  /// Operator's request. aVersion is sent as If-Match.
+  Reply Operate(const std::string& aMethod, const std::string& aPath,
+                const std::string& aBody, size_t aNode = 0,
+                const std::string& aVersion = "0");
+  /// The same without waiting, collected in a series under the id.
+  HttpTransferRequest OperatorRequest(const std::string& aMethod,
+                                      const std::string& aPath,
+                                      const std::string& aBody, size_t aNode,
+                                      const std::string& aVersion) const;
+  /// Creates an organisation with a key; throws Error unless accepted.
+  std::string CreateCaller(const std::string& aOrganisation, double aRate,
+                           double aBurst);
+  /// Creates a route /NAME; aLabels is a JSON object.
+  void CreateRoute(const std::string& aName, const std::string& aService,
+                   const std::string& aLabels = "{}");
+  /// Id of a key.
+  std::string KeyId(const std::string& aKey) const {
+    return this->keyIds.at(aKey);
+  }
+  /// Waits until a node serves requests with the key.
+  bool WaitServed(size_t aNode, const std::string& aKey,
+                  const std::string& aPath,
+                  Duration aLimit = std::chrono::seconds(30));
+  /// Switches faults of the table stand-in.
+  void TableFault(const std::string& aJson);
+
+  /// Caller's request; aRequest.url is the path.
+  Reply Call(size_t aNode, HttpTransferRequest aRequest);
+  std::string CallerUrl(size_t aNode) const;
+  uint16_t CallerPort(size_t aNode) const;
+  /// Request to a target's own control endpoint.
+  Reply ToTarget(size_t aTarget, const std::string& aMethod,
+                 const std::string& aPath, const std::string& aBody = "");
+  /// Counts of a target's journal by work id; includes killed targets.
+  std::map<std::string, uint64_t> Journal(size_t aTarget,
+                                          const std::string& aEvent) const;
+  /// Executions by work id at all targets.
+  std::map<std::string, uint64_t> Executions() const;
+  /// Executions in all.
+  uint64_t ExecutionCount() const;
+  HttpClient& Client() { return this->client; }
+  size_t Size() const { return this->nodes.size(); }
+
+ private:
+  /// One instance's processes and ports.
+  struct Member {
+    Instance instance;
+    uint16_t callers = 0;
+    uint16_t local = 0;
+    uint16_t peers = 0;
+    uint16_t control = 0;
+    uint16_t admin = 0;
+    ChildProcess process;
+    ChildProcess target;
+  };
+
+  Reply Fetch(HttpTransferRequest aRequest);
+  std::string File(const std::string& aName) const;
+  void WriteSettings(size_t aNode);
+
+  Settings settings;
+  /// Temporary folder with settings, logs and journals.
+  std::string folder;
+  uint16_t tablePort = 0;
+  ChildProcess table;
+  std::vector<Member> nodes;
+  std::map<std::string, std::string> keyIds;
+  HttpClient client;
+};
+
+/// Header with a caller's key.
+HttpHeaders Bearer(const std::string& aKey);
+
+}  // namespace fescueline::test
--- a/tools/StandIn/StandInTarget.cpp
+++ b/tools/StandIn/StandInTarget.cpp
@@ -1,5 +1,8 @@
 #include "StandInTarget.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <nlohmann/json.hpp>
 
 #include "Core/Error.h"
@@ -42,6 +45,14 @@
       guard(asio::make_work_guard(this->io)),
       announceTimer(this->io),
       work(this->settings.workMicroseconds) {
+  if (!this->settings.journal.empty()) {
+    constexpr mode_t kMode = 0600;
+    this->journal = open(this->settings.journal.c_str(),
+                         O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kMode);
+    if (this->journal < 0) {
+      throw Error("stand-in.journal", this->settings.journal, "cannot open");
+    }
+  }
   this->server = std::make_unique<HttpServer>(
       HttpServer::Settings{.io = this->io,
                            .host = "127.0.0.1",
@@ -53,7 +64,26 @@
   asio::post(this->io, [this] { this->Announce(); });
 }
 
-StandInTarget::~StandInTarget() { this->Stop(); }
+StandInTarget::~StandInTarget() {
+  this->Stop();
+  if (this->journal >= 0) {
+    close(this->journal);
+  }
+}
+
+void StandInTarget::Journal(const std::string& aEvent,
+                            const HttpRequest& aRequest) const {
+  if (this->journal < 0) {
+    return;
+  }
+  const std::string line =
+      aEvent + " " + HeaderOr(aRequest.headers, "x-work-id", "-") + "\n";
+  // One write, so that a kill leaves no partial line.
+  if (write(this->journal, line.data(), line.size()) !=
+      static_cast<ssize_t>(line.size())) {
+    std::abort();  // a missing line would falsify the counts
+  }
+}
 
 uint16_t StandInTarget::Port() const { return this->server->Port(); }
 
@@ -165,6 +195,7 @@
   if (this->OnControl(aExchange)) {
     return;
   }
+  this->Journal("arrive", aExchange->Request());
   const HttpHeaders& headers = aExchange->Request().headers;
   if (this->shedding) {
     aExchange->Respond({.status = 503,
@@ -217,6 +248,7 @@
 }
 
 void StandInTarget::Record(const HttpRequest& aRequest) {
+  this->Journal("run", aRequest);
   this->stats.executions++;
   this->stats.lastHeaders = aRequest.headers;
   const auto workId = FindHeader(aRequest.headers, "x-work-id");
--- a/tools/StandIn/StandInTarget.h
+++ b/tools/StandIn/StandInTarget.h
@@ -38,6 +38,9 @@
     uint64_t workMicroseconds = 1000;
     /// Paths to call through the node for each request, one after the other.
     std::vector<std::string> calls;
+    /// File that gets a line for each arrival ("arrive ID") and execution
+    /// ("run ID"), so that counts outlive a killed target; empty for none.
+    std::string journal;
     /// Time between announcements.
     Duration announcePeriod = std::chrono::milliseconds(500);
   };
@@ -80,6 +83,8 @@
   /// Answers /stand-in/stats and /stand-in/set; false for other paths.
   bool OnControl(const HttpExchangePtr& aExchange);
   void Record(const HttpRequest& aRequest);
+  /// Appends a line to the journal, if there is one.
+  void Journal(const std::string& aEvent, const HttpRequest& aRequest) const;
   void Enqueue(const JobPtr& aJob);
   void StartNext();
   void Work(const JobPtr& aJob);
@@ -95,6 +100,8 @@
   std::unique_ptr<HttpServer> server;
   std::atomic<uint64_t> work;
   std::atomic<bool> shedding{false};
+  /// Descriptor of the journal; -1 for none.
+  int journal = -1;
   /// Guards everything below.
   std::mutex mutex;
   std::string state = "ready";
--- a/tools/TargetStandIn.cpp
+++ b/tools/TargetStandIn.cpp
@@ -15,6 +15,8 @@
   app.add_option("--slots", settings.slots, "Requests handled at once");
   app.add_option("--work-us", settings.workMicroseconds,
                  "Work of one request in microseconds");
+  app.add_option("--journal", settings.journal,
+                 "File that gets a line for each arrival and execution");
   app.add_option("--call", settings.calls,
                  "Path to call through the node for each request; repeatable");
   CLI11_PARSE(app, aCount, aArguments);
