Drop the previous voucher set once the present one is accepted

Cause: the voucher record keeps its previous set for good, and a change counts as accepted only with majorities of both sets. In a fleet of three nodes the previous set has two members, so one paused or dead node among them kept every change, such as the withdrawal of a key, from being accepted until the node was replaced after 30 s. Ruled out: ignoring the previous set on the node that has seen the set accepted; other nodes and restarted ones would not know. A longer wait; the operator would still be told "unknown" first. Change: when the present set is accepted, a voucher writes the same set again without a previous one. No fresh node asks the earlier set at that point, and the write is a compare-and-swap like any other change of the set. The status shows whether a change of the set is under way. Conclusion: one node of three may be paused without blocking changes.

--- a/src/Node/FleetMaintenance.cpp
+++ b/src/Node/FleetMaintenance.cpp
@@ -108,9 +108,12 @@
     next.erase(gone);
   } else if (!included && next.size() < this->settings.maxVouchers) {
     next.push_back(this->settings.self.nodeId);
-  } else {
+  } else if (!included || vouchers.previous.empty()) {
     return;
   }
+  // A proposal of the same set drops the previous one, whose majority is no
+  // longer needed. Otherwise one silent member of a previous set of two keeps
+  // every change from being accepted until it is replaced.
   this->ProposeVouchers(std::move(next));
 }
 
@@ -128,8 +131,11 @@
     }
     return;
   }
-  const VouchersRecord next{
-      .nodes = std::move(aNodes), .previous = current.nodes, .version = 0};
+  // Here the present set is accepted, so no fresh node asks an earlier one.
+  VouchersRecord next{.nodes = std::move(aNodes), .previous = {}, .version = 0};
+  if (next.nodes != current.nodes) {
+    next.previous = current.nodes;
+  }
   this->Write(std::string(kVouchersKey), current.version, next.ToJson());
 }
 
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -464,6 +464,7 @@
             {"limit", this->target.Limit()},
             {"queued", this->target.Queued()}}},
           {"vouchers", snapshot->Vouchers().nodes},
+          {"vouchers_changing", !snapshot->Vouchers().previous.empty()},
           {"members", members}};
 }
 
--- a/tests/Process/ProcessFleet.cpp
+++ b/tests/Process/ProcessFleet.cpp
@@ -221,7 +221,9 @@
     for (size_t i = 0; i < this->nodes.size(); ++i) {
       const json status = this->Operate("GET", "/v1/status", "", i).Json();
       if (!status.is_object() || !status["node"]["ready"].get<bool>() ||
-          status["node"]["members"].size() != this->nodes.size()) {
+          status["node"]["members"].size() != this->nodes.size() ||
+          status["node"]["vouchers"].size() != this->nodes.size() ||
+          status["node"]["vouchers_changing"].get<bool>()) {
         return false;
       }
       for (const json& member : status["node"]["members"]) {
--- a/tests/Process/ProcessFleet.h
+++ b/tests/Process/ProcessFleet.h
@@ -75,7 +75,8 @@
   ProcessFleet& operator=(const ProcessFleet&) = delete;
   ~ProcessFleet();
 
-  /// Waits until every node is ready and knows the targets of all.
+  /// Waits until every node is ready and a voucher, and knows the targets of
+  /// all. Fleets have at most five nodes, the largest number of vouchers.
   bool WaitReady(Duration aLimit = std::chrono::seconds(30));
   /// Starts a node again under its settings; its target keeps running.
   void StartNode(size_t aNode);
