--- /dev/null
+++ b/tests/Process/AtMostOnceTest.cpp
@@ -0,0 +1,139 @@
+#include <doctest/doctest.h>
+
+#include <thread>
+
+#include "Process/ProcessFleet.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+
+namespace {
+constexpr size_t kEntry = 0;
+constexpr size_t kVictim = 1;
+
+/// A node without a target of the service, through which callers come, and
+/// two instances of the service, one of which fails.
+ProcessFleet::Settings EntryAndTwo() {
+  const std::vector<std::string> work = {"--work-us", "50000"};
+  return {.instances = {{.service = "front"},
+                        {.service = "fees", .targetArguments = work},
+                        {.service = "fees", .targetArguments = work}}};
+}
+
+struct Payments {
+  ProcessFleet fleet{EntryAndTwo()};
+  std::string key;
+  CallSeries series;
+  size_t sent = 0;
+
+  Payments() {
+    REQUIRE(this->fleet.WaitReady());
+    this->key = this->fleet.CreateCaller("acme", 10000, 10000);
+    this->fleet.CreateRoute("fees", "fees");
+    REQUIRE(this->fleet.WaitServed(kEntry, this->key, "/fees"));
+  }
+
+  /// POSTs that may not run twice, at 100 a second.
+  void Send(size_t aCount) {
+    for (size_t i = 0; i < aCount; ++i) {
+      this->series.Start(this->fleet.Client(),
+                         "pay-" + std::to_string(this->sent++),
+                         {.url = this->fleet.CallerUrl(kEntry) + "/fees",
+                          .method = "POST",
+                          .headers = Bearer(this->key),
+                          .body = "payment",
+                          .timeout = std::chrono::seconds(20)});
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+  }
+
+  /// Sends until the failing instance gets requests; it is probed with few
+  /// after a failure.
+  void SendUntilVictimRuns() {
+    const uint64_t before = this->fleet.Journal(kVictim, "run").size();
+    for (size_t i = 0; i < 100; ++i) {
+      this->Send(20);
+      if (this->fleet.Journal(kVictim, "run").size() > before + 20) {
+        return;
+      }
+    }
+    FAIL("the instance gets no requests");
+  }
+
+  /// Every request is answered, none ran twice, and what is said about each
+  /// is true.
+  void Check() {
+    REQUIRE(this->series.WaitAll(std::chrono::seconds(40)));
+    // Work that a lost answer left behind ends within this time.
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    auto executions = this->fleet.Executions();
+    size_t served = 0;
+    size_t notRun = 0;
+    size_t unknown = 0;
+    for (const auto& [id, reply] : this->series.Replies()) {
+      CAPTURE(id);
+      CAPTURE(reply.status);
+      CAPTURE(reply.body);
+      CAPTURE(reply.result.error);
+      const uint64_t runs = executions[id];
+      CHECK(runs <= 1);
+      CHECK(reply.status != 0);
+      if (reply.status == 200) {
+        CHECK(runs == 1);
+        served++;
+      } else if (reply.Outcome() == "not-run") {
+        CHECK(runs == 0);
+        notRun++;
+      } else {
+        unknown++;
+      }
+    }
+    MESSAGE("served " << served << ", not run " << notRun << ", other "
+                      << unknown);
+    CHECK(this->series.Replies().size() == this->sent);
+    // The rest of the fleet keeps serving.
+    CHECK(served > this->sent / 3);
+  }
+};
+}  // namespace
+
+// Guards against a payment that is sent again after the connection to its
+// node broke, and against "not run" for one that ran (P8, P9).
+TEST_CASE("process-payments-node-killed") {
+  Payments payments;
+  payments.Send(100);
+  payments.fleet.Node(kVictim).Kill();
+  payments.Send(100);
+  payments.fleet.StartNode(kVictim);
+  payments.Send(200);
+  payments.Check();
+}
+
+// Guards against a payment that a paused node runs after its sender gave it
+// up and reported "not run" or sent it elsewhere (P8, P9).
+TEST_CASE("process-payments-node-frozen") {
+  Payments payments;
+  payments.SendUntilVictimRuns();
+  payments.fleet.Node(kVictim).Freeze();
+  payments.Send(250);  // longer than the silence limit of 1.5 s
+  payments.fleet.Node(kVictim).Thaw();
+  payments.SendUntilVictimRuns();
+  // Longer than silence and the 3 s for which a sender asks for the outcome.
+  payments.fleet.Node(kVictim).Freeze();
+  payments.Send(600);
+  payments.fleet.Node(kVictim).Thaw();
+  payments.Send(50);
+  payments.Check();
+}
+
+// Guards against a payment that is retried after its target died during the
+// work (P8, P9).
+TEST_CASE("process-payments-target-killed") {
+  Payments payments;
+  payments.Send(100);
+  payments.fleet.Target(kVictim).Kill();
+  payments.Send(100);
+  payments.fleet.StartTarget(kVictim);
+  payments.Send(200);
+  payments.Check();
+}
