Read the table only on vouchers in large fleets

Cause: every node read the table at each refresh interval, so reads grew with the fleet; the table service handles about 2,000 reads a second. Ruled out: a longer refresh interval, which makes small fleets slower and still grows with the fleet. Change: Node::ReadTable follows the rule of design.md 3.2: a node reads when it is a voucher, when the fleet has at most 64 members, or when its knowledge is older than half of the freshness limit.

--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -1,6 +1,9 @@
 #include "Node/Node.h"
 
+#include <algorithm>
+
 #include "Node/Log.h"
+#include "Node/TableReadRule.h"
 #include "Node/TargetAnnouncements.h"
 #include "Platform/HttpTableStore.h"
 
@@ -358,8 +361,19 @@
   });
 }
 
+bool Node::NeedsTableRead() {
+  const auto snapshot = this->config.Snapshot();
+  const std::vector<std::string>& vouchers = snapshot->Vouchers().nodes;
+  return ShouldReadTable(
+      {.members = snapshot->Members().Items().size(),
+       .isVoucher = std::find(vouchers.begin(), vouchers.end(),
+                              this->self.nodeId) != vouchers.end(),
+       .age = this->knowledge.Age(SteadyClock().Now()),
+       .freshnessLimit = this->settings.freshnessLimit});
+}
+
 void Node::ReadTable() {
-  if (this->reading.exchange(true)) {
+  if (!this->NeedsTableRead() || this->reading.exchange(true)) {
     return;
   }
   const bool posted = this->reader.Post([this] {
--- a/src/Node/Node.h
+++ b/src/Node/Node.h
@@ -66,6 +66,8 @@
   void Every(Duration aPeriod, std::function<void()> aFunction);
   /// Applies what the table has; throws what the client throws.
   void Refresh(TableClient& aTable);
+  /// Whether this node reads the table itself now (`ShouldReadTable`).
+  bool NeedsTableRead();
   void ReadTable();
   void Maintain();
   void Connect();
