--- a/tests/Transport/HttpTest.cpp
+++ b/tests/Transport/HttpTest.cpp
@@ -245,3 +245,42 @@
   }
   CHECK(handled == 0);
 }
+
+// Guards against a lock that is held while RESTinio closes the connection and
+// reports that: the worker thread, and with it the listener, would hang.
+TEST_CASE("a stream that ends after its last write closes the connection") {
+  Pool pool;
+  HttpServer server({.io = pool.io,
+                     .host = "127.0.0.1",
+                     .port = 0,
+                     .onRequest = [&pool](HttpExchangePtr aExchange) {
+                       const bool whole = aExchange->Request().target == "/";
+                       aExchange->OnAbort([] {});
+                       aExchange->StartStream(200, {}, whole ? 5 : 10);
+                       // The write is done by then, so that the end of the
+                       // stream closes the connection at once.
+                       aExchange->Write("12345", [&pool, aExchange, whole] {
+                         asio::post(pool.io, [aExchange, whole] {
+                           aExchange->EndStream(whole);
+                         });
+                       });
+                     }});
+  HttpClient client;
+  struct Row {
+    std::string path;
+    HttpHeaders headers;
+    bool whole;
+  };
+  const std::vector<Row> rows = {{"/broken", {}, false},
+                                 {"/", {{"Connection", "close"}}, true},
+                                 {"/", {}, true}};
+  for (const Row& row : rows) {
+    CAPTURE(row.path);
+    const Answer answer = Fetch(client, {.url = Url(server, row.path),
+                                         .headers = row.headers,
+                                         .timeout = std::chrono::seconds(5)});
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "12345");
+    CHECK(answer.result.whole == row.whole);
+  }
+}
