Describe seeds as control addresses

Cause: settings.md said that `seeds` are peer addresses, and its example named peer ports. A node sends its configuration pulls to them over the control sockets, so a node with seeds as documented learnt nothing from them. Ruled out: changing the node to use peer addresses; only the control sockets answer pulls. Conclusion: documentation only.

--- a/src/Settings/SettingsTable.cpp
+++ b/src/Settings/SettingsTable.cpp
@@ -40,8 +40,8 @@
      "trials with one node.",
      &NodeSettings::table},
     {"seeds", SettingKind::AddressList, "", kOptional, "", "",
-     "Peer addresses of nodes to learn the configuration from while the table "
-     "service is down.",
+     "Control addresses of nodes to learn the configuration from while the "
+     "table service is down.",
      &NodeSettings::seeds},
     {"fleet_secret_file", SettingKind::Path, "", kOptional, "", "",
      "File with the secret shared by all nodes, at least 32 characters. "
