Make the help texts usable by newcomers

Ruled out: parsing ctl in the outer parser, which would tie the library of the command line to the binary. Conclusion: texts only, apart from status 1 for usage errors.

--- a/apps/Fescueline.cpp
+++ b/apps/Fescueline.cpp
@@ -36,17 +36,36 @@
 }  // namespace
 
 int main(int aCount, char** aArguments) {
-  CLI::App app("Overload control layer for service call graphs.");
+  CLI::App app("Overload control layer for service call graphs.", "fescueline");
   app.require_subcommand(1);
+  app.footer("Documentation: README.md and docs/ in the source tree.");
   std::string settingsFile;
   auto* node = app.add_subcommand("node", "Run the node beside a target");
-  node->add_option("--settings", settingsFile, "Settings file")->required();
+  node->add_option("--settings", settingsFile,
+                   "YAML file; docs/settings.md lists the keys")
+      ->type_name("FILE")
+      ->required();
+  node->footer(
+      "SIGTERM or SIGINT stops the node after the requests in flight. Exit "
+      "codes: 0 stopped,\n1 the settings or a listener are refused, 2 stopped "
+      "with requests cut off at the drain deadline.");
   std::string checkedFile;
-  auto* check = app.add_subcommand("check", "Check a settings file");
-  check->add_option("file", checkedFile, "Settings file")->required();
-  app.add_subcommand("ctl", "Operators' commands; see fescueline ctl --help")
-      ->prefix_command();
-  CLI11_PARSE(app, aCount, aArguments);
+  auto* check = app.add_subcommand(
+      "check", "Check a settings file without running a node");
+  check->add_option("FILE", checkedFile, "Settings file")
+      ->type_name("PATH")
+      ->required();
+  check->footer(
+      "Prints every mistake with its line. Exit codes: 0 valid, 1 not.");
+  app.add_subcommand("ctl", "Change and show the configuration of a fleet")
+      ->prefix_command()
+      // RunCtl answers --help, as it knows the commands.
+      ->set_help_flag();
+  try {
+    app.parse(aCount, aArguments);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : kExitRefused;
+  }
   try {
     if (node->parsed()) {
       return RunNode(settingsFile);
--- a/src/Ctl/RunCtl.cpp
+++ b/src/Ctl/RunCtl.cpp
@@ -108,32 +108,59 @@
   return request;
 }
 
+/// How a kind of record appears in commands and help texts.
+struct KindNames {
+  const char* name;
+  const char* noun;
+  const char* plural;
+};
+
 /// The command line's grammar. Binds options to Arguments and picks the
 /// command.
 class CtlParser {
  public:
-  CtlParser() : app("Operators' commands of fescueline", "ctl") {
+  CtlParser()
+      : app("Changes and shows the configuration of a fleet through any of its "
+            "nodes. A change is\nreported as accepted once it is in force in "
+            "the whole fleet, which takes a few seconds.",
+            "fescueline ctl") {
     this->app.require_subcommand(1);
+    this->app.footer(
+        "The options of fescueline ctl, such as --node, may stand before or "
+        "after the command.\nExit codes: 0 accepted or answered; 1 refused, "
+        "nothing was changed; "
+        "2 conflict, another\nchange came first; 3 unknown, repeat with the "
+        "printed --token. See docs/operators.md.");
     this->app
         .add_option("--node", this->arguments.node,
-                    "URL of a node's admin listener")
+                    "Admin listener of a node, such as http://127.0.0.1:7003")
+        ->type_name("URL")
         ->required();
-    this->app.add_option("--credential-file", this->arguments.credentialFile,
-                         "File with the operator credential; default: "
-                         "environment FESCUELINE_OPERATOR_CREDENTIAL");
-    this->app.add_option("--token", this->arguments.token,
-                         "Token of an earlier request, to repeat it");
-    this->app.add_option("--timeout", this->arguments.timeout,
-                         "Longest wait for the node, such as 30s");
+    this->app
+        .add_option("--credential-file", this->arguments.credentialFile,
+                    "File with the operator credential; default: environment "
+                    "FESCUELINE_OPERATOR_CREDENTIAL")
+        ->type_name("FILE");
+    this->app
+        .add_option("--token", this->arguments.token,
+                    "Repeats the request that printed this token")
+        ->type_name("TOKEN");
+    this->app
+        .add_option("--timeout", this->arguments.timeout,
+                    "Longest wait for the node")
+        ->type_name("DURATION")
+        ->capture_default_str();
     // Lets the options above also follow the command.
     this->app.fallthrough();
     this->AddOrganisations();
     this->AddRecords(
-        "route", "routes",
+        {.name = "route", .noun = "a route", .plural = "routes"},
+        "Routes: which service handles a path, and the labels of its requests",
         [this](CLI::App& aSet) { this->AddRouteOptions(aSet); }, &RouteOf);
     this->AddRecords(
-        "rule", "rules", [this](CLI::App& aSet) { this->AddRuleOptions(aSet); },
-        &RuleOf);
+        {.name = "rule", .noun = "a rule", .plural = "rules"},
+        "Rules: labels for the requests that a selector matches",
+        [this](CLI::App& aSet) { this->AddRuleOptions(aSet); }, &RuleOf);
     this->AddKeys();
     this->AddQuestions();
   }
@@ -173,92 +200,124 @@
   }
 
   /// A command that changes one named record.
-  CLI::App* AddChange(CLI::App& aParent, const char* aName, const char* aKind,
+  CLI::App* AddChange(CLI::App& aParent, const char* aName,
+                      const std::string& aHelp, const KindNames& aKind,
                       std::function<CtlExit(CtlSession&, CtlChange)> aChange) {
-    CLI::App* added = this->AddCommand(
-        aParent, aName, std::string(aName) + " a record",
-        [this, aKind, change = std::move(aChange)](CtlSession& aSession) {
-          CheckName(this->arguments.change.name, "NAME");
-          CtlChange target = this->arguments.change;
-          target.kind = aKind;
-          target.version = VersionOf(this->arguments);
-          return change(aSession, target);
-        });
-    added->add_option("NAME", this->arguments.change.name, "Name of the record")
+    CLI::App* added =
+        this->AddCommand(aParent, aName, aHelp,
+                         [this, kind = aKind.name,
+                          change = std::move(aChange)](CtlSession& aSession) {
+                           CheckName(this->arguments.change.name, "NAME");
+                           CtlChange target = this->arguments.change;
+                           target.kind = kind;
+                           target.version = VersionOf(this->arguments);
+                           return change(aSession, target);
+                         });
+    added->add_option("NAME", this->arguments.change.name, "Its name")
         ->required();
-    added->add_option("--version", this->arguments.version,
-                      "Version that the record must have; default: its "
-                      "current one");
+    added
+        ->add_option("--version", this->arguments.version,
+                     "Refuse the change with a conflict unless the record has "
+                     "this version (0: does not exist); default: the version "
+                     "that the node knows")
+        ->type_name("VERSION");
     return added;
   }
 
-  void AddDeleteAndList(CLI::App& aGroup, const char* aKind) {
-    this->AddChange(aGroup, "delete", aKind,
-                    [](CtlSession& aSession, CtlChange aChange) {
+  void AddDeleteAndList(CLI::App& aGroup, const KindNames& aKind) {
+    this->AddChange(aGroup, "delete", std::string("Delete ") + aKind.noun,
+                    aKind, [](CtlSession& aSession, CtlChange aChange) {
                       return aSession.Delete(std::move(aChange));
                     });
     this->AddCommand(
-        aGroup, "list", "list the records",
-        [aKind](CtlSession& aSession) { return aSession.List(aKind); });
+        aGroup, "list",
+        std::string("List all ") + aKind.plural + " with their versions",
+        [kind = aKind.name](CtlSession& aSession) {
+          return aSession.List(kind);
+        });
   }
 
   void AddOrganisations() {
-    CLI::App* group = this->AddGroup("org", "organisations");
+    constexpr KindNames kKind{
+        .name = "org", .noun = "an organisation", .plural = "organisations"};
+    CLI::App* group = this->AddGroup(
+        kKind.name, "Organisations: rate, burst and weight of each");
     CLI::App* create = this->AddChange(
-        *group, "create", "org",
+        *group, "create", "Create an organisation", kKind,
         [this](CtlSession& aSession, const CtlChange& aChange) {
           return aSession.Create(aChange, OrganisationOf(this->arguments));
         });
     CLI::App* update = this->AddChange(
-        *group, "update", "org",
+        *group, "update", "Change some fields of an organisation", kKind,
         [this](CtlSession& aSession, const CtlChange& aChange) {
           return aSession.Update(aChange, OrganisationOf(this->arguments));
         });
     for (CLI::App* each : {create, update}) {
       const bool required = each == create;
-      each->add_option("--rate", this->arguments.rate, "Requests per second")
+      each->add_option("--rate", this->arguments.rate,
+                       "Requests per second in the whole fleet")
+          ->type_name("NUMBER")
           ->required(required);
-      each->add_option("--burst", this->arguments.burst, "Requests at once")
+      each->add_option("--burst", this->arguments.burst,
+                       "Requests that may come at once, beyond the rate")
+          ->type_name("NUMBER")
           ->required(required);
       each->add_option("--weight", this->arguments.weight,
-                       "Weight of its fair share")
+                       "Share of a busy target relative to other "
+                       "organisations; 1 is usual")
+          ->type_name("NUMBER")
           ->required(required);
     }
-    this->AddDeleteAndList(*group, "org");
+    this->AddDeleteAndList(*group, kKind);
   }
 
-  void AddRecords(const char* aKind, const std::string& aHelp,
+  void AddRecords(const KindNames& aKind, const std::string& aHelp,
                   const std::function<void(CLI::App&)>& aAddOptions,
                   Json (*aValueOf)(const Arguments&)) {
-    CLI::App* group = this->AddGroup(aKind, aHelp);
+    CLI::App* group = this->AddGroup(aKind.name, aHelp);
     CLI::App* set = this->AddChange(
-        *group, "set", aKind,
-        [this, aValueOf](CtlSession& aSession, CtlChange aChange) {
+        *group, "set",
+        std::string("Create ") + aKind.noun + " or replace all its fields",
+        aKind, [this, aValueOf](CtlSession& aSession, CtlChange aChange) {
           return aSession.Set(std::move(aChange), aValueOf(this->arguments));
         });
-    set->add_option("--label", this->arguments.labels, "Label NAME=VALUE");
+    set->add_option(
+           "--label", this->arguments.labels,
+           "Label; may be repeated. Labels with an effect: access=closed|open, "
+           "importance=critical|high|normal|low, idempotent=yes|no, "
+           "deadline=DURATION, retries=0..10")
+        ->type_name("NAME=VALUE");
     aAddOptions(*set);
     this->AddDeleteAndList(*group, aKind);
   }
 
   void AddRouteOptions(CLI::App& aSet) {
-    aSet.add_option("--service", this->arguments.service, "Service")
+    aSet.add_option("--service", this->arguments.service,
+                    "Service that handles the requests")
+        ->type_name("SERVICE")
+        ->required();
+    aSet.add_option("--path", this->arguments.path,
+                    "Path prefix of whole segments, such as /fees")
+        ->type_name("PATH")
         ->required();
-    aSet.add_option("--path", this->arguments.path, "Path prefix")->required();
     aSet.add_option("--method", this->arguments.methods,
-                    "HTTP method; default: all");
+                    "HTTP method; may be repeated; default: all")
+        ->type_name("METHOD");
   }
 
   void AddRuleOptions(CLI::App& aSet) {
     aSet.add_option("--selector", this->arguments.selector,
-                    "Label selector of requests")
+                    "Requests that the rule applies to, such as "
+                    "'service=fees,method in (POST,PUT),organisation!=acme'")
+        ->type_name("SELECTOR")
         ->required();
   }
 
   void AddKeys() {
-    CLI::App* group = this->AddGroup("key", "callers' keys");
+    CLI::App* group =
+        this->AddGroup("key", "Keys that callers present for an organisation");
     CLI::App* grant = this->AddCommand(
-        *group, "grant", "grant a key, which is printed once",
+        *group, "grant", "Grant a key and print it; it cannot be shown again",
         [this](CtlSession& aSession) {
           return aSession.GrantKey(this->arguments.organisation,
                                    this->arguments.change.name);
@@ -270,29 +329,44 @@
     grant->add_option("--name", this->arguments.change.name,
                       "Name for the key");
     CLI::App* withdraw = this->AddCommand(
-        *group, "withdraw", "withdraw a key", [this](CtlSession& aSession) {
+        *group, "withdraw",
+        "Withdraw a key; it stops working before this is reported",
+        [this](CtlSession& aSession) {
           CheckName(this->arguments.change.name, "ID");
           return aSession.WithdrawKey(this->arguments.change.name);
         });
-    withdraw->add_option("ID", this->arguments.change.name, "Id of the key")
+    withdraw
+        ->add_option("ID", this->arguments.change.name,
+                     "Id of the key, as printed by grant and list")
         ->required();
-    this->AddCommand(*group, "list", "list the keys",
+    this->AddCommand(*group, "list", "List all keys with their ids and states",
                      [](CtlSession& aSession) { return aSession.ListKeys(); });
   }
 
   void AddQuestions() {
-    this->AddCommand(this->app, "status", "print the node's state",
+    this->AddCommand(this->app, "status",
+                     "Show the node's state and the fleet as it knows it",
                      [](CtlSession& aSession) { return aSession.Status(); });
-    CLI::App* explain = this->AddCommand(
-        this->app, "explain", "print how a request would be handled and why",
-        [this](CtlSession& aSession) {
-          return aSession.Explain(ExplainOf(this->arguments));
-        });
-    explain->add_option("--method", this->arguments.method, "HTTP method")
+    CLI::App* explain =
+        this->AddCommand(this->app, "explain",
+                         "Show how a request would be handled, and the record "
+                         "that decides each label",
+                         [this](CtlSession& aSession) {
+                           return aSession.Explain(ExplainOf(this->arguments));
+                         });
+    explain
+        ->add_option("--method", this->arguments.method,
+                     "HTTP method, such as GET")
+        ->type_name("METHOD")
+        ->required();
+    explain
+        ->add_option("--path", this->arguments.path, "Path, such as /fees/17")
+        ->type_name("PATH")
         ->required();
-    explain->add_option("--path", this->arguments.path, "Path")->required();
-    explain->add_option("--organisation", this->arguments.organisation,
-                        "Organisation of the caller");
+    explain
+        ->add_option("--organisation", this->arguments.organisation,
+                     "Organisation of the caller; default: none")
+        ->type_name("NAME");
   }
 
   /// Grammar.
