--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -73,3 +73,14 @@
     set_tests_properties(model-${name} PROPERTIES TIMEOUT 600)
   endforeach()
 endfunction()
+
+# fl_example(NAME LIBRARY): examples/NAME.cpp with that library alone, run as
+# test example-<name>.
+function(fl_example name library)
+  string(REGEX REPLACE "([a-z])([A-Z])" "\\1-\\2" binary example-${name})
+  string(TOLOWER ${binary} binary)
+  add_executable(${binary} examples/${name}.cpp)
+  target_link_libraries(${binary} PRIVATE fl${library})
+  add_test(NAME ${binary} COMMAND ${binary})
+  set_tests_properties(${binary} PROPERTIES TIMEOUT 30)
+endfunction()
--- /dev/null
+++ b/examples/TargetLease.cpp
@@ -0,0 +1,53 @@
+// Keeps a server's announcement lease, and the member records of a service
+// with their silence.
+#include "Membership/TargetLease.h"
+
+#include <iostream>
+#include <vector>
+
+#include "Membership/Directory.h"
+
+using namespace fescueline;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+int main() {
+  ManualClock clock;
+  TargetLease lease(TargetLeaseSettings{.length = seconds(3)});
+  const TargetAnnouncement ready{.service = "fees",
+                                 .address = "127.0.0.1:9000",
+                                 .state = TargetState::Ready};
+
+  // A change of state is reported once, to be pushed to the callers.
+  bool right = lease.Announce(ready, clock.Now());
+  clock.Advance(seconds(1));
+  right = right && !lease.Announce(ready, clock.Now());
+
+  // Three seconds of silence end the lease.
+  clock.Advance(milliseconds(3001));
+  right = right && lease.State(clock.Now()) == TargetState::Gone &&
+          lease.Expire(clock.Now()) && lease.Current(clock.Now()) == nullptr;
+
+  // Two of three members are heard; the third has been silent for 30 s.
+  Directory directory({.region = "r1", .removeAfter = seconds(30)});
+  std::vector<MemberInfo> members;
+  for (const char* name : {"n1", "n2", "n3"}) {
+    members.push_back({.node = name,
+                       .incarnation = Id128::Generate(),
+                       .region = "r1",
+                       .service = "fees"});
+    directory.Upsert(members.back());
+    directory.OnHeard(name, members.back().incarnation);
+  }
+  directory.OnSilent("n3", members[2].incarnation);
+  std::vector<MemberRef> removable;
+  for (int i = 0; i <= 31; ++i) {
+    removable = directory.Removable(clock.Now());
+    right = right && (i > 29 || removable.empty());
+    clock.Advance(seconds(1));
+  }
+  right = right && directory.OfService("fees").size() == 3 &&
+          removable.size() == 1 && removable.front().node == "n3";
+  std::cout << (right ? "the silent member may be removed\n" : "wrong\n");
+  return right ? 0 : 1;
+}
--- a/src/Membership/Directory.h
+++ b/src/Membership/Directory.h
@@ -84,6 +84,16 @@
 /// Member records by service, and which of the members that this node talks
 /// to have fallen silent. Not thread-safe; the owner locks.
 ///
+/// Contract:
+/// - The owner keeps the records as the configuration states them (Upsert and
+///   Remove, or Assign), and reports contact with the incarnation that it
+///   talked to (OnHeard, OnSilent). Members that it does not talk to are never
+///   removable from here.
+/// - Removable only names candidates. The owner removes a record by
+///   compare-and-swap on its version, so that a member that came back with a
+///   new incarnation stays.
+/// - Pointers that Find and OfService return are valid until the next change.
+///
 /// Silence is counted in active time, in which a gap of more than a second
 /// between two calls of Removable counts as one second: a process that was
 /// paused heard nothing, which says nothing about its peers.
--- a/src/Membership/TargetLease.h
+++ b/src/Membership/TargetLease.h
@@ -40,6 +40,20 @@
 
 /// Lease of the target beside this node, kept up by its announcements.
 /// Not thread-safe; the owner locks.
+///
+/// Contract:
+/// - The target announces itself about three times per lease length. The owner
+///   passes each announcement on when it arrives, with the time of its arrival.
+/// - Announce and Expire say whether the state has changed; the owner then
+///   tells the callers. An unchanged announcement only renews the lease.
+/// - State, Current and ReadyFor need no timer: they report Gone from the
+///   moment the lease is overdue. Expire is needed to notice it for the callers
+///   and to detect pauses, so it is called at least once a second.
+/// - After a pause of the process the lease ends first, and announcements are
+///   ignored for `settle`: they may have waited in the socket while the target
+///   died. A live target is back with its next announcement.
+/// - Only the latest announcement counts; another address is another target,
+///   whose time as ready starts anew.
 class TargetLease {
  public:
   explicit TargetLease(const TargetLeaseSettings& aSettings)
--- a/src/Outcome/AttemptTable.h
+++ b/src/Outcome/AttemptTable.h
@@ -137,10 +137,27 @@
 /// an attempt starts at most once, and tells a sender that lost its
 /// connection what became of it. Not thread-safe; the owner locks.
 ///
-/// Retention is counted in active time, in which a gap of more than a second
-/// between two calls counts as one second. Otherwise a query that arrived
-/// while the process was paused would find its attempt expired and be
-/// answered "not run". Expire must be called at least once a second.
+/// Contract:
+/// - An attempt id is sent once; a retry is a new attempt. The owner calls
+///   Begin before any work, works only if it is Started, and then calls Finish
+///   exactly once, whatever became of the work.
+/// - An attempt past its deadline never reaches Begin, and deadlines are
+///   shorter than the query window. An attempt that was queried too late to
+///   get a tombstone therefore cannot start any more.
+/// - A query goes to the incarnation that the attempt was sent to. Another
+///   incarnation has no record of it: the sender takes that for Unknown
+///   without asking.
+/// - The age of a query is counted from when the attempt was sent, on the
+///   sender's clock.
+/// - NotRun is final: the work has not happened and Begin will refuse it. A
+///   query that cannot be given that promise is answered Unknown.
+/// - aNow never goes backwards, and Expire is called at least once a second.
+///   Retention is counted in active time, in which a gap of more than a second
+///   between two calls counts as one second. Otherwise a query that arrived
+///   while the process was paused would find its attempt expired and be
+///   answered "not run".
+/// - Running attempts are never dropped. Memory is bounded by the settings;
+///   Begin answers Full when there is no room.
 class AttemptTable {
  public:
   explicit AttemptTable(const AttemptTableSettings& aSettings);
