--- a/src/Node/EntryHandler.cpp
+++ b/src/Node/EntryHandler.cpp
@@ -232,10 +232,12 @@
 void EntryHandler::Forward(const PendingPtr& aPending) {
   Pending& pending = *aPending;
   const RunningAttemptPtr budget =
-      pending.parent
-          ? pending.parent
-          : std::make_shared<RunningAttempt>(pending.context, pending.deadline,
-                                             pending.policy.retries);
+      pending.parent ? pending.parent
+                     : std::make_shared<RunningAttempt>(
+                           pending.context,
+                           RunningAttempt::Times{.rootStart = pending.startedAt,
+                                                 .deadline = pending.deadline},
+                           pending.policy.retries);
   const auto callNumber = std::make_shared<uint64_t>(0);
   const auto call = std::make_shared<ForwardCall>(ForwardCall::Settings{
       .io = this->dependencies.io,
@@ -245,6 +247,9 @@
       .fleetSecret = this->dependencies.fleetSecret,
       .exchange = pending.exchange,
       .context = pending.context,
+      // Thresholds of a call belong to the path of the request that made it.
+      .pathRoute = pending.parent ? pending.parent->Context().route
+                                  : pending.context.route,
       .headers = std::move(pending.headers),
       .deadline = pending.deadline,
       .budget = budget,
--- a/src/Node/ForwardCall.cpp
+++ b/src/Node/ForwardCall.cpp
@@ -100,6 +100,7 @@
   context.attemptId = this->attempt->id;
   context.remaining =
       std::max(Duration(0), this->settings.deadline - SteadyClock().Now());
+  context.age = SteadyClock().Now() - this->settings.budget->RootStart();
   const HttpRequest& request = this->settings.exchange->Request();
   return {.stream = 0,
           .context = SignContext(context, this->settings.fleetSecret),
@@ -190,7 +191,7 @@
 
 void ForwardCall::OnEnd(const ResponseEndFrame& aFrame) {
   this->settings.fleet.Learn(this->attempt->target.address.nodeId,
-                             this->settings.context.route, aFrame.thresholds,
+                             this->settings.pathRoute, aFrame.thresholds,
                              SteadyClock().Now());
   const bool good = aFrame.whole && this->status < kServerError;
   this->EndAttempt(good ? CallResult::Answered : CallResult::Failed,
@@ -200,7 +201,7 @@
 
 void ForwardCall::OnRefusal(const RefusalFrame& aFrame) {
   this->settings.fleet.Learn(this->attempt->target.address.nodeId,
-                             this->settings.context.route, aFrame.thresholds,
+                             this->settings.pathRoute, aFrame.thresholds,
                              SteadyClock().Now());
   const auto outcome = aFrame.outcome == static_cast<uint8_t>(Outcome::NotRun)
                            ? Outcome::NotRun
--- a/src/Node/ForwardCall.h
+++ b/src/Node/ForwardCall.h
@@ -40,6 +40,8 @@
     HttpExchangePtr exchange;
     /// Context of the call; the attempt id is set for each attempt.
     RequestContext context;
+    /// Route whose path the thresholds on the response belong to.
+    std::string pathRoute;
     /// Headers for the target, without those of this project.
     HttpHeaders headers;
     /// When the call expires.
