Check the key on the client's thread right before the first byte

Cause: process-withdrawn-key-frozen-node failed once on a busy machine: the frozen node had checked a key and not yet sent the request; when it resumed it sent it, 1 execution after the acceptance. Ruled out: requests in the socket buffers of the frozen node (they are checked after it resumes) and at the entry node (its knowledge is stale then). Change: HttpClient asks maySend in libcurl's pre-request callback; lint findings. Conclusion: what is left is a pause between that callback and the system call.

--- a/src/Node/InboundAttempt.cpp
+++ b/src/Node/InboundAttempt.cpp
@@ -48,6 +48,12 @@
                               .freshConnection = !this->Context().idempotent,
                               .credit = kInitialCredit};
   const auto self = this->shared_from_this();
+  // A process that was paused since the check above must not send.
+  request.maySend = [self] {
+    return self->handler.CheckAuthority(self->Context(), SteadyClock().Now()) ==
+               Cause::None &&
+           SteadyClock().Now() < self->running->Deadline();
+  };
   this->transfer = this->handler.Client().Start(
       std::move(request),
       {.onHead =
@@ -176,7 +182,10 @@
   this->handler.Release(
       this->handle, {.childTime = this->running->CallTime(SteadyClock().Now()),
                      .complete = aResult.whole && this->status < kServerError});
-  if (this->declaredShed) {
+  if (aResult.stopped) {
+    this->FinishFailed(Outcome::NotRun, Cause::StaleKnowledge,
+                       kDefaultRetryAfter);
+  } else if (this->declaredShed) {
     this->FinishFailed(Outcome::NotRun, Cause::TargetShed, kDefaultRetryAfter);
   } else if (this->headSeen) {
     this->FinishAnswered(aResult.whole);
--- a/src/Node/ShareKeeper.cpp
+++ b/src/Node/ShareKeeper.cpp
@@ -20,9 +20,9 @@
       settings(aSettings),
       ledger(std::move(aSelf), aSettings) {}
 
-void ShareKeeper::Admit(const std::string& aOrganisation, TimePoint aNow,
-                        TimePoint aWaitUntil,
-                        std::function<void(std::optional<uint64_t>)> aDecided) {
+void ShareKeeper::Admit(
+    const std::string& aOrganisation, TimePoint aNow, TimePoint aWaitUntil,
+    const std::function<void(std::optional<uint64_t>)>& aDecided) {
   std::vector<ShareMessage> messages;
   std::optional<uint64_t> version;
   bool waits = false;
@@ -35,7 +35,7 @@
     } else if (admission == Admission::Dry && queue.size() < kMaxWaiters &&
                aWaitUntil > aNow) {
       waits = true;
-      queue.push_back({.until = aWaitUntil, .decided = std::move(aDecided)});
+      queue.push_back({.until = aWaitUntil, .decided = aDecided});
       messages = this->ledger.Ask(aOrganisation, aNow);
     }
   }
--- a/src/Node/ShareKeeper.h
+++ b/src/Node/ShareKeeper.h
@@ -30,7 +30,7 @@
   /// the allocation version or nothing.
   void Admit(const std::string& aOrganisation, TimePoint aNow,
              TimePoint aWaitUntil,
-             std::function<void(std::optional<uint64_t>)> aDecided);
+             const std::function<void(std::optional<uint64_t>)>& aDecided);
 
   /// See ShareLedger.
   void Install(const std::string& aOrganisation, const Allocation& aAllocation,
--- a/src/Node/TargetAnnouncements.cpp
+++ b/src/Node/TargetAnnouncements.cpp
@@ -85,6 +85,7 @@
 std::vector<std::string> ControlUrls(
     const std::vector<SocketAddress>& aAddresses) {
   std::vector<std::string> urls;
+  urls.reserve(aAddresses.size());
   for (const SocketAddress& address : aAddresses) {
     urls.push_back("tcp://" + address.ToString());
   }
--- a/src/Transport/ControlSocket.cpp
+++ b/src/Transport/ControlSocket.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-constexpr size_t kMaxMessageBytes = 256 * 1024;
+constexpr size_t kMaxMessageBytes = size_t{256} * 1024;
 constexpr int kQueueLength = 64;
 constexpr size_t kDigestBytes = 32;
 
--- a/src/Transport/HttpClient.cpp
+++ b/src/Transport/HttpClient.cpp
@@ -77,6 +77,7 @@
       result.error = curl_easy_strerror(aCode);
       result.timedOut = aCode == CURLE_OPERATION_TIMEDOUT;
       result.mayHaveBeenSent = this->sends > 0;
+      result.stopped = this->stopped;
     }
     this->handlers.onDone(result);
   }
@@ -145,6 +146,10 @@
   /// call is its silent resend after a reused connection closed.
   static int OnBeforeSend(void* aSelf, char*, char*, int, int) {
     auto* self = static_cast<Transfer*>(aSelf);
+    if (self->sends == 0 && self->request.maySend && !self->request.maySend()) {
+      self->stopped = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
     return ++self->sends == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
   }
 
@@ -216,6 +221,8 @@
   bool paused = false;
   /// How often libcurl began to send the request.
   int sends = 0;
+  /// Whether `maySend` stopped the request.
+  bool stopped = false;
   /// Whether onHead was called.
   bool headReported = false;
   /// Response headers so far.
--- a/src/Transport/HttpClient.h
+++ b/src/Transport/HttpClient.h
@@ -15,6 +15,8 @@
   bool whole = false;
   /// Whether the server may have received any byte of the request.
   bool mayHaveBeenSent = false;
+  /// Whether `maySend` stopped the request before its first byte.
+  bool stopped = false;
   /// Whether the transfer's time limit ended it.
   bool timedOut = false;
   /// What went wrong; empty if nothing did.
@@ -48,6 +50,9 @@
   bool freshConnection = false;
   /// Body bytes that may arrive before Credit is called; negative for no limit.
   int64_t credit = -1;
+  /// Asked on the client's thread right before the first byte is sent, so that
+  /// little time passes between a check and the request that rests on it.
+  std::function<bool()> maySend;
 };
 
 /// Asynchronous HTTP/1.1 client on libcurl with one thread. A request is sent
--- a/src/Transport/HttpServer.cpp
+++ b/src/Transport/HttpServer.cpp
@@ -82,9 +82,9 @@
 
 namespace {
 
-constexpr size_t kMaxUrlBytes = 8 * 1024;
+constexpr size_t kMaxUrlBytes = size_t{8} * 1024;
 constexpr size_t kMaxFieldNameBytes = 256;
-constexpr size_t kMaxFieldValueBytes = 16 * 1024;
+constexpr size_t kMaxFieldValueBytes = size_t{16} * 1024;
 constexpr size_t kMaxFieldCount = 100;
 /// With one pipelined request RESTinio does not read while a response is
 /// pending and so would not notice that the caller left.
@@ -420,7 +420,7 @@
     const auto closed = std::make_shared<std::promise<void>>();
     this->impl->server->close_async(
         [closed]() noexcept { closed->set_value(); },
-        [closed](std::exception_ptr) noexcept { closed->set_value(); });
+        [closed](const std::exception_ptr&) noexcept { closed->set_value(); });
     closed->get_future().wait_for(kCloseLimit);
   }
   *this->impl->alive = false;
@@ -432,7 +432,7 @@
   // The acceptor belongs to the worker pool; closing it from this thread would
   // race with a running accept.
   this->impl->server->close_async([]() noexcept {},
-                                  [](std::exception_ptr) noexcept {});
+                                  [](const std::exception_ptr&) noexcept {});
 }
 
 }  // namespace fescueline
