Do not lock up a worker when a response is broken off

Cause: the end of a broken response closes its connection, and RESTinio closes it within the call, on the same thread. The listener of connection states then called Abort, which locks the mutex that EndStream held. The worker thread never came back; with two broken responses a node with two workers stood still, and responses in progress with it. Ruled out: lost credit (a client and a target without a node moved 120 MB in 0.3 s); slow transfer (sockets full, workers in a futex; the stack shows EndStream below Abort). Change: the abort function has a mutex of its own, which is not held while RESTinio is called.

--- a/src/Transport/HttpServer.cpp
+++ b/src/Transport/HttpServer.cpp
@@ -166,7 +166,7 @@
 
   void OnAbort(std::function<void()> aAbort) override {
     {
-      const std::lock_guard lock(this->mutex);
+      const std::lock_guard lock(this->abortMutex);
       if (!this->aborted) {
         this->abort = std::move(aAbort);
         return;
@@ -178,7 +178,7 @@
   void Abort() {
     std::function<void()> run;
     {
-      const std::lock_guard lock(this->mutex);
+      const std::lock_guard lock(this->abortMutex);
       this->aborted = true;
       if (!this->finished) {
         run = std::move(this->abort);
@@ -257,7 +257,7 @@
  private:
   /// Marks the response as ended; false if it had ended.
   bool Finish() {
-    const std::lock_guard lock(this->mutex);
+    const std::lock_guard lock(this->abortMutex);
     const bool first = !this->finished;
     this->finished = true;
     this->abort = nullptr;
@@ -270,10 +270,14 @@
   std::shared_ptr<const std::atomic<bool>> serverAlive;
   /// The request as handed out.
   HttpRequest request;
-  /// Guards the members below.
+  /// Guards `builder` and `chunked`. Held while RESTinio is called, so that the
+  /// parts of the body keep their order.
   std::mutex mutex;
   /// Streamed response, if one was started.
   std::optional<restinio::response_builder_t<RawOutput>> builder;
+  /// Guards `abort` and `aborted`. Apart from `mutex`, since RESTinio may
+  /// close the connection, and so call Abort, within a call that sends.
+  std::mutex abortMutex;
   /// Runs when the connection ends early.
   std::function<void()> abort;
   /// Whether the connection has ended.
