Watch vouchers from vouchers only, and every 5 s

Cause: every node pulled from its 3 successors and from all vouchers twice a second, so the load of a voucher grew with the fleet: at 100 nodes the busiest node used 19.3% of a core and sent 24.5 KB/s, and the median node sent 3.2 KB/s and received as much, over the budget of 4 KB/s together. Ruled out: a longer period alone, which still grows with the fleet. A set whose majority is lost cannot change in either way, so the other nodes' watching did not help there. Change: only vouchers watch vouchers and propose the removal of a silent one; watching runs every 5 s, of which six fit into the 30 s of silence.

--- a/src/Node/FleetMaintenance.cpp
+++ b/src/Node/FleetMaintenance.cpp
@@ -105,9 +105,13 @@
   std::vector<std::string> next = vouchers.nodes;
   const bool included = std::find(next.begin(), next.end(),
                                   this->settings.self.nodeId) != next.end();
-  const auto gone = std::find_if(
-      next.begin(), next.end(),
-      [&](const std::string& aNode) { return this->IsSilent(aNode, now); });
+  // Only vouchers watch each other. If no majority of them lives, the set
+  // cannot change anyway.
+  const auto gone = included ? std::find_if(next.begin(), next.end(),
+                                            [&](const std::string& aNode) {
+                                              return this->IsSilent(aNode, now);
+                                            })
+                             : next.end();
   if (gone != next.end() && next.size() > 1) {
     next.erase(gone);
   } else if (!included && next.size() < this->settings.maxVouchers) {
@@ -246,7 +250,12 @@
     }
     watched.push_back((*next)->name);
   }
-  for (const std::string& voucher : snapshot->Vouchers().nodes) {
+  const std::vector<std::string>& vouchers = snapshot->Vouchers().nodes;
+  if (std::find(vouchers.begin(), vouchers.end(), this->settings.self.nodeId) ==
+      vouchers.end()) {
+    return watched;
+  }
+  for (const std::string& voucher : vouchers) {
     if (voucher != this->settings.self.nodeId &&
         std::find(watched.begin(), watched.end(), voucher) == watched.end()) {
       watched.push_back(voucher);
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kFleetPeriod = std::chrono::milliseconds(500);
 constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(500);
 constexpr Duration kExpiryPeriod = std::chrono::milliseconds(500);
+/// Six questions fit into the 30 s after which a silent member is removed.
+constexpr Duration kWatchPeriod = std::chrono::seconds(5);
 constexpr Duration kIdlePoll = std::chrono::milliseconds(20);
 /// Time for the last responses and returned shares to leave the process.
 constexpr Duration kLastWrites = std::chrono::milliseconds(200);
@@ -245,6 +247,7 @@
     this->Connect();
     this->PublishGauges();
   });
+  this->Every(kWatchPeriod, [this] { this->Watch(); });
   this->Every(kExpiryPeriod,
               [this] { this->attempts.Expire(SteadyClock().Now()); });
   this->Every(this->settings.refreshInterval, [this] { this->ReadTable(); });
@@ -412,6 +415,9 @@
   for (const PeerAddress& peer : this->fleet.WantedPeers()) {
     this->peers.Get(peer);
   }
+}
+
+void Node::Watch() {
   const auto snapshot = this->config.Snapshot();
   for (const std::string& node : this->maintenance->Watched()) {
     const std::string url = ControlUrlOf(*snapshot, node);
--- a/src/Node/Node.h
+++ b/src/Node/Node.h
@@ -71,6 +71,8 @@
   void ReadTable();
   void Maintain();
   void Connect();
+  /// Pulls from the members whose liveness this node watches.
+  void Watch();
   void PublishGauges();
   std::string WhyNotReady();
   nlohmann::json Status();
--- a/tests/Node/FleetMaintenanceTest.cpp
+++ b/tests/Node/FleetMaintenanceTest.cpp
@@ -127,3 +127,20 @@
   node.maintenance.Run();
   CHECK(node.config.Snapshot()->Members().Find("a") != nullptr);
 }
+
+// Guards against load on the vouchers that grows with the fleet, and against
+// vouchers that nobody watches.
+TEST_CASE("all nodes watch their successors, and only vouchers the vouchers") {
+  MaintenanceFixture node("c", 5);
+  for (const char* name : {"a", "b", "c", "d", "e", "f", "g", "h", "i"}) {
+    node.Put(std::string("member/") + name, MemberAt("127.0.0.1:2").ToJson());
+  }
+  node.Put("vouchers", VouchersRecord{.nodes = {"a", "h", "i"}}.ToJson());
+  node.Refresh();
+  CHECK(node.maintenance.Watched() == std::vector<std::string>{"d", "e", "f"});
+
+  node.Put("vouchers", VouchersRecord{.nodes = {"a", "c", "i"}}.ToJson());
+  node.Refresh();
+  CHECK(node.maintenance.Watched() ==
+        std::vector<std::string>{"d", "e", "f", "a", "i"});
+}
