Start measured fleets at another port

Cause: port 23308 was in use by another program; the script waited 60 s for a node that had ended. Change: ports from 12000 on, and 30 s of waiting for a node. Conclusion: FIRST_PORT still chooses another range.

--- a/scripts/measure-fleet.sh
+++ b/scripts/measure-fleet.sh
@@ -3,7 +3,7 @@
 
 build=${BUILD:-build}
 # First port; below the range that the system picks ports from.
-first_port=${FIRST_PORT:-23000}
+first_port=${FIRST_PORT:-12000}
 ports_per_node=5
 pids=()
 
@@ -80,7 +80,7 @@
 
 admin_url() { echo "http://127.0.0.1:$(port "$1" admin)"; }
 
-wait_ready() { wait_for 60 curl -sf "$(admin_url "$1")/ready"; }
+wait_ready() { wait_for 30 curl -sf "$(admin_url "$1")/ready"; }
 
 # ctl ARGUMENTS...: operator command through the first node.
 ctl() {
