Let few members propose themselves as vouchers

Cause: every member outside the voucher set wrote to the table for each free place in it. At 10,000 nodes that is 10,000 conflicting writes to a service that handles several hundred a second. Ruled out: one candidate only, since a dead one would hold the place until its member record is removed after 30 s. Change: the first 3 members outside the set by rendezvous hashing may propose. Conclusion: the writes for a free place no longer grow with the fleet.

--- a/src/Node/FleetMaintenance.cpp
+++ b/src/Node/FleetMaintenance.cpp
@@ -12,6 +12,10 @@
 /// Members that each node watches. Three, so that a failed pair of neighbours
 /// does not hide a third.
 constexpr size_t kWatchedMembers = 3;
+/// Members that may propose themselves as a voucher at the same time. More
+/// than one, so that a dead candidate does not delay a replacement until its
+/// member record is removed; few, as all but one of their writes conflict.
+constexpr size_t kVoucherCandidates = 3;
 
 /// Rendezvous weight of a node for a name.
 uint64_t WeightOf(const std::string& aName, const std::string& aNode) {
@@ -114,7 +118,8 @@
                              : next.end();
   if (gone != next.end() && next.size() > 1) {
     next.erase(gone);
-  } else if (!included && next.size() < this->settings.maxVouchers) {
+  } else if (!included && next.size() < this->settings.maxVouchers &&
+             this->IsVoucherCandidate(*snapshot)) {
     next.push_back(this->settings.self.nodeId);
   } else {
     return;
@@ -122,6 +127,21 @@
   this->ProposeVouchers(std::move(next));
 }
 
+bool FleetMaintenance::IsVoucherCandidate(
+    const ConfigSnapshot& aSnapshot) const {
+  const std::vector<std::string>& vouchers = aSnapshot.Vouchers().nodes;
+  const std::string name(kVouchersKey);
+  const uint64_t own = WeightOf(name, this->settings.self.nodeId);
+  const auto& members = aSnapshot.Members().Items();
+  const auto ahead =
+      std::count_if(members.begin(), members.end(), [&](const auto& aMember) {
+        return WeightOf(name, aMember->name) > own &&
+               std::find(vouchers.begin(), vouchers.end(), aMember->name) ==
+                   vouchers.end();
+      });
+  return static_cast<size_t>(ahead) < kVoucherCandidates;
+}
+
 void FleetMaintenance::ProposeVouchers(std::vector<std::string> aNodes) {
   const auto snapshot = this->settings.config.Snapshot();
   const VouchersRecord& current = snapshot->Vouchers();
--- a/src/Node/FleetMaintenance.h
+++ b/src/Node/FleetMaintenance.h
@@ -59,6 +59,9 @@
  private:
   void Register();
   void MaintainVouchers();
+  /// Whether this node is among the few members that may join the voucher set
+  /// next, by rendezvous hashing.
+  bool IsVoucherCandidate(const ConfigSnapshot& aSnapshot) const;
   void ProposeVouchers(std::vector<std::string> aNodes);
   void MaintainAllocations();
   void MaintainAllocation(const NamedRecord<OrganisationRecord>& aOrganisation);
--- a/tests/Node/FleetMaintenanceTest.cpp
+++ b/tests/Node/FleetMaintenanceTest.cpp
@@ -144,3 +144,23 @@
   CHECK(node.maintenance.Watched() ==
         std::vector<std::string>{"d", "e", "f", "a", "i"});
 }
+
+// Guards against a write of every node of the fleet for one free place in the
+// voucher set, and against a place that nobody may take.
+TEST_CASE("few members propose themselves for a free place among vouchers") {
+  constexpr int kMembers = 40;
+  int proposals = 0;
+  for (int candidate = 0; candidate < kMembers; ++candidate) {
+    MaintenanceFixture node("node-" + std::to_string(candidate), 5);
+    for (int i = 0; i < kMembers; ++i) {
+      const std::string name = "node-" + std::to_string(i);
+      node.Put("member/" + name, i == candidate
+                                     ? node.Member().ToJson()
+                                     : MemberAt("127.0.0.1:2").ToJson());
+    }
+    node.Refresh();
+    node.maintenance.Run();
+    proposals += node.config.Snapshot()->Vouchers().nodes.empty() ? 0 : 1;
+  }
+  CHECK(proposals == 3);
+}
