--- a/src/Node/FleetMaintenance.cpp
+++ b/src/Node/FleetMaintenance.cpp
@@ -12,6 +12,10 @@
 /// Members that each node watches. Three, so that a failed pair of neighbours
 /// does not hide a third.
 constexpr size_t kWatchedMembers = 3;
+/// Members that may propose themselves as a voucher at the same time. More
+/// than one, so that a dead candidate does not delay a replacement until its
+/// member record is removed; few, as all but one of their writes conflict.
+constexpr size_t kVoucherCandidates = 3;
 
 /// Rendezvous weight of a node for a name.
 uint64_t WeightOf(const std::string& aName, const std::string& aNode) {
@@ -38,7 +42,11 @@
     : settings(std::move(aSettings)) {}
 
 void FleetMaintenance::Run() {
-  this->settings.refresh();
+  // An empty replica would only lead to conflicting writes. Later, each write
+  // checks the version that it was decided on, so an old replica does no harm.
+  if (!this->settings.knowledge.Age(SteadyClock().Now())) {
+    return;
+  }
   this->Register();
   this->MaintainVouchers();
   this->MaintainAllocations();
@@ -101,12 +109,17 @@
   std::vector<std::string> next = vouchers.nodes;
   const bool included = std::find(next.begin(), next.end(),
                                   this->settings.self.nodeId) != next.end();
-  const auto gone = std::find_if(
-      next.begin(), next.end(),
-      [&](const std::string& aNode) { return this->IsSilent(aNode, now); });
+  // Only vouchers watch each other. If no majority of them lives, the set
+  // cannot change anyway.
+  const auto gone = included ? std::find_if(next.begin(), next.end(),
+                                            [&](const std::string& aNode) {
+                                              return this->IsSilent(aNode, now);
+                                            })
+                             : next.end();
   if (gone != next.end() && next.size() > 1) {
     next.erase(gone);
-  } else if (!included && next.size() < this->settings.maxVouchers) {
+  } else if (!included && next.size() < this->settings.maxVouchers &&
+             this->IsVoucherCandidate(*snapshot)) {
     next.push_back(this->settings.self.nodeId);
   } else if (!included || vouchers.previous.empty()) {
     return;
@@ -117,6 +130,21 @@
   this->ProposeVouchers(std::move(next));
 }
 
+bool FleetMaintenance::IsVoucherCandidate(
+    const ConfigSnapshot& aSnapshot) const {
+  const std::vector<std::string>& vouchers = aSnapshot.Vouchers().nodes;
+  const std::string name(kVouchersKey);
+  const uint64_t own = WeightOf(name, this->settings.self.nodeId);
+  const auto& members = aSnapshot.Members().Items();
+  const auto ahead =
+      std::count_if(members.begin(), members.end(), [&](const auto& aMember) {
+        return WeightOf(name, aMember->name) > own &&
+               std::find(vouchers.begin(), vouchers.end(), aMember->name) ==
+                   vouchers.end();
+      });
+  return static_cast<size_t>(ahead) < kVoucherCandidates;
+}
+
 void FleetMaintenance::ProposeVouchers(std::vector<std::string> aNodes) {
   const auto snapshot = this->settings.config.Snapshot();
   const VouchersRecord& current = snapshot->Vouchers();
@@ -248,7 +276,12 @@
     }
     watched.push_back((*next)->name);
   }
-  for (const std::string& voucher : snapshot->Vouchers().nodes) {
+  const std::vector<std::string>& vouchers = snapshot->Vouchers().nodes;
+  if (std::find(vouchers.begin(), vouchers.end(), this->settings.self.nodeId) ==
+      vouchers.end()) {
+    return watched;
+  }
+  for (const std::string& voucher : vouchers) {
     if (voucher != this->settings.self.nodeId &&
         std::find(watched.begin(), watched.end(), voucher) == watched.end()) {
       watched.push_back(voucher);
--- a/src/Node/FleetMaintenance.h
+++ b/src/Node/FleetMaintenance.h
@@ -43,7 +43,8 @@
 
   explicit FleetMaintenance(Settings aSettings);
 
-  /// One round; throws PlatformError when the table fails.
+  /// One round on the replica's configuration; the table is used only when
+  /// something is to be written. Throws PlatformError when the table fails.
   void Run();
   /// Removes this node's member record; for a planned stop.
   void Leave();
@@ -58,6 +59,9 @@
  private:
   void Register();
   void MaintainVouchers();
+  /// Whether this node is among the few members that may join the voucher set
+  /// next, by rendezvous hashing.
+  bool IsVoucherCandidate(const ConfigSnapshot& aSnapshot) const;
   void ProposeVouchers(std::vector<std::string> aNodes);
   void MaintainAllocations();
   void MaintainAllocation(const NamedRecord<OrganisationRecord>& aOrganisation);
