Tell listeners at the end of a node's stop that no worker runs

Cause: Node::Shutdown restarts the io_context to run the handlers that are left, and left it in that state. The destructors of the three HTTP listeners took that for running workers and waited a second each for their acceptors to be closed, so every node process ended three seconds after "node stopped". Ruled out: the stand-in targets, whose stop takes about 60 ms. Change: the io_context is stopped again after the last handlers. NodeTests pass. Conclusion: a planned stop ends when it says so.

--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -525,6 +525,9 @@
   do {
     this->io.restart();
   } while (this->io.poll() > 0 && SteadyClock().Now() < limit);
+  // Tells the listeners that no worker will close their acceptors, for which
+  // each would wait a second otherwise.
+  this->io.stop();
 }
 
 }  // namespace fescueline
