End the control thread before its socket; name the last refusal

Ruled out: the worker pool (it had ended) and the push sockets, which have no thread of ours. Change: receives time out after 100 ms and the thread ends before the close; ForwardCall keeps the last cause; calls without a context have no organisation and no retries, as the design says. Conclusion: a planned stop no longer depends on nng_close with a reader.

--- a/src/Node/EntryHandler.cpp
+++ b/src/Node/EntryHandler.cpp
@@ -23,6 +23,7 @@
   HttpExchangePtr exchange;
   /// Attempt of the local target that makes the call; null for a caller.
   RunningAttemptPtr parent;
+  Origin origin = Origin::Caller;
   std::shared_ptr<const ConfigSnapshot> snapshot;
   RequestContext context;
   RequestPolicy policy;
@@ -39,13 +40,13 @@
     : dependencies(std::move(aDependencies)) {}
 
 void EntryHandler::OnCaller(HttpExchangePtr aExchange) {
-  this->Begin(std::move(aExchange), nullptr);
+  this->Begin(std::move(aExchange), nullptr, Origin::Caller);
 }
 
 void EntryHandler::OnLocalTarget(HttpExchangePtr aExchange) {
   const auto token = FindHeader(aExchange->Request().headers, kContextHeader);
   if (!token) {
-    this->Begin(std::move(aExchange), nullptr);
+    this->Begin(std::move(aExchange), nullptr, Origin::Target);
     return;
   }
   const auto context = VerifyContext(*token, this->dependencies.fleetSecret);
@@ -60,14 +61,16 @@
         {.cause = Cause::Cancelled, .detail = "the attempt has ended"}));
     return;
   }
-  this->Begin(std::move(aExchange), parent);
+  this->Begin(std::move(aExchange), parent, Origin::Target);
 }
 
-void EntryHandler::Begin(HttpExchangePtr aExchange, RunningAttemptPtr aParent) {
+void EntryHandler::Begin(HttpExchangePtr aExchange, RunningAttemptPtr aParent,
+                         Origin aOrigin) {
   this->open++;
   const auto pending = std::make_shared<Pending>();
   pending->exchange = std::move(aExchange);
   pending->parent = std::move(aParent);
+  pending->origin = aOrigin;
   pending->snapshot = this->dependencies.config.Snapshot();
   pending->startedAt = SteadyClock().Now();
   if (!this->accepting && !pending->parent) {
@@ -103,6 +106,9 @@
   pending.context.open = pending.policy.open;
   if (!pending.parent) {
     pending.context.importance = pending.policy.importance;
+    if (pending.origin == Origin::Target) {
+      pending.policy.retries = 0;
+    }
     pending.deadline = pending.startedAt + pending.policy.deadline;
   }
   if (!pending.policy.open) {
@@ -150,7 +156,8 @@
   }
   aPending.key = presented.key;
   aPending.context.rootId = Id128::Generate();
-  if (!presented.key.empty()) {
+  // A target's call without a context is a new root without an organisation.
+  if (!presented.key.empty() && aPending.origin == Origin::Caller) {
     const Digest256 hash = Sha256(presented.key);
     const KeyRecord* record = aPending.snapshot->FindKey(hash);
     // A grant that raced with the organisation's deletion can leave a key
--- a/src/Node/EntryHandler.h
+++ b/src/Node/EntryHandler.h
@@ -64,7 +64,11 @@
   struct Pending;
   using PendingPtr = std::shared_ptr<Pending>;
 
-  void Begin(HttpExchangePtr aExchange, RunningAttemptPtr aParent);
+  /// Where a request comes from.
+  enum class Origin : uint8_t { Caller, Target };
+
+  void Begin(HttpExchangePtr aExchange, RunningAttemptPtr aParent,
+             Origin aOrigin);
   /// Steps of a request; each refuses or goes on to the next.
   void Route(const PendingPtr& aPending);
   /// Organisation of the key; false if the request was refused.
--- a/src/Node/ForwardCall.cpp
+++ b/src/Node/ForwardCall.cpp
@@ -72,10 +72,12 @@
   const auto target = this->settings.fleet.Pick(this->settings.context.service,
                                                 this->tried, now);
   if (!target) {
+    // After a refusal by every target, the refusal says more than "no target".
     this->Refuse(
         {.outcome = this->mayHaveRun ? Outcome::Unknown : Outcome::NotRun,
-         .cause = Cause::NoTarget,
-         .retryAfter = WithJitter(kNoTargetRetryAfter)});
+         .cause = this->lastCause,
+         .retryAfter =
+             std::max(this->lastRetryAfter, WithJitter(kNoTargetRetryAfter))});
     return;
   }
   this->Send(*target);
@@ -294,6 +296,8 @@
                            Duration aRetryAfter) {
   if (this->MayRetry(aOutcome, aCause)) {
     this->mayHaveRun = this->mayHaveRun || aOutcome != Outcome::NotRun;
+    this->lastCause = aCause;
+    this->lastRetryAfter = aRetryAfter;
     this->TryNext();
     return;
   }
--- a/src/Node/ForwardCall.h
+++ b/src/Node/ForwardCall.h
@@ -122,6 +122,9 @@
   std::vector<TargetRef> tried;
   /// Whether an earlier attempt may have run.
   bool mayHaveRun = false;
+  /// Cause and suggested wait of the last failed attempt.
+  Cause lastCause = Cause::NoTarget;
+  Duration lastRetryAfter{0};
   /// Whether the response has started.
   bool headSent = false;
   /// Status of the response.
--- a/src/Transport/ControlSocket.cpp
+++ b/src/Transport/ControlSocket.cpp
@@ -21,6 +21,8 @@
 
 constexpr size_t kMaxMessageBytes = size_t{256} * 1024;
 constexpr int kQueueLength = 64;
+/// Bounds the wait of a receive, after which the thread sees a stop.
+constexpr nng_duration kReceiveMilliseconds = 100;
 constexpr size_t kDigestBytes = 32;
 
 void Check(int aResult, const char* aStep, const std::string& aPeer) {
@@ -65,6 +67,9 @@
     Check(
         nng_socket_set_size(this->pull.id, NNG_OPT_RECVMAXSZ, kMaxMessageBytes),
         "control.open", "");
+    Check(nng_socket_set_ms(this->pull.id, NNG_OPT_RECVTIMEO,
+                            kReceiveMilliseconds),
+          "control.open", "");
     nng_listener listener = NNG_LISTENER_INITIALIZER;
     Check(nng_listener_create(&listener, this->pull.id,
                               this->settings.listenUrl.c_str()),
@@ -82,21 +87,19 @@
   }
 
   ~Impl() {
-    nng_close(this->pull.id);
-    this->pull.id = NNG_SOCKET_INITIALIZER;
+    // Closing the socket under a running receive can block for ever, so the
+    // thread ends first.
+    this->stopping = true;
     this->thread.join();
   }
 
   void Receive() {
-    for (;;) {
+    while (!this->stopping) {
       void* data = nullptr;
       size_t size = 0;
       const int result = nng_recv(this->pull.id, &data, &size, NNG_FLAG_ALLOC);
-      if (result == NNG_ECLOSED) {
-        return;
-      }
       if (result != 0) {
-        continue;
+        continue;  // a timeout, or a message that is too long
       }
       const ScopeGuard release([data, size] { nng_free(data, size); });
       this->bytesReceived += size;
@@ -178,6 +181,7 @@
   Settings settings;
   Socket pull;
   std::string url;
+  std::atomic<bool> stopping{false};
   std::thread thread;
   /// Guards `peers` and `byUrl`.
   std::mutex mutex;
