Close callers' connections with the responses of a stopping node

Cause: a stopping node kept idle connections open until it ended, and a caller that sent a request on one at that moment got no response. Ruled out: the caller's side; it cannot tell an idle connection from one that is about to close. Change: once a listener has stopped accepting, its responses close their connections. A caller that leaves its connection idle during the whole stop can still meet the close.

--- a/src/Transport/HttpServer.cpp
+++ b/src/Transport/HttpServer.cpp
@@ -134,8 +134,11 @@
 class ExchangeImpl final : public HttpExchange {
  public:
   ExchangeImpl(restinio::request_handle_t aHandle,
-               std::shared_ptr<const std::atomic<bool>> aServerAlive)
-      : handle(std::move(aHandle)), serverAlive(std::move(aServerAlive)) {
+               std::shared_ptr<const std::atomic<bool>> aServerAlive,
+               std::shared_ptr<const std::atomic<bool>> aServerLeaving)
+      : handle(std::move(aHandle)),
+        serverAlive(std::move(aServerAlive)),
+        serverLeaving(std::move(aServerLeaving)) {
     this->request.method = this->handle->header().method().c_str();
     this->request.target = this->handle->header().request_target();
     this->handle->header().for_each_field([this](const auto& aField) {
@@ -197,6 +200,9 @@
     for (HttpHeader& header : aResponse.headers) {
       response.append_header(std::move(header.name), std::move(header.value));
     }
+    if (*this->serverLeaving) {
+      response.connection_close();
+    }
     response.set_body(std::move(aResponse.body));
     response.done();
   }
@@ -213,6 +219,9 @@
       this->builder->append_header(std::move(header.name),
                                    std::move(header.value));
     }
+    if (*this->serverLeaving) {
+      this->builder->connection_close();
+    }
     // Responses without a body carry no framing.
     const bool bodyless =
         aStatus == 204 || aStatus == 304 || this->request.method == "HEAD";
@@ -268,6 +277,9 @@
   restinio::request_handle_t handle;
   /// Whether the server still exists.
   std::shared_ptr<const std::atomic<bool>> serverAlive;
+  /// Whether the server has stopped accepting. Responses then close their
+  /// connections, so that callers do not send on one that is about to close.
+  std::shared_ptr<const std::atomic<bool>> serverLeaving;
   /// The request as handed out.
   HttpRequest request;
   /// Guards `builder` and `chunked`. Held while RESTinio is called, so that the
@@ -336,6 +348,8 @@
       std::make_shared<ConnectionRegistry>();
   std::shared_ptr<std::atomic<bool>> alive =
       std::make_shared<std::atomic<bool>>(true);
+  std::shared_ptr<std::atomic<bool>> leaving =
+      std::make_shared<std::atomic<bool>>(false);
   std::atomic<uint16_t> port{0};
   std::unique_ptr<restinio::http_server_t<ServerTraits>> server;
 };
@@ -343,9 +357,10 @@
 HttpServer::HttpServer(Settings aSettings)
     : impl(std::make_unique<Impl>(aSettings.io)) {
   auto handler = [registry = this->impl->registry, alive = this->impl->alive,
+                  leaving = this->impl->leaving,
                   onRequest = std::move(aSettings.onRequest)](
                      const restinio::request_handle_t& aHandle) {
-    auto exchange = std::make_shared<ExchangeImpl>(aHandle, alive);
+    auto exchange = std::make_shared<ExchangeImpl>(aHandle, alive, leaving);
     registry->Add(aHandle->connection_id(), exchange);
     if (HasConflictingFraming(exchange->Request().headers)) {
       exchange->Respond({.status = 400,
@@ -403,6 +418,7 @@
 uint16_t HttpServer::Port() const { return this->impl->port; }
 
 void HttpServer::StopAccepting() {
+  *this->impl->leaving = true;
   // The acceptor belongs to the worker pool; closing it from this thread would
   // race with a running accept.
   this->impl->server->close_async([]() noexcept {},
--- a/src/Transport/HttpServer.h
+++ b/src/Transport/HttpServer.h
@@ -61,7 +61,8 @@
 
   /// Port that was bound.
   uint16_t Port() const;
-  /// Stops accepting connections soon; open exchanges go on. The io_context
+  /// Stops accepting connections soon; open exchanges go on, and responses
+  /// close their connections. The io_context
   /// must be running, and stopped before the server is destroyed.
   void StopAccepting();
 
