End measured processes that do not stop

Ruled out: waiting longer; the hang does not resolve. Measured: 2 nodes of about 670 hung; gdb shows nng_close waiting while nng_recv waits. Conclusion: the hang itself is in src/Transport and remains.

--- a/scripts/measure-fleet.sh
+++ b/scripts/measure-fleet.sh
@@ -7,9 +7,22 @@
 ports_per_node=5
 pids=()
 
+# Seconds that processes get to end; a planned stop of an idle node takes 1 s.
+stop_limit=15
+
+is_running() { kill -0 "$1" 2>/dev/null; }
+
 end_processes() {
   [ "${#pids[@]}" -eq 0 ] || kill "${pids[@]}" 2>/dev/null || true
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  local limit=$((SECONDS + stop_limit))
+  for pid in "${pids[@]}"; do
+    while is_running "$pid" && [ "$SECONDS" -lt "$limit" ]; do sleep 0.1; done
+    if is_running "$pid"; then
+      echo "process $pid did not stop within $stop_limit s; killed" >&2
+      kill -9 "$pid" || true
+    fi
+    wait "$pid" 2>/dev/null || true
+  done
   pids=()
 }
 
