Move a node's status out of its wiring; fix lint findings of the tools

Ruled out: none. Change: NodeStatus (readiness, status, gauges); parameters passed by reference. Conclusion: no behaviour changed.

--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -193,6 +193,16 @@
               return this->writeTable.ChangesSince(aVersion, aLimit);
             });
           }});
+  this->status = std::make_unique<NodeStatus>(
+      NodeStatus::Dependencies{.self = this->self,
+                               .config = this->config,
+                               .knowledge = this->knowledge,
+                               .maintenance = *this->maintenance,
+                               .target = this->target,
+                               .fleet = this->fleet,
+                               .control = *this->control,
+                               .metrics = this->metrics,
+                               .stopping = this->stopping});
   this->adminApi = std::make_unique<AdminApi>(AdminApi::Dependencies{
       .credential = this->settings.operatorCredential,
       .config = this->config,
@@ -201,8 +211,8 @@
       .makeTable = [this] { return this->MakeTable(kConfigTable); },
       .refresh = [this](TableClient& aTable) { this->Refresh(aTable); },
       .isReady = [this] { return this->IsReady(); },
-      .whyNotReady = [this] { return this->WhyNotReady(); },
-      .status = [this] { return this->Status(); }});
+      .whyNotReady = [this] { return this->status->WhyNotReady(); },
+      .status = [this] { return this->status->ToJson(); }});
   this->callers = std::make_unique<HttpServer>(
       HttpServer::Settings{.io = this->io,
                            .host = this->settings.listenCallers.host,
@@ -211,21 +221,21 @@
                            .onRequest = [this](HttpExchangePtr aExchange) {
                              this->entryHandler.OnCaller(std::move(aExchange));
                            }});
-  this->localTarget = std::make_unique<HttpServer>(
-      HttpServer::Settings{.io = this->io,
-                           .host = this->settings.listenTarget.host,
-                           .port = this->settings.listenTarget.port,
-                           .maxBody = this->settings.maxBody,
-                           .onRequest = [this](HttpExchangePtr aExchange) {
-                             this->OnLocalRequest(std::move(aExchange));
-                           }});
-  this->admin = std::make_unique<HttpServer>(
-      HttpServer::Settings{.io = this->io,
-                           .host = this->settings.listenAdmin.host,
-                           .port = this->settings.listenAdmin.port,
-                           .onRequest = [this](HttpExchangePtr aExchange) {
-                             this->adminApi->Handle(std::move(aExchange));
-                           }});
+  this->localTarget = std::make_unique<HttpServer>(HttpServer::Settings{
+      .io = this->io,
+      .host = this->settings.listenTarget.host,
+      .port = this->settings.listenTarget.port,
+      .maxBody = this->settings.maxBody,
+      .onRequest = [this](const HttpExchangePtr& aExchange) {
+        this->OnLocalRequest(aExchange);
+      }});
+  this->admin = std::make_unique<HttpServer>(HttpServer::Settings{
+      .io = this->io,
+      .host = this->settings.listenAdmin.host,
+      .port = this->settings.listenAdmin.port,
+      .onRequest = [this](const HttpExchangePtr& aExchange) {
+        this->adminApi->Handle(aExchange);
+      }});
 }
 
 void Node::Start() {
@@ -246,7 +256,7 @@
   this->Every(kFleetPeriod, [this] {
     this->fleet.Tick(SteadyClock().Now());
     this->Connect();
-    this->PublishGauges();
+    this->status->PublishGauges();
   });
   this->Every(kWatchPeriod, [this] { this->Watch(); });
   this->Every(kExpiryPeriod,
@@ -428,66 +438,7 @@
   }
 }
 
-void Node::PublishGauges() {
-  const auto age = this->knowledge.Age(SteadyClock().Now());
-  this->metrics.SetGauge("knowledge_age_seconds", age ? ToSeconds(*age) : -1);
-  this->metrics.SetGauge("config_version",
-                         static_cast<double>(this->config.Version()));
-  this->metrics.SetGauge("target_in_flight", this->target.InFlight());
-  this->metrics.SetGauge("target_limit", this->target.Limit());
-  this->metrics.SetGauge("target_queued",
-                         static_cast<double>(this->target.Queued()));
-  this->metrics.SetGauge("known_targets",
-                         static_cast<double>(this->fleet.Targets()));
-  this->metrics.SetGauge("control_bytes_sent",
-                         static_cast<double>(this->control->BytesSent()));
-  this->metrics.SetGauge("control_bytes_received",
-                         static_cast<double>(this->control->BytesReceived()));
-}
-
-bool Node::IsReady() {
-  return this->knowledge.IsFresh(SteadyClock().Now()) &&
-         this->maintenance->IsRegistered() && !this->stopping;
-}
-
-std::string Node::WhyNotReady() {
-  if (this->stopping) {
-    return "stopping";
-  }
-  const TimePoint now = SteadyClock().Now();
-  if (!this->knowledge.Age(now)) {
-    return "waiting for the table service";
-  }
-  return this->knowledge.IsFresh(now)
-             ? "waiting for the member record"
-             : "knowledge of the configuration is too old";
-}
-
-nlohmann::json Node::Status() {
-  const TimePoint now = SteadyClock().Now();
-  const auto age = this->knowledge.Age(now);
-  nlohmann::json members = nlohmann::json::array();
-  const auto snapshot = this->config.Snapshot();
-  for (const auto& member : snapshot->Members().Items()) {
-    members.push_back({{"node", member->name},
-                       {"service", member->record.service},
-                       {"data_centre", member->record.dataCentre},
-                       {"incarnation", member->record.incarnation.ToString()}});
-  }
-  return {{"node", this->self.nodeId},
-          {"incarnation", this->self.incarnation.ToString()},
-          {"ready", this->IsReady()},
-          {"knowledge_age_s", age ? ToSeconds(*age) : -1.0},
-          {"target",
-           {{"service", this->target.Service()},
-            {"state", std::string(ToName(this->target.State(now)))},
-            {"in_flight", this->target.InFlight()},
-            {"limit", this->target.Limit()},
-            {"queued", this->target.Queued()}}},
-          {"vouchers", snapshot->Vouchers().nodes},
-          {"vouchers_changing", !snapshot->Vouchers().previous.empty()},
-          {"members", members}};
-}
+bool Node::IsReady() { return this->status->IsReady(); }
 
 bool Node::Stop() {
   Log(LogLevel::Info, "node stopping", {{"node", this->self.nodeId}});
--- a/src/Node/Node.h
+++ b/src/Node/Node.h
@@ -11,6 +11,7 @@
 #include "Node/EntryHandler.h"
 #include "Node/FleetMaintenance.h"
 #include "Node/Gossip.h"
+#include "Node/NodeStatus.h"
 #include "Node/TableClaims.h"
 #include "Node/TargetHandler.h"
 #include "Node/TaskThread.h"
@@ -73,9 +74,6 @@
   void Connect();
   /// Pulls from the members whose liveness this node watches.
   void Watch();
-  void PublishGauges();
-  std::string WhyNotReady();
-  nlohmann::json Status();
   bool WaitUntilIdle();
   void Shutdown();
 
@@ -102,6 +100,7 @@
   EntryHandler entryHandler;
   Gossip gossip;
   std::unique_ptr<FleetMaintenance> maintenance;
+  std::unique_ptr<NodeStatus> status;
   std::unique_ptr<AdminApi> adminApi;
   std::unique_ptr<PeerServer> peerServer;
   std::unique_ptr<ControlSocket> control;
--- a/tools/Fleet/EmbeddedFleet.cpp
+++ b/tools/Fleet/EmbeddedFleet.cpp
@@ -31,7 +31,7 @@
   settings.workers = aFleet.workers;
   settings.freshnessLimit = aFleet.freshnessLimit;
   settings.refreshInterval = std::chrono::milliseconds(100);
-  settings.maxBody = 1024 * 1024;
+  settings.maxBody = uint64_t{1024} * 1024;
   settings.queueLength = aFleet.queueLength;
   settings.attempts = 4096;
   settings.retryRatio = 0.1;
@@ -86,7 +86,7 @@
         return false;
       }
       for (const Json& member : status["node"]["members"]) {
-        if (member["service"] == "") {
+        if (member["service"].get<std::string>().empty()) {
           return false;
         }
       }
@@ -106,7 +106,8 @@
              response->status = aStatus;
              response->headers = std::move(aHeaders);
            },
-       .onData = [response](std::string aData) { response->body += aData; },
+       .onData =
+           [response](const std::string& aData) { response->body += aData; },
        .onDone =
            [response, done](const HttpTransferResult& aResult) {
              response->whole = aResult.whole;
--- a/tools/PathLoad/LoadClient.cpp
+++ b/tools/PathLoad/LoadClient.cpp
@@ -9,7 +9,7 @@
 namespace fescueline {
 
 namespace {
-constexpr size_t kReadBytes = 16 * 1024;
+constexpr size_t kReadBytes = size_t{16} * 1024;
 /// Wait for outstanding responses after the last start.
 constexpr Duration kLastResponses = std::chrono::seconds(5);
 constexpr int kOk = 200;
--- a/tools/StandIn/StandInTarget.cpp
+++ b/tools/StandIn/StandInTarget.cpp
@@ -15,7 +15,7 @@
 constexpr std::string_view kContextHeader = "fescueline-context";
 constexpr std::string_view kAttemptHeader = "fescueline-attempt";
 constexpr Duration kStopLimit = std::chrono::seconds(30);
-constexpr size_t kChunk = 16 * 1024;
+constexpr size_t kChunk = size_t{16} * 1024;
 
 std::string HeaderOr(const HttpHeaders& aHeaders, std::string_view aName,
                      std::string_view aDefault) {
@@ -107,8 +107,8 @@
                       .headers = {{"Content-Type", "application/json"}},
                       .body = body.dump(),
                       .timeout = std::chrono::seconds(1)},
-                     {.onHead = [](int, HttpHeaders, int64_t) {},
-                      .onData = [](std::string) {},
+                     {.onHead = [](int, const HttpHeaders&, int64_t) {},
+                      .onData = [](const std::string&) {},
                       .onDone = [](const HttpTransferResult&) {}});
   this->announceTimer.expires_after(this->settings.announcePeriod);
   this->announceTimer.async_wait([this](const asio::error_code& aError) {
@@ -294,12 +294,12 @@
                       .headers = {{std::string(kContextHeader),
                                    HeaderOr(headers, kContextHeader, "")}}},
                      {.onHead =
-                          [aJob](int aStatus, HttpHeaders, int64_t) {
+                          [aJob](int aStatus, const HttpHeaders&, int64_t) {
                             if (aStatus >= 400) {
                               aJob->failedCall = aStatus;
                             }
                           },
-                      .onData = [](std::string) {},
+                      .onData = [](const std::string&) {},
                       .onDone =
                           [this, aJob](const HttpTransferResult& aResult) {
                             if (!aResult.whole && aJob->failedCall == 0) {
