--- a/src/Node/EntryHandler.cpp
+++ b/src/Node/EntryHandler.cpp
@@ -12,10 +12,6 @@
 constexpr Duration kRetryAfterOverload = std::chrono::milliseconds(500);
 constexpr Duration kRetryAfterStale = std::chrono::milliseconds(1000);
 constexpr size_t kMaxIdempotencyKey = 256;
-
-Duration WithJitter(Duration aBase) {
-  return FromSeconds(ToSeconds(aBase) * (0.5 + ThreadRandom().Unit()));
-}
 }  // namespace
 
 /// A request that has not been forwarded yet.
--- a/src/Node/ForwardCall.cpp
+++ b/src/Node/ForwardCall.cpp
@@ -17,10 +17,6 @@
 /// Wait suggested when no target can be used.
 constexpr Duration kNoTargetRetryAfter = std::chrono::milliseconds(500);
 constexpr int kServerError = 500;
-
-Duration WithJitter(Duration aBase) {
-  return FromSeconds(ToSeconds(aBase) * (0.5 + ThreadRandom().Unit()));
-}
 }  // namespace
 
 ForwardCall::ForwardCall(Settings aSettings)
--- a/src/Node/Refusal.cpp
+++ b/src/Node/Refusal.cpp
@@ -4,8 +4,14 @@
 
 #include <cmath>
 
+#include "Core/RandomSource.h"
+
 namespace fescueline {
 
+Duration WithJitter(Duration aBase) {
+  return FromSeconds(ToSeconds(aBase) * (0.5 + ThreadRandom().Unit()));
+}
+
 int StatusOf(Cause aCause) {
   switch (aCause) {
     case Cause::NoRoute:
--- a/src/Node/Refusal.h
+++ b/src/Node/Refusal.h
@@ -20,6 +20,10 @@
   std::string detail;
 };
 
+/// The time, spread over half to one and a half of it, so that refused callers
+/// do not come back together.
+Duration WithJitter(Duration aBase);
+
 /// HTTP status for a cause.
 int StatusOf(Cause aCause);
 
