Start the served fleet of three process tests in one place

Ruled out: the shape-only pairs that were looked at (include blocks, wire structs), where the logic is not the same. Change: ProcessFleet::ServeFees; a fleet that does not get ready still fails the test. No check or bound changed. Conclusion: setup only.

--- a/tests/Process/IdempotencyKeyTest.cpp
+++ b/tests/Process/IdempotencyKeyTest.cpp
@@ -21,12 +21,8 @@
 // table is down.
 TEST_CASE("process-idempotency-key") {
   ProcessFleet fleet({});
-  REQUIRE(fleet.WaitReady());
-  const std::string key = fleet.CreateCaller("acme", 1000, 1000);
-  fleet.CreateRoute("fees", "fees");
-  for (size_t node = 0; node < fleet.Size(); ++node) {
-    REQUIRE(fleet.WaitServed(node, key, "/fees"));
-  }
+  const std::string key = fleet.ServeFees();
+  REQUIRE(!key.empty());
   constexpr size_t kPairs = 50;
   CallSeries series;
   for (size_t i = 0; i < kPairs; ++i) {
--- a/tests/Process/ProcessFleet.cpp
+++ b/tests/Process/ProcessFleet.cpp
@@ -279,6 +279,20 @@
       this->Operate("PUT", "/v1/config/route/" + aName, record.dump()), aName);
 }
 
+std::string ProcessFleet::ServeFees() {
+  if (!this->WaitReady()) {
+    return "";
+  }
+  const std::string key = this->CreateCaller("acme", 1000, 1000);
+  this->CreateRoute("fees", "fees");
+  for (size_t node = 0; node < this->Size(); ++node) {
+    if (!this->WaitServed(node, key, "/fees")) {
+      return "";
+    }
+  }
+  return key;
+}
+
 bool ProcessFleet::WaitServed(size_t aNode, const std::string& aKey,
                               const std::string& aPath, Duration aLimit) {
   return WaitFor(aLimit, [&] {
--- a/tests/Process/ProcessFleet.h
+++ b/tests/Process/ProcessFleet.h
@@ -103,6 +103,10 @@
   std::string KeyId(const std::string& aKey) const {
     return this->keyIds.at(aKey);
   }
+  /// Waits until the fleet is ready and every node serves the path /fees for a
+  /// caller of a new organisation. Returns the caller's key, or nothing if a
+  /// node does not get there.
+  std::string ServeFees();
   /// Waits until a node serves requests with the key.
   bool WaitServed(size_t aNode, const std::string& aKey,
                   const std::string& aPath,
--- a/tests/Process/WithdrawnKeyTest.cpp
+++ b/tests/Process/WithdrawnKeyTest.cpp
@@ -63,12 +63,8 @@
 // that connected callers keep a withdrawn key (P5).
 TEST_CASE("process-withdrawn-key-open-connection") {
   ProcessFleet fleet({});
-  REQUIRE(fleet.WaitReady());
-  const std::string key = fleet.CreateCaller("acme", 1000, 1000);
-  fleet.CreateRoute("fees", "fees");
-  for (size_t node = 0; node < fleet.Size(); ++node) {
-    REQUIRE(fleet.WaitServed(node, key, "/fees"));
-  }
+  const std::string key = fleet.ServeFees();
+  REQUIRE(!key.empty());
   std::vector<std::unique_ptr<KeepAliveCaller>> callers;
   for (size_t node = 0; node < fleet.Size(); ++node) {
     callers.push_back(
@@ -90,12 +86,8 @@
 // resumes, serves from what it knew before (P5).
 TEST_CASE("process-withdrawn-key-frozen-node") {
   ProcessFleet fleet({});
-  REQUIRE(fleet.WaitReady());
-  const std::string key = fleet.CreateCaller("acme", 1000, 1000);
-  fleet.CreateRoute("fees", "fees");
-  for (size_t node = 0; node < fleet.Size(); ++node) {
-    REQUIRE(fleet.WaitServed(node, key, "/fees"));
-  }
+  const std::string key = fleet.ServeFees();
+  REQUIRE(!key.empty());
   constexpr size_t kFrozen = 2;
   Callers callers(fleet, key);
   std::this_thread::sleep_for(std::chrono::milliseconds(300));
