--- a/apps/Fescueline.cpp
+++ b/apps/Fescueline.cpp
@@ -1,10 +1,16 @@
 #include <CLI/CLI.hpp>
+#include <asio.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
+#include "Core/Error.h"
 #include "Ctl/RunCtl.h"
+#include "Mesh/MeshNode.h"
+#include "Mesh/MeshReloader.h"
 #include "Node/Log.h"
 #include "Node/Node.h"
+#include "PlatformPorts.h"
 #include "Settings/SettingsLoader.h"
 
 namespace {
@@ -33,6 +39,39 @@
   return node.Stop() ? 0 : kExitCutOff;
 }
 
+/// Settings file of a mesh node: the argument, or what the platform names.
+std::string MeshSettingsFile(const std::string& aArgument) {
+  if (!aArgument.empty()) {
+    return aArgument;
+  }
+  const char* named = std::getenv("FESCUELINE_CONFIG");
+  if (named == nullptr) {
+    throw fescueline::Error("settings.load", "",
+                            "neither --settings nor FESCUELINE_CONFIG is set");
+  }
+  return named;
+}
+
+int RunMesh(const std::string& aArgument) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::string file = MeshSettingsFile(aArgument);
+  const fescueline::MeshSettings settings = fescueline::LoadMeshSettings(file);
+  asio::io_context io(1);
+  fescueline::MeshNode node(io, settings,
+                            fescueline::platform::MakePorts(io, settings));
+  asio::signal_set stops(io, SIGTERM, SIGINT);
+  stops.async_wait([&node](const asio::error_code& aError, int) {
+    if (!aError) {
+      node.Stop();
+    }
+  });
+  fescueline::MeshReloader reloader(io, file, node);
+  reloader.Start();
+  node.Start();
+  io.run();
+  return 0;
+}
+
 }  // namespace
 
 int main(int aCount, char** aArguments) {
@@ -49,6 +88,17 @@
       "SIGTERM or SIGINT stops the node after the requests in flight. Exit "
       "codes: 0 stopped,\n1 the settings or a listener are refused, 2 stopped "
       "with requests cut off at the drain deadline.");
+  std::string meshFile;
+  auto* mesh = app.add_subcommand(
+      "mesh", "Run the node beside a target of the users' platform");
+  mesh->add_option("--settings", meshFile,
+                   "YAML file; docs/platform.md lists the keys. Default: the "
+                   "file that FESCUELINE_CONFIG names")
+      ->type_name("FILE");
+  mesh->footer(
+      "SIGTERM or SIGINT stops the node after the requests in flight, SIGHUP "
+      "rereads the settings.\nExit codes: 0 stopped, 1 the settings or a "
+      "listener are refused.");
   std::string checkedFile;
   auto* check = app.add_subcommand(
       "check", "Check a settings file without running a node");
@@ -70,6 +120,9 @@
     if (node->parsed()) {
       return RunNode(settingsFile);
     }
+    if (mesh->parsed()) {
+      return RunMesh(meshFile);
+    }
     if (check->parsed()) {
       return fescueline::CheckSettings(checkedFile, std::cout);
     }
--- a/scripts/format.sh
+++ b/scripts/format.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 mode=(--dry-run --Werror)
 [ "${1:-}" = "--fix" ] && mode=(-i)
-find src tests benchmarks tools apps $([ -d examples ] && echo examples) -name "*.h" -o -name "*.cpp" -o -name "*.inl" |
+find src tests benchmarks tools apps platform $([ -d examples ] && echo examples) -name "*.h" -o -name "*.cpp" -o -name "*.inl" |
   xargs -r -P 8 -n 16 clang-format "${mode[@]}"
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs clang-tidy over the product's sources (src, apps and tools). A file
+# Runs clang-tidy over the product's sources (src, apps, platform and tools). A file
 # whose sources, headers and configuration are unchanged since its last clean
 # run is skipped.
 set -euo pipefail
@@ -8,7 +8,7 @@
 cache=${FESCUELINE_LINT_CACHE:-$build/lint-cache}
 mkdir -p "$cache"
 # A header can change the result of any file, so all headers are in the key.
-headers=$( (cat .clang-tidy; find src tools apps -name '*.h' -o -name '*.inl' | LC_ALL=C sort | xargs -r cat) | sha256sum | cut -c1-32)
+headers=$( (cat .clang-tidy; find src tools apps platform -name '*.h' -o -name '*.inl' | LC_ALL=C sort | xargs -r cat) | sha256sum | cut -c1-32)
 export build cache headers
 lint_one() {
   local key
@@ -24,4 +24,4 @@
   fi
 }
 export -f lint_one
-find src apps tools -name '*.cpp' | LC_ALL=C sort | xargs -r -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
+find src apps tools platform -name '*.cpp' | LC_ALL=C sort | xargs -r -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
--- /dev/null
+++ b/src/Core/BootClock.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chrono>
+#include <ctime>
+
+#include "Core/Time.h"
+
+namespace fescueline {
+
+/// Monotonic clock that runs on while the instance is suspended. Ages of
+/// authority (keys, leases) are taken on it; a type of its own keeps them from
+/// being mixed with times of the steady clock.
+struct BootClock {
+  using duration = Duration;                              // NOLINT
+  using rep = Duration::rep;                              // NOLINT
+  using period = Duration::period;                        // NOLINT
+  using time_point = std::chrono::time_point<BootClock>;  // NOLINT
+  static constexpr bool is_steady = true;                 // NOLINT
+
+  static time_point now() {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) +
+                      std::chrono::nanoseconds(time.tv_nsec));
+  }
+};
+
+/// Point on the BootClock.
+using BootTime = BootClock::time_point;
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Http1/ConnectionPool.cpp
@@ -0,0 +1,62 @@
+#include "Http1/ConnectionPool.h"
+
+#include <algorithm>
+
+namespace fescueline {
+
+bool ConnectionPool::IsUsable(const HttpClientConnection& aConnection,
+                              Duration aMaxRest, TimePoint aNow) const {
+  Duration limit = this->settings.maxRest;
+  if (const auto stated = aConnection.ServerIdleTimeout()) {
+    limit = std::max(*stated - this->settings.restMargin, *stated / 2);
+  }
+  return aConnection.IsResting() &&
+         aNow - aConnection.RestingSince() <= std::min(limit, aMaxRest);
+}
+
+void ConnectionPool::Acquire(
+    Duration aMaxRest,
+    const std::function<void(ConnectionPtr, const std::string&)>& aDone) {
+  const TimePoint now = SteadyClock().Now();
+  std::erase_if(this->resting, [&](const ConnectionPtr& aConnection) {
+    if (this->IsUsable(*aConnection, Duration::max(), now)) {
+      return false;
+    }
+    aConnection->Close("rested too long");
+    return true;
+  });
+  if (!this->resting.empty() &&
+      this->IsUsable(*this->resting.back(), aMaxRest, now)) {
+    ConnectionPtr connection = std::move(this->resting.back());
+    this->resting.pop_back();
+    aDone(std::move(connection), {});
+    return;
+  }
+  ++this->made;
+  const auto connection =
+      std::make_shared<HttpClientConnection>(this->settings.io);
+  connection->Connect(this->settings.peer, this->settings.connectTimeout,
+                      [connection, aDone](const std::string& aError) {
+                        aDone(aError.empty() ? connection : nullptr, aError);
+                      });
+}
+
+void ConnectionPool::Release(ConnectionPtr aConnection) {
+  if (!aConnection->IsResting()) {
+    return;
+  }
+  if (this->resting.size() >= this->settings.maxResting) {
+    aConnection->Close("enough connections rest");
+    return;
+  }
+  this->resting.push_back(std::move(aConnection));
+}
+
+void ConnectionPool::Clear() {
+  for (const ConnectionPtr& connection : this->resting) {
+    connection->Close("not needed any more");
+  }
+  this->resting.clear();
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Http1/HttpClientConnection.cpp
@@ -0,0 +1,204 @@
+#include "Http1/HttpClientConnection.h"
+
+#include <charconv>
+
+#include "Core/Error.h"
+
+namespace fescueline {
+
+namespace {
+/// Value of `timeout` in a Keep-Alive header, in seconds.
+std::optional<Duration> KeepAliveTimeout(const HttpHeaders& aHeaders) {
+  constexpr std::string_view kParameter = "timeout=";
+  const auto value = FindHeader(aHeaders, "keep-alive");
+  if (!value) {
+    return std::nullopt;
+  }
+  const size_t at = value->find(kParameter);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view text = value->substr(at + kParameter.size());
+  int64_t seconds = 0;
+  const auto result =
+      std::from_chars(text.data(), text.data() + text.size(), seconds);
+  if (result.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+}  // namespace
+
+HttpClientConnection::HttpClientConnection(asio::io_context& aIo)
+    : socket(aIo),
+      connectTimer(aIo),
+      reader({.kind = HttpReaderKind::Response,
+              .maxHeadBytes = size_t{64} * 1024,
+              .events = this->ReaderEvents()}) {}
+
+HttpReader::Events HttpClientConnection::ReaderEvents() {
+  return {.onHead =
+              [this](HttpHead aHead) { return this->OnHead(std::move(aHead)); },
+          .onBody =
+              [this](std::string_view aPart) {
+                if (this->events.onBody) {
+                  this->events.onBody(aPart);
+                }
+              },
+          .onEnd = [this] { this->OnEnd(); }};
+}
+
+void HttpClientConnection::Connect(
+    const asio::ip::tcp::endpoint& aPeer, Duration aTimeout,
+    std::function<void(const std::string&)> aDone) {
+  const auto self = this->shared_from_this();
+  const auto done = std::make_shared<std::function<void(const std::string&)>>(
+      std::move(aDone));
+  const auto finish = [self, done](const std::string& aError) {
+    if (const auto callback = std::exchange(*done, nullptr)) {
+      callback(aError);
+    }
+  };
+  this->connectTimer.expires_after(aTimeout);
+  this->connectTimer.async_wait([self, finish](const asio::error_code& aError) {
+    if (!aError && !self->open) {
+      asio::error_code ignored;
+      self->socket.close(ignored);
+      finish("connect timeout");
+    }
+  });
+  this->socket.async_connect(
+      aPeer, [self, finish](const asio::error_code& aError) {
+        self->connectTimer.cancel();
+        if (aError || !self->socket.is_open()) {
+          finish("connect: " + aError.message());
+          return;
+        }
+        asio::error_code ignored;
+        self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->open = true;
+        self->restingSince = SteadyClock().Now();
+        self->Read();
+        finish({});
+      });
+}
+
+void HttpClientConnection::Send(std::string aBytes, bool aNoBody,
+                                ClientExchangeEvents aEvents) {
+  this->events = std::move(aEvents);
+  this->busy = true;
+  this->sent = true;
+  this->keepAlive = false;
+  this->accepted = false;
+  this->reader.ExpectNoBody(aNoBody);
+  this->outgoing = std::move(aBytes);
+  asio::async_write(this->socket, asio::buffer(this->outgoing),
+                    [self = this->shared_from_this()](
+                        const asio::error_code& aError, size_t) {
+                      // A server may answer before it has read the request
+                      // and then close; its response may still be read.
+                      if (aError && self->busy && !self->reading) {
+                        self->Close("write: " + aError.message());
+                      }
+                    });
+  this->Read();
+}
+
+void HttpClientConnection::SetPaused(bool aPaused) {
+  this->paused = aPaused;
+  this->Read();
+}
+
+void HttpClientConnection::Read() {
+  if (this->reading || this->paused || !this->open) {
+    return;
+  }
+  this->reading = true;
+  this->socket.async_read_some(
+      asio::buffer(this->buffer),
+      [self = this->shared_from_this()](const asio::error_code& aError,
+                                        size_t aSize) {
+        self->reading = false;
+        self->OnRead(aError, aSize);
+      });
+}
+
+void HttpClientConnection::OnRead(const asio::error_code& aError,
+                                  size_t aSize) {
+  if (!this->open) {
+    return;
+  }
+  if (aError) {
+    // Only an orderly close can end a response without a length.
+    if (aError == asio::error::eof && this->busy && this->accepted) {
+      this->reader.FinishAtEof();
+    }
+    this->Close("read: " + aError.message());
+    return;
+  }
+  std::string_view bytes(this->buffer.data(), aSize);
+  try {
+    while (!bytes.empty() && this->open) {
+      if (!this->busy) {
+        // Belongs to no request.
+        this->Close("unexpected bytes");
+        return;
+      }
+      bytes.remove_prefix(this->reader.Feed(bytes));
+    }
+  } catch (const Error& failure) {
+    this->Close(failure.what());
+    return;
+  }
+  this->Read();
+}
+
+bool HttpClientConnection::OnHead(HttpHead aHead) {
+  this->keepAlive = aHead.keepAlive;
+  if (const auto timeout = KeepAliveTimeout(aHead.headers)) {
+    this->serverIdleTimeout = timeout;
+  }
+  this->accepted = this->events.onHead(std::move(aHead));
+  return this->accepted;
+}
+
+void HttpClientConnection::OnEnd() {
+  this->restingSince = SteadyClock().Now();
+  this->Finish({.whole = true,
+                .sent = true,
+                .reusable = this->keepAlive && this->open,
+                .error = {}});
+}
+
+void HttpClientConnection::Close(const std::string& aReason) {
+  if (!this->open) {
+    return;
+  }
+  this->open = false;
+  asio::error_code ignored;
+  this->socket.close(ignored);
+  if (this->busy) {
+    this->Finish({.whole = false,
+                  .sent = this->sent,
+                  .reusable = false,
+                  .error = aReason});
+  }
+}
+
+void HttpClientConnection::Finish(ClientExchangeResult aResult) {
+  if (!this->busy) {
+    return;
+  }
+  this->busy = false;
+  this->paused = false;
+  const ClientExchangeEvents ended = std::move(this->events);
+  this->events = {};
+  if (!aResult.reusable && this->open) {
+    this->open = false;
+    asio::error_code ignored;
+    this->socket.close(ignored);
+  }
+  ended.onDone(aResult);
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Http1/HttpClientConnection.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <array>
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Core/Time.h"
+#include "Http1/HttpReader.h"
+
+namespace fescueline {
+
+/// How an exchange on a client connection ended.
+struct ClientExchangeResult {
+  /// Whether a complete response arrived.
+  bool whole = false;
+  /// Whether any byte of the request was handed to the socket.
+  bool sent = false;
+  /// Whether the connection can carry another request.
+  bool reusable = false;
+  /// What went wrong; empty if nothing did.
+  std::string error;
+};
+
+/// Events of an exchange. onDone ends it and runs once.
+struct ClientExchangeEvents {
+  /// Status and headers. False skips the response, which answers something
+  /// else, and waits for the next one.
+  std::function<bool(HttpHead)> onHead;
+  std::function<void(std::string_view)> onBody;
+  std::function<void(const ClientExchangeResult&)> onDone;
+};
+
+/// Connection to an HTTP server that carries one request at a time. A read is
+/// always outstanding, so bytes or a close that arrive while it rests are seen
+/// and end it. Everything runs on the loop's thread.
+class HttpClientConnection
+    : public std::enable_shared_from_this<HttpClientConnection> {
+ public:
+  explicit HttpClientConnection(asio::io_context& aIo);
+
+  /// Connects; aDone gets an empty text or the error.
+  void Connect(const asio::ip::tcp::endpoint& aPeer, Duration aTimeout,
+               std::function<void(const std::string&)> aDone);
+  /// Sends a whole request and reports its response.
+  void Send(std::string aBytes, bool aNoBody, ClientExchangeEvents aEvents);
+  /// Stops or resumes reading the response.
+  void SetPaused(bool aPaused);
+  /// Closes the connection; an exchange in progress ends with aReason.
+  void Close(const std::string& aReason);
+
+  bool IsOpen() const { return this->open; }
+  /// Whether the connection is open and carries nothing.
+  bool IsResting() const { return this->open && !this->busy; }
+  /// When the last exchange ended or the connection was made.
+  TimePoint RestingSince() const { return this->restingSince; }
+  /// How long the server keeps a resting connection, if it has said so.
+  std::optional<Duration> ServerIdleTimeout() const {
+    return this->serverIdleTimeout;
+  }
+
+ private:
+  HttpReader::Events ReaderEvents();
+  bool OnHead(HttpHead aHead);
+  void OnEnd();
+  void Read();
+  void OnRead(const asio::error_code& aError, size_t aSize);
+  void Finish(ClientExchangeResult aResult);
+
+  asio::ip::tcp::socket socket;
+  asio::steady_timer connectTimer;
+  HttpReader reader;
+  std::array<char, size_t{16} * 1024> buffer{};
+  std::string outgoing;
+  ClientExchangeEvents events;
+  bool open = false;
+  bool busy = false;
+  bool sent = false;
+  bool reading = false;
+  bool paused = false;
+  /// Whether the response allows another request.
+  bool keepAlive = false;
+  /// Whether the response in progress was accepted by onHead.
+  bool accepted = false;
+  TimePoint restingSince{};
+  std::optional<Duration> serverIdleTimeout;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Http1/HttpReader.cpp
@@ -0,0 +1,158 @@
+#include "Http1/HttpReader.h"
+
+#include "Core/Error.h"
+
+namespace fescueline {
+
+namespace {
+constexpr int kContinueParsing = 0;
+constexpr int kNoBodyFollows = 1;
+constexpr int kStopParsing = -1;
+constexpr int kFirstFinalStatus = 200;
+}  // namespace
+
+HttpReader::HttpReader(Settings aSettings) : settings(std::move(aSettings)) {
+  http_parser_init(&this->parser, this->settings.kind == HttpReaderKind::Request
+                                      ? HTTP_REQUEST
+                                      : HTTP_RESPONSE);
+  this->parser.data = this;
+}
+
+const http_parser_settings& HttpReader::Callbacks() {
+  static const http_parser_settings sCallbacks = [] {
+    http_parser_settings callbacks;
+    http_parser_settings_init(&callbacks);
+    callbacks.on_message_begin = [](http_parser* aParser) {
+      HttpReader& reader = Of(aParser);
+      reader.head = HttpHead{};
+      reader.headBytes = 0;
+      reader.lastWasValue = false;
+      reader.inMessage = true;
+      reader.hasHead = false;
+      reader.skipped = false;
+      return kContinueParsing;
+    };
+    callbacks.on_url = [](http_parser* aParser, const char* aData,
+                          size_t aSize) {
+      HttpReader& reader = Of(aParser);
+      reader.head.target.append(aData, aSize);
+      reader.headBytes += aSize;
+      return reader.headBytes > reader.settings.maxHeadBytes ? kStopParsing
+                                                             : kContinueParsing;
+    };
+    callbacks.on_header_field = [](http_parser* aParser, const char* aData,
+                                   size_t aSize) {
+      HttpReader& reader = Of(aParser);
+      reader.AppendField({aData, aSize});
+      return reader.headBytes > reader.settings.maxHeadBytes ? kStopParsing
+                                                             : kContinueParsing;
+    };
+    callbacks.on_header_value = [](http_parser* aParser, const char* aData,
+                                   size_t aSize) {
+      HttpReader& reader = Of(aParser);
+      reader.AppendValue({aData, aSize});
+      return reader.headBytes > reader.settings.maxHeadBytes ? kStopParsing
+                                                             : kContinueParsing;
+    };
+    callbacks.on_headers_complete = [](http_parser* aParser) {
+      return Of(aParser).OnHeadersComplete();
+    };
+    callbacks.on_body = [](http_parser* aParser, const char* aData,
+                           size_t aSize) {
+      HttpReader& reader = Of(aParser);
+      if (!reader.skipped) {
+        reader.settings.events.onBody({aData, aSize});
+      }
+      return kContinueParsing;
+    };
+    callbacks.on_message_complete = [](http_parser* aParser) {
+      return Of(aParser).OnMessageComplete();
+    };
+    return callbacks;
+  }();
+  return sCallbacks;
+}
+
+void HttpReader::AppendField(std::string_view aBytes) {
+  if (this->head.headers.empty() || this->lastWasValue) {
+    this->head.headers.emplace_back();
+    this->lastWasValue = false;
+  }
+  this->head.headers.back().name.append(aBytes);
+  this->headBytes += aBytes.size();
+}
+
+void HttpReader::AppendValue(std::string_view aBytes) {
+  this->lastWasValue = true;
+  this->head.headers.back().value.append(aBytes);
+  this->headBytes += aBytes.size();
+}
+
+int HttpReader::OnHeadersComplete() {
+  this->hasHead = true;
+  if (this->settings.kind == HttpReaderKind::Request) {
+    this->head.method =
+        http_method_str(static_cast<http_method>(this->parser.method));
+  } else {
+    this->head.status = static_cast<int>(this->parser.status_code);
+  }
+  constexpr uint64_t kNoLength = UINT64_MAX;
+  const bool chunked = (this->parser.flags & F_CHUNKED) != 0;
+  if (!chunked && this->parser.content_length != kNoLength) {
+    this->head.length = this->parser.content_length;
+  }
+  this->head.keepAlive = http_should_keep_alive(&this->parser) != 0;
+  if (this->settings.kind == HttpReaderKind::Response &&
+      this->head.status < kFirstFinalStatus) {
+    // An interim response; the final one follows.
+    this->skipped = true;
+    return kContinueParsing;
+  }
+  this->skipped = !this->settings.events.onHead(std::move(this->head));
+  return this->noBody ? kNoBodyFollows : kContinueParsing;
+}
+
+int HttpReader::OnMessageComplete() {
+  this->inMessage = false;
+  this->hasHead = false;
+  if (this->skipped) {
+    return kContinueParsing;
+  }
+  this->ended = true;
+  http_parser_pause(&this->parser, 1);
+  return kContinueParsing;
+}
+
+size_t HttpReader::Feed(std::string_view aBytes) {
+  this->ended = false;
+  const size_t used = http_parser_execute(&this->parser, &Callbacks(),
+                                          aBytes.data(), aBytes.size());
+  if (this->ended) {
+    http_parser_pause(&this->parser, 0);
+    // Reported only here, since the receiver may feed the next message.
+    this->settings.events.onEnd();
+    return used;
+  }
+  const auto error = HTTP_PARSER_ERRNO(&this->parser);
+  if (error != HPE_OK) {
+    throw Error("http.parse", "", http_errno_description(error));
+  }
+  if (used < aBytes.size()) {
+    throw Error("http.parse", "", "protocol upgrade");
+  }
+  return used;
+}
+
+bool HttpReader::FinishAtEof() {
+  if (!this->inMessage) {
+    return false;
+  }
+  this->ended = false;
+  http_parser_execute(&this->parser, &Callbacks(), nullptr, 0);
+  if (this->ended) {
+    this->settings.events.onEnd();
+  }
+  return this->ended;
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Http1/HttpReader.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <http_parser.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "Transport/HttpMessage.h"
+
+namespace fescueline {
+
+/// Start line and header fields of a message, and what they say of its body.
+struct HttpHead {
+  /// Method of a request.
+  std::string method;
+  /// Request target: path and query.
+  std::string target;
+  /// Status of a response.
+  int status = 0;
+  /// Header fields in the order of the message.
+  HttpHeaders headers;
+  /// Body length in bytes; nothing if it is chunked or ends with the
+  /// connection.
+  std::optional<uint64_t> length;
+  /// Whether the connection can carry another message afterwards.
+  bool keepAlive = false;
+};
+
+/// Which side's messages a reader parses.
+enum class HttpReaderKind : uint8_t { Request, Response };
+
+/// Incremental HTTP/1.1 parser on http_parser. Stops after each message, so
+/// that bytes behind it are never taken for a part of it. One thread.
+class HttpReader {
+ public:
+  /// Events in the order of the message.
+  struct Events {
+    /// Start line and headers. A response may be skipped by returning false;
+    /// its body and end are then not reported.
+    std::function<bool(HttpHead)> onHead;
+    /// Part of the body.
+    std::function<void(std::string_view)> onBody;
+    /// The message is complete.
+    std::function<void()> onEnd;
+  };
+
+  /// Construction parameters.
+  struct Settings {
+    HttpReaderKind kind = HttpReaderKind::Request;
+    /// Longest start line and headers, bytes.
+    size_t maxHeadBytes = size_t{16} * 1024;
+    Events events;
+  };
+
+  explicit HttpReader(Settings aSettings);
+  HttpReader(const HttpReader&) = delete;
+  HttpReader& operator=(const HttpReader&) = delete;
+
+  /// Parses bytes up to the end of the current message and returns how many
+  /// were used. Throws Error if they are no HTTP message.
+  size_t Feed(std::string_view aBytes);
+  /// Reports the end of input; true if that ends a message properly.
+  bool FinishAtEof();
+  /// The next response answers a HEAD request and has no body.
+  void ExpectNoBody(bool aNoBody) { this->noBody = aNoBody; }
+  /// Whether a message has begun and not ended.
+  bool InMessage() const { return this->inMessage; }
+  /// Whether the headers of the current message are complete.
+  bool HasHead() const { return this->hasHead; }
+
+ private:
+  static HttpReader& Of(http_parser* aParser) {
+    return *static_cast<HttpReader*>(aParser->data);
+  }
+  static const http_parser_settings& Callbacks();
+  int OnHeadersComplete();
+  int OnMessageComplete();
+  void AppendField(std::string_view aBytes);
+  void AppendValue(std::string_view aBytes);
+
+  Settings settings;
+  http_parser parser{};
+  /// Head being collected.
+  HttpHead head;
+  /// Bytes of the head so far.
+  size_t headBytes = 0;
+  bool lastWasValue = false;
+  bool inMessage = false;
+  bool hasHead = false;
+  bool noBody = false;
+  /// Whether the current response is not reported.
+  bool skipped = false;
+  /// Whether the last Feed reached the end of a message.
+  bool ended = false;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Http1/LoopHttpConnection.cpp
@@ -0,0 +1,367 @@
+#include "Http1/LoopHttpConnection.h"
+
+#include "Core/Error.h"
+#include "Http1/HttpWriter.h"
+
+namespace fescueline {
+
+namespace {
+/// Bytes of later requests that are read ahead.
+constexpr size_t kMaxInbox = size_t{64} * 1024;
+/// Time that a caller has to read the last response before the close.
+constexpr Duration kLinger = std::chrono::seconds(1);
+/// A caller that reads nothing of its response for this long is cut off.
+constexpr Duration kWriteStall = std::chrono::seconds(15);
+
+constexpr int kBadRequest = 400;
+constexpr int kTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
+constexpr int kNoAnswer = 500;
+
+/// HttpExchange of one request on a LoopHttpConnection.
+class LoopHttpExchange final : public HttpExchange {
+ public:
+  LoopHttpExchange(std::shared_ptr<LoopHttpConnection> aConnection,
+                   uint64_t aNumber, HttpRequest aRequest)
+      : connection(std::move(aConnection)),
+        number(aNumber),
+        request(std::move(aRequest)) {}
+  LoopHttpExchange(const LoopHttpExchange&) = delete;
+  LoopHttpExchange& operator=(const LoopHttpExchange&) = delete;
+  ~LoopHttpExchange() override {
+    if (!this->answered) {
+      this->connection->Respond(this->number, {.status = kNoAnswer}, {});
+    }
+  }
+
+  HttpRequest& Request() override { return this->request; }
+  void OnAbort(std::function<void()> aAbort) override {
+    this->connection->OnAbort(this->number, std::move(aAbort));
+  }
+  void Respond(HttpResponse aResponse, std::function<void()> aOnSent) override {
+    this->answered = true;
+    this->connection->Respond(this->number, std::move(aResponse),
+                              std::move(aOnSent));
+  }
+  void StartStream(int aStatus, HttpHeaders aHeaders,
+                   std::optional<uint64_t> aContentLength) override {
+    this->answered = true;
+    this->connection->StartStream(this->number, aStatus, std::move(aHeaders),
+                                  aContentLength);
+  }
+  void Write(std::string aData, std::function<void()> aOnWritten) override {
+    this->connection->Write(this->number, aData, std::move(aOnWritten));
+  }
+  void EndStream(bool aWhole, std::function<void()> aOnSent) override {
+    this->connection->EndStream(this->number, aWhole, std::move(aOnSent));
+  }
+
+ private:
+  std::shared_ptr<LoopHttpConnection> connection;
+  uint64_t number;
+  HttpRequest request;
+  bool answered = false;
+};
+}  // namespace
+
+LoopHttpConnection::LoopHttpConnection(LoopHttpServer& aServer,
+                                       asio::ip::tcp::socket aSocket)
+    : server(aServer),
+      socket(std::move(aSocket)),
+      reader({.kind = HttpReaderKind::Request,
+              .maxHeadBytes = aServer.Limits().maxHeadBytes,
+              .events = this->ReaderEvents()}),
+      lastProgress(SteadyClock().Now()) {}
+
+HttpReader::Events LoopHttpConnection::ReaderEvents() {
+  return {.onHead =
+              [this](HttpHead aHead) { return this->OnHead(std::move(aHead)); },
+          .onBody = [this](std::string_view aPart) { this->OnBody(aPart); },
+          .onEnd = [this] { this->OnRequest(); }};
+}
+
+void LoopHttpConnection::Start() {
+  asio::error_code ignored;
+  this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  this->Read();
+}
+
+std::optional<TimePoint> LoopHttpConnection::Deadline() const {
+  if (this->lingering) {
+    return this->lastProgress + kLinger;
+  }
+  if (this->writing) {
+    return this->lastProgress + kWriteStall;
+  }
+  if (this->busy) {
+    return std::nullopt;
+  }
+  return this->lastProgress + (this->reader.InMessage()
+                                   ? this->server.Limits().headTimeout
+                                   : this->server.Limits().idleTimeout);
+}
+
+void LoopHttpConnection::Read() {
+  if (this->reading || this->closed || this->inbox.size() >= kMaxInbox) {
+    return;
+  }
+  this->reading = true;
+  this->socket.async_read_some(
+      asio::buffer(this->buffer),
+      [self = this->shared_from_this()](const asio::error_code& aError,
+                                        size_t aSize) {
+        self->reading = false;
+        self->OnRead(aError, aSize);
+      });
+}
+
+void LoopHttpConnection::OnRead(const asio::error_code& aError, size_t aSize) {
+  if (this->closed) {
+    return;
+  }
+  if (aError) {
+    this->Close();
+    return;
+  }
+  if (!this->lingering) {
+    this->inbox.append(this->buffer.data(), aSize);
+    if (!this->busy) {
+      this->lastProgress = SteadyClock().Now();
+    }
+    this->Parse();
+  }
+  this->Read();
+}
+
+void LoopHttpConnection::Parse() {
+  while (!this->busy && !this->closed && !this->lingering &&
+         !this->inbox.empty()) {
+    // The reader reports the end of a message by OnRequest, which may answer
+    // and parse on at once; the bytes must be gone from the inbox by then.
+    const std::string bytes = std::move(this->inbox);
+    this->inbox.clear();
+    try {
+      const size_t used = this->reader.Feed(bytes);
+      this->inbox.insert(0, bytes, used);
+    } catch (const Error&) {
+      this->Reject(this->reader.HasHead() ? kBadRequest : kHeadTooLarge);
+    }
+  }
+}
+
+bool LoopHttpConnection::OnHead(HttpHead aHead) {
+  this->request = HttpRequest{.method = std::move(aHead.method),
+                              .target = std::move(aHead.target),
+                              .headers = std::move(aHead.headers),
+                              .body = {}};
+  this->requestKeepAlive = aHead.keepAlive;
+  this->headRequest = this->request.method == "HEAD";
+  if (FindHeader(this->request.headers, "expect")) {
+    RemoveHeader(this->request.headers, "expect");
+    this->Queue("HTTP/1.1 100 Continue\r\n\r\n", {});
+  }
+  return true;
+}
+
+void LoopHttpConnection::OnBody(std::string_view aPart) {
+  if (this->request.body.size() + aPart.size() >
+      this->server.Limits().maxBodyBytes) {
+    this->Reject(kTooLarge);
+    return;
+  }
+  this->request.body.append(aPart);
+}
+
+void LoopHttpConnection::OnRequest() {
+  if (this->lingering || this->closed) {
+    return;
+  }
+  this->busy = true;
+  this->closeAfter = !this->requestKeepAlive;
+  ++this->exchange;
+  this->server.settings.onRequest(std::make_shared<LoopHttpExchange>(
+      this->shared_from_this(), this->exchange, std::move(this->request)));
+}
+
+void LoopHttpConnection::Reject(int aStatus) {
+  if (this->lingering || this->closed) {
+    return;
+  }
+  this->lingering = true;
+  this->Queue(WriteResponseHead(aStatus, {}, {.length = 0, .close = true}),
+              [this] { this->LingerAndClose(); });
+}
+
+void LoopHttpConnection::OnAbort(uint64_t aExchange,
+                                 std::function<void()> aAbort) {
+  if (this->IsCurrent(aExchange)) {
+    this->abort = std::move(aAbort);
+  } else if (this->closed && aExchange == this->exchange && aAbort) {
+    aAbort();
+  }
+}
+
+void LoopHttpConnection::Respond(uint64_t aExchange, HttpResponse aResponse,
+                                 std::function<void()> aOnSent) {
+  if (!this->IsCurrent(aExchange)) {
+    if (aOnSent) {
+      aOnSent();
+    }
+    return;
+  }
+  this->closeAfter = this->closeAfter || this->server.IsClosing();
+  HttpFraming framing{.close = this->closeAfter};
+  if (!IsBodiless(aResponse.status)) {
+    framing.length = aResponse.body.size();
+  }
+  std::string bytes =
+      WriteResponseHead(aResponse.status, aResponse.headers, framing);
+  if (!this->headRequest) {
+    bytes += aResponse.body;
+  }
+  this->abort = nullptr;
+  this->Queue(std::move(bytes), [this, onSent = std::move(aOnSent)] {
+    this->OnResponseSent();
+    if (onSent) {
+      onSent();
+    }
+  });
+}
+
+void LoopHttpConnection::StartStream(uint64_t aExchange, int aStatus,
+                                     HttpHeaders aHeaders,
+                                     std::optional<uint64_t> aLength) {
+  if (!this->IsCurrent(aExchange)) {
+    return;
+  }
+  this->closeAfter = this->closeAfter || this->server.IsClosing();
+  this->chunked = !aLength;
+  this->Queue(WriteResponseHead(aStatus, aHeaders,
+                                {.length = aLength,
+                                 .chunked = this->chunked,
+                                 .close = this->closeAfter}),
+              {});
+}
+
+void LoopHttpConnection::Write(uint64_t aExchange, const std::string& aData,
+                               std::function<void()> aOnWritten) {
+  if (!this->IsCurrent(aExchange)) {
+    if (aOnWritten) {
+      aOnWritten();
+    }
+    return;
+  }
+  this->Queue(this->chunked ? WriteChunk(aData) : aData, std::move(aOnWritten));
+}
+
+void LoopHttpConnection::EndStream(uint64_t aExchange, bool aWhole,
+                                   std::function<void()> aOnSent) {
+  if (!this->IsCurrent(aExchange)) {
+    if (aOnSent) {
+      aOnSent();
+    }
+    return;
+  }
+  this->abort = nullptr;
+  if (!aWhole) {
+    this->Close();
+    if (aOnSent) {
+      aOnSent();
+    }
+    return;
+  }
+  this->Queue(this->chunked ? WriteChunk({}) : std::string(),
+              [this, onSent = std::move(aOnSent)] {
+                this->OnResponseSent();
+                if (onSent) {
+                  onSent();
+                }
+              });
+}
+
+void LoopHttpConnection::OnResponseSent() {
+  this->busy = false;
+  this->lastProgress = SteadyClock().Now();
+  if (this->closeAfter) {
+    this->LingerAndClose();
+    return;
+  }
+  if (!this->closed) {
+    this->Parse();
+    this->Read();
+  }
+}
+
+void LoopHttpConnection::LingerAndClose() {
+  this->lingering = true;
+  this->lastProgress = SteadyClock().Now();
+  this->inbox.clear();
+  asio::error_code ignored;
+  this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  this->Read();
+}
+
+void LoopHttpConnection::Queue(std::string aBytes,
+                               std::function<void()> aOnWritten) {
+  if (this->closed) {
+    return;
+  }
+  this->writes.push_back(
+      {.bytes = std::move(aBytes), .onWritten = std::move(aOnWritten)});
+  if (!this->writing) {
+    this->WriteNext();
+  }
+}
+
+void LoopHttpConnection::WriteNext() {
+  this->writing = true;
+  this->lastProgress = SteadyClock().Now();
+  asio::async_write(
+      this->socket, asio::buffer(this->writes.front().bytes),
+      [self = this->shared_from_this()](const asio::error_code& aError,
+                                        size_t) {
+        if (self->closed) {
+          return;
+        }
+        if (aError) {
+          self->Close();
+          return;
+        }
+        const auto onWritten = std::move(self->writes.front().onWritten);
+        self->writes.pop_front();
+        self->writing = false;
+        self->lastProgress = SteadyClock().Now();
+        if (onWritten) {
+          onWritten();
+        }
+        if (!self->writing && !self->writes.empty() && !self->closed) {
+          self->WriteNext();
+        }
+      });
+}
+
+void LoopHttpConnection::Close() {
+  if (this->closed) {
+    return;
+  }
+  this->closed = true;
+  asio::error_code ignored;
+  this->socket.close(ignored);
+  const auto self = this->shared_from_this();
+  this->server.connections.erase(self);
+  auto pending = std::move(this->writes);
+  this->writes.clear();
+  const auto onAbort = std::move(this->abort);
+  this->abort = nullptr;
+  this->busy = false;
+  if (onAbort) {
+    onAbort();
+  }
+  for (const PendingWrite& write : pending) {
+    if (write.onWritten) {
+      write.onWritten();
+    }
+  }
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Http1/LoopHttpConnection.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <array>
+#include <asio.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "Http1/HttpReader.h"
+#include "Http1/LoopHttpServer.h"
+
+namespace fescueline {
+
+/// One caller's connection. Requests are handled one after the other; bytes
+/// of later ones wait. Everything runs on the loop's thread.
+class LoopHttpConnection
+    : public std::enable_shared_from_this<LoopHttpConnection> {
+ public:
+  LoopHttpConnection(LoopHttpServer& aServer, asio::ip::tcp::socket aSocket);
+
+  void Start();
+  /// Closes the connection and aborts its request.
+  void Close();
+  /// Whether no request has begun.
+  bool IsIdle() const { return !this->busy && !this->reader.InMessage(); }
+  /// When the connection is to be closed for lack of progress.
+  std::optional<TimePoint> Deadline() const;
+
+  /// Used by the exchange with the given number; calls of exchanges that have
+  /// ended do nothing.
+  void Respond(uint64_t aExchange, HttpResponse aResponse,
+               std::function<void()> aOnSent);
+  void StartStream(uint64_t aExchange, int aStatus, HttpHeaders aHeaders,
+                   std::optional<uint64_t> aLength);
+  void Write(uint64_t aExchange, const std::string& aData,
+             std::function<void()> aOnWritten);
+  void EndStream(uint64_t aExchange, bool aWhole,
+                 std::function<void()> aOnSent);
+  void OnAbort(uint64_t aExchange, std::function<void()> aAbort);
+
+ private:
+  struct PendingWrite {
+    std::string bytes;
+    std::function<void()> onWritten;
+  };
+
+  bool IsCurrent(uint64_t aExchange) const {
+    return this->busy && aExchange == this->exchange && !this->closed;
+  }
+  HttpReader::Events ReaderEvents();
+  bool OnHead(HttpHead aHead);
+  void OnBody(std::string_view aPart);
+  void OnRequest();
+  void Read();
+  void OnRead(const asio::error_code& aError, size_t aSize);
+  void Parse();
+  /// Answers a request that can't be parsed or is too long, then closes.
+  void Reject(int aStatus);
+  void Queue(std::string aBytes, std::function<void()> aOnWritten);
+  void WriteNext();
+  /// Runs when the response's last byte has left.
+  void OnResponseSent();
+  /// Closes after the peer has had time to read the response: closing with
+  /// unread input would reset the connection under it.
+  void LingerAndClose();
+
+  LoopHttpServer& server;
+  asio::ip::tcp::socket socket;
+  HttpReader reader;
+  std::array<char, size_t{16} * 1024> buffer{};
+  /// Received bytes that are not parsed yet.
+  std::string inbox;
+  /// Request being received, then in progress.
+  HttpRequest request;
+  /// Number of the current exchange.
+  uint64_t exchange = 0;
+  /// Whether an exchange is in progress.
+  bool busy = false;
+  bool requestKeepAlive = false;
+  bool headRequest = false;
+  /// Whether the response in progress is chunked.
+  bool chunked = false;
+  bool closeAfter = false;
+  bool reading = false;
+  bool lingering = false;
+  bool closed = false;
+  std::function<void()> abort;
+  std::deque<PendingWrite> writes;
+  bool writing = false;
+  /// Last time that bytes moved or a request ended.
+  TimePoint lastProgress;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Http1/LoopHttpServer.cpp
@@ -0,0 +1,105 @@
+#include "Http1/LoopHttpServer.h"
+
+#include <vector>
+
+#include "Core/Error.h"
+#include "Http1/LoopHttpConnection.h"
+
+namespace fescueline {
+
+namespace {
+/// Time between two looks for connections without progress.
+constexpr Duration kSweepPeriod = std::chrono::milliseconds(500);
+/// Pause after a failed accept, such as for lack of descriptors.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+}  // namespace
+
+LoopHttpServer::LoopHttpServer(Settings aSettings)
+    : settings(std::move(aSettings)),
+      acceptor(this->settings.io),
+      sweepTimer(this->settings.io) {
+  try {
+    const asio::ip::tcp::endpoint endpoint(
+        asio::ip::make_address(this->settings.host), this->settings.port);
+    this->acceptor.open(endpoint.protocol());
+    this->acceptor.set_option(asio::socket_base::reuse_address(true));
+    this->acceptor.bind(endpoint);
+    this->acceptor.listen(asio::socket_base::max_listen_connections);
+  } catch (const asio::system_error& failure) {
+    throw Error("http.listen",
+                this->settings.host + ":" + std::to_string(this->settings.port),
+                failure.what());
+  }
+}
+
+LoopHttpServer::~LoopHttpServer() = default;
+
+uint16_t LoopHttpServer::Port() const {
+  return this->acceptor.local_endpoint().port();
+}
+
+void LoopHttpServer::Start() {
+  this->Accept();
+  this->Sweep();
+}
+
+void LoopHttpServer::Accept() {
+  this->acceptor.async_accept([this](const asio::error_code& aError,
+                                     asio::ip::tcp::socket aSocket) {
+    if (!this->acceptor.is_open()) {
+      return;
+    }
+    if (aError) {
+      const auto timer =
+          std::make_shared<asio::steady_timer>(this->settings.io, kAcceptPause);
+      timer->async_wait([this, timer](const asio::error_code&) {
+        if (this->acceptor.is_open()) {
+          this->Accept();
+        }
+      });
+      return;
+    }
+    const auto connection =
+        std::make_shared<LoopHttpConnection>(*this, std::move(aSocket));
+    this->connections.insert(connection);
+    connection->Start();
+    this->Accept();
+  });
+}
+
+void LoopHttpServer::Sweep() {
+  const TimePoint now = SteadyClock().Now();
+  std::vector<ConnectionPtr> late;
+  for (const ConnectionPtr& connection : this->connections) {
+    const auto deadline = connection->Deadline();
+    if (deadline && *deadline <= now) {
+      late.push_back(connection);
+    }
+  }
+  for (const ConnectionPtr& connection : late) {
+    connection->Close();
+  }
+  this->sweepTimer.expires_after(kSweepPeriod);
+  this->sweepTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      this->Sweep();
+    }
+  });
+}
+
+void LoopHttpServer::StopAccepting() {
+  asio::error_code ignored;
+  this->acceptor.close(ignored);
+}
+
+void LoopHttpServer::CloseIdle() {
+  const std::vector<ConnectionPtr> all(this->connections.begin(),
+                                       this->connections.end());
+  for (const ConnectionPtr& connection : all) {
+    if (connection->IsIdle()) {
+      connection->Close();
+    }
+  }
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Limits/GrantHolder.cpp
@@ -0,0 +1,216 @@
+#include "Limits/GrantHolder.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fescueline {
+
+namespace {
+/// Time between two updates of the demand estimate.
+constexpr Duration kDemandStep = std::chrono::milliseconds(200);
+/// Weight of a new sample in the estimate; about a second of memory.
+constexpr double kDemandGain = 0.25;
+/// Requests of one organisation that may wait at once.
+constexpr size_t kMaxWaiters = 512;
+
+MicroTokens Micro(double aTokens) {
+  return static_cast<MicroTokens>(
+      std::llround(aTokens * static_cast<double>(kMicroTokensPerToken)));
+}
+}  // namespace
+
+void GrantHolder::SetLimit(const std::string& aOrganisation,
+                           const OrganisationRate& aRate, size_t aNodes,
+                           TimePoint aNow) {
+  Share& share = this->shares[aOrganisation];
+  const size_t nodes = std::max<size_t>(1, aNodes);
+  if (share.rate == aRate && share.nodes == nodes) {
+    return;
+  }
+  if (aRate.perSecond < share.rate.perSecond) {
+    // Tokens of the higher limit must not add to the lower one.
+    share.granted = 0;
+  }
+  const bool isNew = share.nodes == 0;
+  share.rate = aRate;
+  share.nodes = nodes;
+  const double part = this->settings.fixedShare / static_cast<double>(nodes);
+  share.fixed.Clear(aNow);
+  share.fixed.Add(
+      {.rate = Micro(aRate.perSecond * part), .capacity = kMicroTokensPerToken},
+      0, aNow);
+  if (isNew) {
+    share.demandAt = aNow;
+  }
+}
+
+void GrantHolder::Retain(const std::function<bool(const std::string&)>& aKeep) {
+  for (auto entry = this->shares.begin(); entry != this->shares.end();) {
+    if (aKeep(entry->first)) {
+      ++entry;
+      continue;
+    }
+    auto gone = std::move(entry->second.waiters);
+    entry = this->shares.erase(entry);
+    this->waiting -= gone.size();
+    for (const Waiter& waiter : gone) {
+      waiter.decided(false);
+    }
+  }
+}
+
+bool GrantHolder::TrySpend(Share& aShare, TimePoint aNow) {
+  if (aShare.granted > 0 && aNow >= aShare.grantedUntil) {
+    aShare.granted = 0;
+  }
+  // The fixed share accrues here whether it is used or not.
+  if (aShare.fixed.TrySpend(aNow)) {
+    return true;
+  }
+  if (aShare.granted > 0) {
+    --aShare.granted;
+    return true;
+  }
+  return false;
+}
+
+void GrantHolder::UpdateDemand(Share& aShare, TimePoint aNow) {
+  const Duration elapsed = aNow - aShare.demandAt;
+  if (elapsed < kDemandStep) {
+    return;
+  }
+  const double rate = aShare.arrivals / ToSeconds(elapsed);
+  const double gain = 1 - std::pow(1 - kDemandGain,
+                                   ToSeconds(elapsed) / ToSeconds(kDemandStep));
+  aShare.demand += gain * (rate - aShare.demand);
+  aShare.arrivals = 0;
+  aShare.demandAt = aNow;
+}
+
+void GrantHolder::Admit(const std::string& aOrganisation, TimePoint aNow,
+                        TimePoint aWaitUntil, Decided aDecided) {
+  const auto found = this->shares.find(aOrganisation);
+  if (found == this->shares.end() || found->second.rate.IsUnlimited()) {
+    aDecided(true);
+    return;
+  }
+  Share& share = found->second;
+  ++share.arrivals;
+  this->UpdateDemand(share, aNow);
+  if (share.waiters.empty() && this->TrySpend(share, aNow)) {
+    aDecided(true);
+    return;
+  }
+  if (share.waiters.size() >= kMaxWaiters || aWaitUntil <= aNow) {
+    aDecided(false);
+    return;
+  }
+  share.waiters.push_back(
+      {.until = aWaitUntil, .decided = std::move(aDecided)});
+  ++this->waiting;
+  this->onWaiting();
+  this->MaybeAsk(aOrganisation, share, aNow);
+}
+
+void GrantHolder::MaybeAsk(const std::string& aOrganisation, Share& aShare,
+                           TimePoint aNow) {
+  const bool answerDue =
+      aShare.askedAt && aNow - *aShare.askedAt < this->settings.answerTimeout;
+  if (answerDue || aNow < aShare.nextAskAt) {
+    return;
+  }
+  const auto ahead = static_cast<uint32_t>(
+      std::lround(aShare.demand * ToSeconds(this->settings.askAhead)));
+  const auto wanted = static_cast<uint32_t>(aShare.waiters.size()) + ahead;
+  aShare.nextAskAt = aNow + this->settings.askSpacing;
+  if (this->ask(aOrganisation, wanted)) {
+    aShare.askedAt = aNow;
+  } else {
+    aShare.askedAt.reset();
+  }
+}
+
+void GrantHolder::Return(const std::string& aOrganisation, TimePoint aNow) {
+  const auto found = this->shares.find(aOrganisation);
+  if (found == this->shares.end() || found->second.rate.IsUnlimited()) {
+    return;
+  }
+  Share& share = found->second;
+  // A token does not outlive its grant: a later window may not have it.
+  if (aNow < share.grantedUntil) {
+    ++share.granted;
+  }
+}
+
+void GrantHolder::OnGrant(const std::string& aOrganisation, uint32_t aTokens,
+                          bool aIssuing, TimePoint aNow) {
+  const auto found = this->shares.find(aOrganisation);
+  if (found == this->shares.end()) {
+    return;
+  }
+  Share& share = found->second;
+  if (!share.askedAt) {
+    return;
+  }
+  // Counted from the request, so that the grant is older than it seems, not
+  // younger.
+  const TimePoint until = *share.askedAt + this->settings.grantLifetime;
+  share.askedAt.reset();
+  if (aNow >= until) {
+    return;
+  }
+  if (aNow >= share.grantedUntil) {
+    share.granted = 0;
+  }
+  if (aTokens > 0) {
+    // Tokens that are left over keep their earlier end only if they are few;
+    // the earlier of both ends would waste new ones.
+    share.granted += aTokens;
+    share.grantedUntil = until;
+    share.nextAskAt = aNow;
+  }
+  this->Serve(share, aNow, aIssuing && aTokens == 0);
+  if (!share.waiters.empty()) {
+    this->MaybeAsk(aOrganisation, share, aNow);
+  }
+}
+
+void GrantHolder::Serve(Share& aShare, TimePoint aNow, bool aRefuseRest) {
+  std::vector<std::pair<Decided, bool>> decisions;
+  while (!aShare.waiters.empty()) {
+    const bool admitted = this->TrySpend(aShare, aNow);
+    if (!admitted && !aRefuseRest && aShare.waiters.front().until > aNow) {
+      break;
+    }
+    decisions.emplace_back(std::move(aShare.waiters.front().decided), admitted);
+    aShare.waiters.pop_front();
+    --this->waiting;
+  }
+  for (auto& [decided, admitted] : decisions) {
+    decided(admitted);
+  }
+}
+
+void GrantHolder::Tick(TimePoint aNow) {
+  if (this->waiting == 0) {
+    return;
+  }
+  std::vector<std::string> busy;
+  for (const auto& [organisation, share] : this->shares) {
+    if (!share.waiters.empty()) {
+      busy.push_back(organisation);
+    }
+  }
+  for (const std::string& organisation : busy) {
+    const auto found = this->shares.find(organisation);
+    if (found == this->shares.end()) {
+      continue;
+    }
+    this->Serve(found->second, aNow, false);
+    if (!found->second.waiters.empty()) {
+      this->MaybeAsk(organisation, found->second, aNow);
+    }
+  }
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Limits/GrantHolder.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "Limits/GrantSettings.h"
+#include "Limits/TokenBucket.h"
+
+namespace fescueline {
+
+/// This node's tokens of the organisations' rates: a small fixed share that
+/// always accrues, and grants of the issuer. Requests that find none wait for
+/// a grant for a short time. No locking.
+class GrantHolder {
+ public:
+  /// Tells a waiting request whether it was admitted.
+  using Decided = std::function<void(bool)>;
+  /// Asks the issuer for tokens; false if it can't be reached.
+  using Ask = std::function<bool(const std::string&, uint32_t)>;
+
+  /// aOnWaiting tells that a request waits and Tick is needed.
+  GrantHolder(const GrantSettings& aSettings, Ask aAsk,
+              std::function<void()> aOnWaiting)
+      : settings(aSettings),
+        ask(std::move(aAsk)),
+        onWaiting(std::move(aOnWaiting)) {}
+
+  /// Sets an organisation's limit and the number of nodes that share it.
+  void SetLimit(const std::string& aOrganisation, const OrganisationRate& aRate,
+                size_t aNodes, TimePoint aNow);
+  /// Forgets the organisations for which aKeep is false.
+  void Retain(const std::function<bool(const std::string&)>& aKeep);
+
+  /// Spends a token, or waits for one until aWaitUntil. aDecided runs once,
+  /// perhaps before the return.
+  void Admit(const std::string& aOrganisation, TimePoint aNow,
+             TimePoint aWaitUntil, Decided aDecided);
+  /// Gives back the token of a request that was not sent to any target.
+  void Return(const std::string& aOrganisation, TimePoint aNow);
+  /// The issuer answered; aIssuing is false if it is none.
+  void OnGrant(const std::string& aOrganisation, uint32_t aTokens,
+               bool aIssuing, TimePoint aNow);
+  /// Ends waits and repeats lost requests; call every 10 ms while HasWaiters.
+  void Tick(TimePoint aNow);
+  bool HasWaiters() const { return this->waiting > 0; }
+
+ private:
+  struct Waiter {
+    TimePoint until;
+    Decided decided;
+  };
+  struct Share {
+    OrganisationRate rate;
+    size_t nodes = 0;
+    /// Share of the rate that this node has without the issuer.
+    TokenBucket fixed;
+    /// Granted tokens and when they lapse.
+    uint32_t granted = 0;
+    TimePoint grantedUntil{};
+    std::deque<Waiter> waiters;
+    /// When the open request was sent; nothing if there is none.
+    std::optional<TimePoint> askedAt;
+    TimePoint nextAskAt{};
+    /// Arrivals since demandAt, and their moving average per second.
+    uint32_t arrivals = 0;
+    double demand = 0;
+    TimePoint demandAt{};
+  };
+
+  bool TrySpend(Share& aShare, TimePoint aNow);
+  void UpdateDemand(Share& aShare, TimePoint aNow);
+  void MaybeAsk(const std::string& aOrganisation, Share& aShare,
+                TimePoint aNow);
+  /// Decides the waiters that can be admitted or whose time is over.
+  void Serve(Share& aShare, TimePoint aNow, bool aRefuseRest);
+
+  GrantSettings settings;
+  Ask ask;
+  std::function<void()> onWaiting;
+  std::unordered_map<std::string, Share> shares;
+  size_t waiting = 0;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Limits/GrantIssuer.cpp
@@ -0,0 +1,46 @@
+#include "Limits/GrantIssuer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fescueline {
+
+namespace {
+MicroTokens Micro(double aTokens) {
+  return static_cast<MicroTokens>(
+      std::llround(aTokens * static_cast<double>(kMicroTokensPerToken)));
+}
+}  // namespace
+
+void GrantIssuer::SetLimit(const std::string& aOrganisation,
+                           const OrganisationRate& aRate, TimePoint aNow) {
+  TokenBucket& bucket = this->buckets[aOrganisation];
+  const Portion wanted{
+      .rate = Micro(aRate.perSecond * this->settings.issuedShare),
+      .capacity =
+          Micro(std::max(1.0, aRate.burst * this->settings.issuedShare))};
+  const Portion before = bucket.Size();
+  const Portion more{
+      .rate = std::max<MicroTokens>(0, wanted.rate - before.rate),
+      .capacity = std::max<MicroTokens>(0, wanted.capacity - before.capacity)};
+  const Portion less{
+      .rate = std::max<MicroTokens>(0, before.rate - wanted.rate),
+      .capacity = std::max<MicroTokens>(0, before.capacity - wanted.capacity)};
+  bucket.Add(more, 0, aNow);
+  bucket.Remove(less, 0, aNow);
+}
+
+uint32_t GrantIssuer::Grant(const std::string& aOrganisation, uint32_t aWanted,
+                            TimePoint aNow) {
+  const auto found = this->buckets.find(aOrganisation);
+  if (found == this->buckets.end()) {
+    return 0;
+  }
+  uint32_t granted = 0;
+  while (granted < aWanted && found->second.TrySpend(aNow)) {
+    ++granted;
+  }
+  return granted;
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/EntryCall.cpp
@@ -0,0 +1,501 @@
+#include "Mesh/EntryCall.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include "Node/Log.h"
+
+namespace fescueline {
+
+namespace {
+/// Nodes that a request is offered to while none has run it. Each offer costs
+/// a round trip, and after three full targets a fourth is rarely free.
+constexpr size_t kMaxOffers = 4;
+/// Time that a request waits for a token of its organisation's rate; several
+/// round trips to the issuer.
+constexpr Duration kRateWait = std::chrono::milliseconds(120);
+/// Responses up to this size are passed on only when they are whole, so that a
+/// broken one can be repeated. Longer ones are streamed.
+constexpr size_t kMaxBuffered = size_t{128} * 1024;
+/// Taken off the deadline that targets get, for the way back.
+constexpr Duration kReturnTime = std::chrono::milliseconds(4);
+/// Timeout of requests that state none.
+constexpr Duration kDefaultTimeout = std::chrono::seconds(10);
+/// Least time that is worth another attempt.
+constexpr Duration kWorthRepeating = std::chrono::milliseconds(20);
+/// Callers honour a Retry-After of up to a third of the time they have left;
+/// the margin covers the way to them.
+constexpr double kRetryAfterShare = 0.3;
+constexpr Duration kStaleRetryAfter = std::chrono::milliseconds(500);
+constexpr Duration kRateRetryAfter = std::chrono::milliseconds(1000);
+constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(300);
+constexpr int kFirstServerError = 500;
+
+std::string HostOf(const HttpHeaders& aHeaders) {
+  return std::string(FindHeader(aHeaders, "host").value_or(""));
+}
+
+std::optional<int64_t> ParseMilliseconds(std::string_view aText) {
+  int64_t value = 0;
+  const auto result =
+      std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  // A fraction of a millisecond does not matter.
+  if (result.ec != std::errc() || value < 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string Milliseconds(Duration aDuration) {
+  return fmt::format("{:.1f}", ToSeconds(aDuration) * 1000);
+}
+}  // namespace
+
+EntryCall::EntryCall(EntryService& aService, HttpExchangePtr aExchange)
+    : service(aService),
+      context(aService.dependencies.context),
+      exchange(std::move(aExchange)),
+      config(this->context.config.Current()),
+      startedAt(SteadyClock().Now()),
+      timer(this->context.io) {
+  ++this->service.open;
+}
+
+EntryCall::~EntryCall() { --this->service.open; }
+
+void EntryCall::Start() {
+  const HttpRequest& request = this->exchange->Request();
+  const HeaderVocabulary& names = this->context.headers;
+  this->requestId = FindHeader(request.headers, names.requestId).value_or("");
+  this->target = request.target;
+  if (!this->config) {
+    this->Refuse(Outcome::NotRun, Cause::StaleKnowledge, kStaleRetryAfter);
+    return;
+  }
+  this->deadline = this->startedAt + kDefaultTimeout;
+  if (const auto timeout = FindHeader(request.headers, names.timeout)) {
+    if (const auto value = ParseMilliseconds(*timeout)) {
+      this->deadline = this->startedAt + std::chrono::milliseconds(*value);
+    }
+  }
+  if (!this->Route() || !this->Authenticate()) {
+    return;
+  }
+  this->PrepareHeaders();
+  this->exchange->OnAbort([weak = this->weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->OnCallerGone();
+    }
+  });
+  this->timer.expires_at(this->deadline);
+  this->timer.async_wait(
+      [self = this->shared_from_this()](const asio::error_code& aError) {
+        if (!aError) {
+          self->OnTimeout();
+        }
+      });
+  this->AdmitByRate();
+}
+
+bool EntryCall::Route() {
+  const HttpRequest& request = this->exchange->Request();
+  this->route =
+      this->config->FindRoute(HostOf(request.headers), PathOf(request.target));
+  if (this->route != nullptr) {
+    this->importance = this->route->importance;
+    this->deadline =
+        std::min(this->deadline, this->startedAt + this->route->timeout);
+    return true;
+  }
+  // A node that lags behind may not know the route yet.
+  if (this->context.IsFresh()) {
+    this->Refuse(Outcome::NotRun, Cause::NoRoute);
+  } else {
+    this->Refuse(Outcome::NotRun, Cause::StaleKnowledge, kStaleRetryAfter);
+  }
+  return false;
+}
+
+bool EntryCall::Authenticate() {
+  if (this->route->open || !this->config->HasOrganisations()) {
+    return true;
+  }
+  const auto key =
+      FindHeader(this->exchange->Request().headers, this->context.headers.key);
+  if (!this->context.IsFresh()) {
+    this->Refuse(Outcome::NotRun, Cause::StaleKnowledge, kStaleRetryAfter);
+    return false;
+  }
+  if (!key || key->empty()) {
+    this->Refuse(Outcome::NotRun, Cause::NoKey);
+    return false;
+  }
+  this->organisation = this->config->FindByKey(std::string(*key));
+  if (this->organisation == nullptr) {
+    this->Refuse(Outcome::NotRun, Cause::UnknownKey);
+    return false;
+  }
+  this->keyHash = AsBytes(Sha256(*key));
+  this->importance = this->organisation->importance.value_or(this->importance);
+  return true;
+}
+
+void EntryCall::PrepareHeaders() {
+  const HeaderVocabulary& names = this->context.headers;
+  HttpHeaders& received = this->exchange->Request().headers;
+  RemoveHopByHopHeaders(received);
+  for (const std::string* name :
+       {&names.key, &names.organisation, &names.callerService, &names.timeout,
+        &names.expectedTarget}) {
+    RemoveHeader(received, *name);
+  }
+  for (HttpHeader& header : received) {
+    this->headers.push_back({std::move(header.name), std::move(header.value)});
+  }
+  this->headers.push_back(
+      {names.callerService, this->context.settings.service});
+  if (this->organisation != nullptr) {
+    this->headers.push_back({names.organisation, this->organisation->name});
+  }
+}
+
+void EntryCall::AdmitByRate() {
+  if (this->organisation == nullptr) {
+    this->TryNext();
+    return;
+  }
+  this->service.dependencies.grants.Admit(
+      this->organisation->name, this->startedAt,
+      std::min(this->startedAt + kRateWait, this->deadline),
+      [self = this->shared_from_this()](bool aAdmitted) {
+        if (self->finished) {
+          return;
+        }
+        if (!aAdmitted) {
+          self->Refuse(Outcome::NotRun, Cause::RateExceeded, kRateRetryAfter);
+          return;
+        }
+        self->charged = true;
+        self->TryNext();
+      });
+}
+
+void EntryCall::TryNext() {
+  const TimePoint now = SteadyClock().Now();
+  if (this->attemptNumber == 0) {
+    const std::string& chosen = this->service.ServiceFor(*this->route);
+    this->service.RetriesOf(chosen).OnFirst(now);
+    this->chosenService = chosen;
+  }
+  auto choice = this->service.dependencies.fleet.Pick(this->chosenService,
+                                                      this->tried, now);
+  if (!choice) {
+    this->Refuse(this->mayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+                 this->tried.empty() ? Cause::NoTarget : Cause::Overloaded,
+                 kOverloadRetryAfter);
+    return;
+  }
+  this->Send(std::move(*choice));
+}
+
+void EntryCall::Send(MeshFleet::Choice aChoice) {
+  const TimePoint now = SteadyClock().Now();
+  const uint32_t number = ++this->attemptNumber;
+  this->tried.push_back(aChoice.target);
+  this->attempt = Attempt{.choice = std::move(aChoice),
+                          .ticket = this->service.dependencies.fleet.OnStart(
+                              this->tried.back(), now),
+                          .stream = 0,
+                          .startedAt = now};
+  this->context.metrics.CountAttempt(number > 1);
+  RequestContext sent;
+  sent.organisation =
+      this->organisation == nullptr ? "" : this->organisation->name;
+  sent.keyHash = this->keyHash;
+  sent.rootId = Id128::Generate();
+  sent.attemptId = Id128::Generate();
+  sent.route = this->route->name;
+  sent.service = this->chosenService;
+  sent.importance = this->importance;
+  sent.idempotent = this->route->idempotent;
+  sent.open = this->organisation == nullptr;
+  sent.remaining =
+      std::max(Duration::zero(), this->Remaining(now) - kReturnTime);
+  sent.age = now - this->startedAt;
+  sent.configVersion = this->config->Version();
+  const HttpRequest& request = this->exchange->Request();
+  RequestFrame frame{
+      .context = SignContext(sent, this->service.dependencies.fleetSecret),
+      .method = request.method,
+      .target = this->target,
+      .headers = this->headers,
+      .body = request.body};
+  // Events of an attempt that has been given up are ignored.
+  const auto guard = [weak = this->weak_from_this(), number](auto aFunction) {
+    const auto self = weak.lock();
+    if (self && !self->finished && self->attemptNumber == number &&
+        self->attempt) {
+      aFunction(*self);
+    }
+  };
+  this->attempt->stream = this->attempt->choice.client->Request(
+      std::move(frame),
+      {.onHead =
+           [guard](const ResponseHeadFrame& aFrame) {
+             guard([&](EntryCall& aCall) { aCall.OnHead(aFrame); });
+           },
+       .onData =
+           [guard](std::string aData) {
+             guard([&](EntryCall& aCall) { aCall.OnData(std::move(aData)); });
+           },
+       .onEnd =
+           [guard](const ResponseEndFrame& aFrame) {
+             guard([&](EntryCall& aCall) { aCall.OnEnd(aFrame.whole); });
+           },
+       .onRefusal =
+           [guard](const RefusalFrame& aFrame) {
+             guard([&](EntryCall& aCall) { aCall.OnRefusal(aFrame); });
+           },
+       .onAttemptReply = [](const AttemptReplyFrame&) {},
+       .onLost =
+           [guard, self = this->shared_from_this()](bool aSent) {
+             guard([&](EntryCall& aCall) { aCall.OnLost(aSent); });
+           }});
+}
+
+void EntryCall::OnHead(const ResponseHeadFrame& aFrame) {
+  this->status = aFrame.status;
+  this->responseHeaders.clear();
+  for (const HeaderWire& header : aFrame.headers) {
+    this->responseHeaders.push_back({header.name, header.value});
+  }
+  this->responseLength.reset();
+  if (aFrame.contentLength >= 0) {
+    this->responseLength = static_cast<uint64_t>(aFrame.contentLength);
+  }
+  this->responseBody.clear();
+  this->delivery = Delivery::Buffered;
+}
+
+void EntryCall::OnData(std::string aData) {
+  const size_t size = aData.size();
+  const auto credit = [client = this->attempt->choice.client,
+                       stream = this->attempt->stream,
+                       size] { client->Credit(stream, size); };
+  if (this->delivery == Delivery::Buffered) {
+    this->responseBody += aData;
+    if (this->responseBody.size() <= kMaxBuffered) {
+      credit();
+      return;
+    }
+    this->delivery = Delivery::Streamed;
+    this->exchange->StartStream(this->status, std::move(this->responseHeaders),
+                                this->responseLength);
+    aData = std::move(this->responseBody);
+    this->responseBody.clear();
+  }
+  this->exchange->Write(std::move(aData), credit);
+}
+
+void EntryCall::OnEnd(bool aWhole) {
+  if (this->delivery == Delivery::Streamed) {
+    this->EndAttempt(aWhole ? CallResult::Answered : CallResult::Failed);
+    this->exchange->EndStream(aWhole);
+    if (!aWhole) {
+      this->LogEnd("response broken off", Outcome::Ran, Cause::TargetFailed);
+    }
+    this->Finish();
+    return;
+  }
+  if (!aWhole) {
+    this->OnFailed(Outcome::Unknown, Cause::TargetFailed, {});
+    return;
+  }
+  this->EndAttempt(this->status >= kFirstServerError ? CallResult::Failed
+                                                     : CallResult::Answered);
+  ++this->arrivals;
+  this->DeliverBuffered();
+}
+
+void EntryCall::DeliverBuffered() {
+  const TimePoint now = SteadyClock().Now();
+  this->context.metrics.CountServed(
+      this->organisation == nullptr ? "" : this->organisation->name,
+      this->importance, this->status, now - this->startedAt);
+  this->exchange->Respond({.status = this->status,
+                           .headers = std::move(this->responseHeaders),
+                           .body = std::move(this->responseBody)});
+  this->Finish();
+}
+
+void EntryCall::OnRefusal(const RefusalFrame& aFrame) {
+  this->OnFailed(static_cast<Outcome>(aFrame.outcome),
+                 static_cast<Cause>(aFrame.cause),
+                 std::chrono::milliseconds(aFrame.retryAfter));
+}
+
+void EntryCall::OnLost(bool aSent) {
+  this->OnFailed(aSent ? Outcome::Unknown : Outcome::NotRun,
+                 aSent ? Cause::ConnectionLost : Cause::ConnectFailed, {});
+}
+
+void EntryCall::OnFailed(Outcome aOutcome, Cause aCause, Duration aRetryAfter) {
+  const bool reached =
+      aOutcome != Outcome::NotRun || aCause == Cause::TargetShed;
+  this->arrivals += reached ? 1 : 0;
+  this->mayHaveRun = this->mayHaveRun || aOutcome != Outcome::NotRun;
+  CallResult result = CallResult::Refused;
+  if (aCause == Cause::ConnectFailed) {
+    result = CallResult::ConnectFailed;
+  } else if (aOutcome != Outcome::NotRun) {
+    result = CallResult::Failed;
+  }
+  this->EndAttempt(result);
+  this->delivery = Delivery::None;
+  if (this->MayRepeat(aOutcome, aCause)) {
+    Log(LogLevel::Info, "request repeated",
+        {{"request", this->requestId},
+         {"service", this->chosenService},
+         {"outcome", std::string(ToName(aOutcome))},
+         {"cause", std::string(ToName(aCause))},
+         {"attempt", std::to_string(this->attemptNumber)}});
+    this->TryNext();
+    return;
+  }
+  this->Refuse(this->mayHaveRun ? Outcome::Unknown : Outcome::NotRun, aCause,
+               aRetryAfter);
+}
+
+bool EntryCall::MayRepeat(Outcome aOutcome, Cause aCause) {
+  const TimePoint now = SteadyClock().Now();
+  if (this->Remaining(now) < kWorthRepeating ||
+      this->tried.size() >= kMaxOffers || aCause == Cause::DeadlineExpired ||
+      aCause == Cause::UnknownKey) {
+    return false;
+  }
+  if (aOutcome == Outcome::NotRun && aCause != Cause::TargetShed) {
+    return true;
+  }
+  if (aOutcome != Outcome::NotRun && !this->route->idempotent) {
+    return false;
+  }
+  return this->arrivals < this->route->maxTargets &&
+         this->service.RetriesOf(this->chosenService).TryRetry(now);
+}
+
+void EntryCall::EndAttempt(CallResult aResult) {
+  if (this->attempt) {
+    this->service.dependencies.fleet.OnFinish(this->attempt->ticket, aResult,
+                                              SteadyClock().Now());
+    this->attempt.reset();
+  }
+}
+
+void EntryCall::OnTimeout() {
+  if (this->finished) {
+    return;
+  }
+  const bool sent = this->attempt.has_value();
+  if (sent) {
+    this->attempt->choice.client->Cancel(this->attempt->stream);
+    this->EndAttempt(CallResult::Failed);
+  }
+  if (this->delivery == Delivery::Streamed) {
+    this->exchange->EndStream(false);
+    this->LogEnd("response cut", Outcome::Ran, Cause::DeadlineExpired);
+    this->Finish();
+    return;
+  }
+  // An attempt that waits at a target's node may still start.
+  this->Refuse(sent || this->mayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+               Cause::DeadlineExpired);
+}
+
+void EntryCall::OnCallerGone() {
+  if (this->finished) {
+    return;
+  }
+  if (this->attempt) {
+    this->attempt->choice.client->Cancel(this->attempt->stream);
+    this->EndAttempt(CallResult::Cancelled);
+  }
+  this->LogEnd("caller gone", Outcome::Unknown, Cause::Cancelled);
+  this->Finish();
+}
+
+Duration EntryCall::RetryAfter(Duration aSuggested) const {
+  const Duration left = this->deadline - SteadyClock().Now();
+  const Duration most = FromSeconds(ToSeconds(left) * kRetryAfterShare);
+  const Duration wait = std::min(aSuggested, most);
+  // Spread over the second half, so that nobody returns at once.
+  return FromSeconds(ToSeconds(wait) * (0.5 + 0.5 * ThreadRandom().Unit()));
+}
+
+void EntryCall::Refuse(Outcome aOutcome, Cause aCause, Duration aRetryAfter) {
+  if (this->finished) {
+    return;
+  }
+  const std::string organisationName =
+      this->organisation == nullptr ? "" : this->organisation->name;
+  if (this->charged && aOutcome == Outcome::NotRun && this->arrivals == 0) {
+    this->service.dependencies.grants.Return(organisationName,
+                                             SteadyClock().Now());
+  }
+  this->context.metrics.CountRefusal(organisationName, this->importance,
+                                     aCause);
+  this->LogEnd("request refused", aOutcome, aCause);
+  HttpResponse response = ToResponse({.outcome = aOutcome,
+                                      .cause = aCause,
+                                      .retryAfter = Duration::zero(),
+                                      .detail = {}});
+  constexpr int kBadGateway = 502;
+  constexpr int kUnavailable = 503;
+  if (aOutcome != Outcome::NotRun) {
+    if (response.status == kUnavailable) {
+      response.status = kBadGateway;
+    }
+  } else if (response.status == kBadGateway) {
+    response.status = kUnavailable;
+  }
+  const bool comeBack = aOutcome == Outcome::NotRun && this->route != nullptr &&
+                        aRetryAfter > Duration::zero();
+  if (comeBack) {
+    response.headers.push_back(
+        {"Retry-After",
+         fmt::format("{:.3f}", ToSeconds(this->RetryAfter(aRetryAfter)))});
+  }
+  if (!this->requestId.empty()) {
+    response.headers.push_back(
+        {this->context.headers.requestId, this->requestId});
+  }
+  this->exchange->Respond(std::move(response));
+  this->Finish();
+}
+
+void EntryCall::Finish() {
+  this->finished = true;
+  this->timer.cancel();
+  this->EndAttempt(CallResult::Cancelled);
+}
+
+void EntryCall::LogEnd(std::string_view aEvent, Outcome aOutcome,
+                       Cause aCause) const {
+  Log(LogLevel::Info, aEvent,
+      {{"request", this->requestId},
+       {"organisation",
+        this->organisation == nullptr ? "" : this->organisation->name},
+       {"route", this->route == nullptr ? "" : this->route->name},
+       {"service", this->chosenService},
+       {"outcome", std::string(ToName(aOutcome))},
+       {"cause", std::string(ToName(aCause))},
+       {"attempts", std::to_string(this->attemptNumber)},
+       {"age_ms", Milliseconds(SteadyClock().Now() - this->startedAt)},
+       {"left_ms", Milliseconds(this->deadline - SteadyClock().Now())},
+       {"config", std::to_string(this->context.config.Version())},
+       {"config_age_ms",
+        Milliseconds(this->context.config.Age(BootClock::now()))}});
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/EntryCall.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <asio.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Mesh/EntryService.h"
+#include "Transport/RequestContext.h"
+
+namespace fescueline {
+
+/// One request at its entry node, from its arrival to the last byte of the
+/// response. Runs on the loop.
+class EntryCall : public std::enable_shared_from_this<EntryCall> {
+ public:
+  EntryCall(EntryService& aService, HttpExchangePtr aExchange);
+  EntryCall(const EntryCall&) = delete;
+  EntryCall& operator=(const EntryCall&) = delete;
+  ~EntryCall();
+
+  void Start();
+
+ private:
+  /// How the request's response is passed on.
+  enum class Delivery : uint8_t { None, Buffered, Streamed };
+
+  /// One attempt at one target.
+  struct Attempt {
+    MeshFleet::Choice choice;
+    CallTicket ticket;
+    uint64_t stream = 0;
+    TimePoint startedAt;
+  };
+
+  /// Checks route and key; false if the request was refused.
+  bool Route();
+  bool Authenticate();
+  void PrepareHeaders();
+  void AdmitByRate();
+  void TryNext();
+  void Send(MeshFleet::Choice aChoice);
+  void OnHead(const ResponseHeadFrame& aFrame);
+  void OnData(std::string aData);
+  void OnEnd(bool aWhole);
+  void OnRefusal(const RefusalFrame& aFrame);
+  void OnLost(bool aSent);
+  /// An attempt ended without a usable response.
+  void OnFailed(Outcome aOutcome, Cause aCause, Duration aRetryAfter);
+  bool MayRepeat(Outcome aOutcome, Cause aCause);
+  void EndAttempt(CallResult aResult);
+  void OnTimeout();
+  void OnCallerGone();
+  void Refuse(Outcome aOutcome, Cause aCause, Duration aRetryAfter = {});
+  void DeliverBuffered();
+  void Finish();
+  Duration Remaining(TimePoint aNow) const { return this->deadline - aNow; }
+  /// Wait that still lets the caller come back in time, spread so that
+  /// refused callers do not return together.
+  Duration RetryAfter(Duration aSuggested) const;
+  void LogEnd(std::string_view aEvent, Outcome aOutcome, Cause aCause) const;
+
+  EntryService& service;
+  MeshContext& context;
+  HttpExchangePtr exchange;
+  MeshConfigPtr config;
+  const MeshRoute* route = nullptr;
+  const MeshOrganisation* organisation = nullptr;
+  std::string requestId;
+  std::string target;
+  /// Service that the request goes to.
+  std::string chosenService;
+  Importance importance = Importance::Normal;
+  std::string keyHash;
+  /// Headers for the target.
+  std::vector<HeaderWire> headers;
+  TimePoint startedAt;
+  TimePoint deadline;
+  asio::steady_timer timer;
+  /// Whether a token of the organisation's rate was spent.
+  bool charged = false;
+  std::optional<Attempt> attempt;
+  /// Number of the attempt; events of earlier ones are ignored.
+  uint32_t attemptNumber = 0;
+  std::vector<TargetRef> tried;
+  /// Attempts that reached a target.
+  uint32_t arrivals = 0;
+  /// Whether an attempt may have run.
+  bool mayHaveRun = false;
+  Delivery delivery = Delivery::None;
+  int status = 0;
+  HttpHeaders responseHeaders;
+  std::optional<uint64_t> responseLength;
+  std::string responseBody;
+  bool finished = false;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/IssuerLease.cpp
@@ -0,0 +1,125 @@
+#include "Mesh/IssuerLease.h"
+
+#include "Core/RandomSource.h"
+#include "Node/Log.h"
+
+namespace fescueline {
+
+namespace {
+/// Time by which the holder stops before its lease ends for others; covers
+/// tokens in use (0.5 s) and the difference of clock rates.
+constexpr Duration kHolderMargin = std::chrono::seconds(1);
+/// Pause after a failed write.
+constexpr Duration kWritePause = std::chrono::milliseconds(500);
+}  // namespace
+
+IssuerLease::IssuerLease(Settings aSettings)
+    : settings(std::move(aSettings)), seenAt(BootClock::now()) {}
+
+void IssuerLease::OnRow(const StoredRow& aRow) {
+  if (aRow.removed) {
+    this->OnAbsent();
+    return;
+  }
+  if (aRow.version <= this->version) {
+    return;
+  }
+  this->version = aRow.version;
+  this->seenAt = BootClock::now();
+  const size_t space = aRow.value.find(' ');
+  this->holder = aRow.value.substr(0, space);
+  this->holderIncarnation =
+      space == std::string::npos ? std::string() : aRow.value.substr(space + 1);
+  if (this->held && this->holderIncarnation != this->settings.incarnation) {
+    this->SetHeld(false);
+  }
+}
+
+void IssuerLease::OnAbsent() {
+  this->version = 0;
+  this->holder.clear();
+  this->holderIncarnation.clear();
+  this->SetHeld(false);
+}
+
+void IssuerLease::Tick(bool aTableIsCurrent) {
+  const BootTime now = BootClock::now();
+  if (this->held && now >= this->heldUntil) {
+    this->SetHeld(false);
+  }
+  if (this->writing || this->released || now < this->nextWrite) {
+    return;
+  }
+  if (this->held) {
+    this->Write();
+    return;
+  }
+  if (!aTableIsCurrent) {
+    return;
+  }
+  // An earlier process of this node has ended, as its listeners are free.
+  const bool own = this->holder == this->settings.node;
+  const bool lapsed = now - this->seenAt > this->settings.length;
+  if (this->version == 0 || own || lapsed) {
+    this->Write();
+  }
+}
+
+void IssuerLease::Write() {
+  this->writing = true;
+  const BootTime sentAt = BootClock::now();
+  const uint64_t expected = this->version;
+  this->settings.store.Write(
+      {.table = this->settings.table,
+       .key = this->settings.key,
+       .expected = expected,
+       .value = this->settings.node + " " + this->settings.incarnation},
+      [this, sentAt](const StoreReply& aReply) {
+        this->writing = false;
+        const Duration jitter =
+            FromSeconds(ToSeconds(kWritePause) * ThreadRandom().Unit());
+        if (aReply.status != StoreStatus::Done) {
+          for (const StoredRow& row : aReply.rows) {
+            this->OnRow(row);
+          }
+          this->nextWrite = BootClock::now() + kWritePause + jitter;
+          return;
+        }
+        this->nextWrite = sentAt + this->settings.renewEvery + jitter;
+        this->version = aReply.version;
+        this->holder = this->settings.node;
+        this->holderIncarnation = this->settings.incarnation;
+        this->heldUntil = sentAt + this->settings.length - kHolderMargin;
+        this->SetHeld(BootClock::now() < this->heldUntil);
+      });
+}
+
+void IssuerLease::Release() {
+  this->released = true;
+  if (!this->held) {
+    return;
+  }
+  this->SetHeld(false);
+  this->settings.store.Write({.table = this->settings.table,
+                              .key = this->settings.key,
+                              .expected = this->version,
+                              .value = std::nullopt},
+                             [](const StoreReply&) {
+                               // If this fails the lease lapses by itself.
+                             });
+}
+
+void IssuerLease::SetHeld(bool aHeld) {
+  if (this->held == aHeld) {
+    return;
+  }
+  this->held = aHeld;
+  Log(LogLevel::Info, aHeld ? "issuer lease gained" : "issuer lease lost",
+      {{"node", this->settings.node},
+       {"row_version", std::to_string(this->version)}});
+  if (this->settings.onChange) {
+    this->settings.onChange(aHeld);
+  }
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/IssuerLease.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <string>
+
+#include "Core/BootClock.h"
+#include "Mesh/RowStore.h"
+
+namespace fescueline {
+
+/// Lease on the duty of issuing tokens, kept as one row of the store and
+/// renewed by conditional writes. A holder stops by its own clock before
+/// another node may take the lease by the row's age. Runs on the loop.
+class IssuerLease {
+ public:
+  /// Construction parameters.
+  struct Settings {
+    asio::io_context& io;
+    RowStore& store;
+    std::string table;
+    std::string key;
+    /// Name of this node and incarnation of its process.
+    std::string node;
+    std::string incarnation;
+    /// Time after its last renewal that a lease holds. Longer than usual
+    /// outages of the store, in which nobody could take it over anyway.
+    Duration length = std::chrono::seconds(12);
+    Duration renewEvery = std::chrono::seconds(3);
+    /// The lease was gained or lost.
+    std::function<void(bool)> onChange;
+  };
+
+  explicit IssuerLease(Settings aSettings);
+
+  /// The row changed or was removed.
+  void OnRow(const StoredRow& aRow);
+  /// The table has no such row.
+  void OnAbsent();
+  /// Renews or takes the lease when due; call about every 300 ms while the
+  /// table is known to be current.
+  void Tick(bool aTableIsCurrent);
+  /// Gives the lease up for a planned stop.
+  void Release();
+
+  /// Whether this node holds the lease now.
+  bool IsHeld(BootTime aNow) const {
+    return this->held && aNow < this->heldUntil;
+  }
+  /// Node that holds the lease as far as known; empty if none.
+  const std::string& Holder() const { return this->holder; }
+
+ private:
+  void Write();
+  void SetHeld(bool aHeld);
+
+  Settings settings;
+  std::string holder;
+  std::string holderIncarnation;
+  /// Version of the row, 0 if it does not exist.
+  uint64_t version = 0;
+  /// When this node saw the row's present version.
+  BootTime seenAt{};
+  bool held = false;
+  BootTime heldUntil{};
+  BootTime nextWrite{};
+  bool writing = false;
+  bool released = false;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/LocalTargetState.cpp
@@ -0,0 +1,101 @@
+#include "Mesh/LocalTargetState.h"
+
+namespace fescueline {
+
+namespace {
+/// Part of the drain limit that is left to requests on their way.
+constexpr Duration kDrainMargin = std::chrono::milliseconds(300);
+}  // namespace
+
+ReportResult LocalTargetState::OnReport(const TargetReportMessage& aReport,
+                                        TimePoint aNow) {
+  if (aReport.service != this->settings.service) {
+    return ReportResult::Outdated;
+  }
+  const bool sameProcess =
+      aReport.id == this->id && aReport.startedAt == this->startedAt;
+  if (sameProcess) {
+    if (aReport.sequence <= this->sequence || this->left) {
+      return ReportResult::Outdated;
+    }
+  } else if (!this->id.empty() && aReport.startedAt <= this->startedAt) {
+    return ReportResult::Outdated;
+  }
+  const bool changed = !sameProcess || this->slots != aReport.slots;
+  if (!sameProcess) {
+    this->id = aReport.id;
+    this->startedAt = aReport.startedAt;
+    this->left = false;
+    this->draining = false;
+    this->state = TargetState::Starting;
+  }
+  this->sequence = aReport.sequence;
+  this->slots = aReport.slots;
+  this->lastReport = aNow;
+  this->warmAt = aNow + aReport.coldFor;
+  const TargetState before = this->state;
+  this->draining = this->draining || aReport.draining;
+  if (this->draining) {
+    this->Leave(TargetState::Draining, aNow);
+  } else {
+    this->state = TargetState::Ready;
+  }
+  return changed || before != this->state ? ReportResult::Changed
+                                          : ReportResult::Unchanged;
+}
+
+ReportResult LocalTargetState::OnLeave(const std::string& aId,
+                                       std::optional<uint64_t> aStartedAt,
+                                       TimePoint aNow) {
+  const bool known = aId == this->id &&
+                     aStartedAt.value_or(this->startedAt) == this->startedAt;
+  if (!known) {
+    if (aStartedAt && *aStartedAt > this->startedAt) {
+      // A process that was never heard of: its late reports must not count.
+      this->id = aId;
+      this->startedAt = *aStartedAt;
+      this->left = true;
+      this->Leave(TargetState::Gone, aNow);
+      return ReportResult::Changed;
+    }
+    return ReportResult::Outdated;
+  }
+  const bool changed = !this->left;
+  this->left = true;
+  this->Leave(TargetState::Gone, aNow);
+  return changed ? ReportResult::Changed : ReportResult::Unchanged;
+}
+
+void LocalTargetState::Leave(TargetState aState, TimePoint aNow) {
+  const bool leaving =
+      this->state == TargetState::Draining || this->state == TargetState::Gone;
+  if (!leaving) {
+    this->leavingSince = aNow;
+  }
+  this->state = aState;
+}
+
+bool LocalTargetState::Expire(TimePoint aNow) {
+  const bool silent = aNow - this->lastReport > this->settings.silentAfter;
+  if (!silent || this->id.empty() || this->state == TargetState::Gone) {
+    return false;
+  }
+  this->Leave(TargetState::Gone, aNow);
+  // A later report of the same process is valid: only the reports were late.
+  return true;
+}
+
+bool LocalTargetState::MayPass(TimePoint aNow) const {
+  switch (this->state) {
+    case TargetState::Ready:
+      return true;
+    case TargetState::Draining:
+    case TargetState::Gone:
+      return !this->id.empty() && aNow - this->leavingSince <
+                                      this->settings.drainLimit - kDrainMargin;
+    default:
+      return false;
+  }
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/MemberPublisher.cpp
@@ -0,0 +1,84 @@
+#include "Mesh/MemberPublisher.h"
+
+#include "Core/RandomSource.h"
+#include "Node/Log.h"
+
+namespace fescueline {
+
+namespace {
+/// Pause after a failed write. Members must be back within 2 s of the store's
+/// return.
+constexpr Duration kWritePause = std::chrono::milliseconds(500);
+}  // namespace
+
+MemberPublisher::MemberPublisher(Settings aSettings)
+    : settings(std::move(aSettings)),
+      key(std::string(kMeshMemberPrefix) + this->settings.record.node),
+      value(EncodeMeshMember(this->settings.record)) {}
+
+void MemberPublisher::OnRow(const StoredRow& aRow) {
+  if (!aRow.removed && aRow.version < this->version) {
+    return;
+  }
+  this->version = aRow.removed ? 0 : aRow.version;
+  this->published = !aRow.removed && aRow.value == this->value;
+}
+
+void MemberPublisher::Tick() {
+  const BootTime now = BootClock::now();
+  if (this->published || this->writing || this->left || now < this->nextWrite) {
+    return;
+  }
+  this->writing = true;
+  this->settings.store.Write(
+      {.table = this->settings.table,
+       .key = this->key,
+       .expected = this->version,
+       .value = this->value},
+      [this](const StoreReply& aReply) {
+        this->writing = false;
+        if (aReply.status == StoreStatus::Done) {
+          this->version = aReply.version;
+          this->published = true;
+          return;
+        }
+        this->nextWrite =
+            BootClock::now() +
+            FromSeconds(ToSeconds(kWritePause) * (0.5 + ThreadRandom().Unit()));
+        if (aReply.status == StoreStatus::Conflict) {
+          if (aReply.rows.empty()) {
+            this->OnAbsent();
+          }
+          for (const StoredRow& row : aReply.rows) {
+            this->OnRow(row);
+          }
+          this->nextWrite = BootClock::now();
+        }
+        Log(LogLevel::Info, "member row not written",
+            {{"status", std::string(ToName(aReply.status))},
+             {"row_version", std::to_string(this->version)}});
+      });
+}
+
+void MemberPublisher::Leave(std::function<void()> aDone) {
+  this->left = true;
+  if (this->version == 0) {
+    aDone();
+    return;
+  }
+  this->settings.store.Write(
+      {.table = this->settings.table,
+       .key = this->key,
+       .expected = this->version,
+       .value = std::nullopt},
+      [done = std::move(aDone)](const StoreReply& aReply) {
+        if (aReply.status != StoreStatus::Done) {
+          // Others remove the row once the node is unreachable.
+          Log(LogLevel::Warning, "member row not removed",
+              {{"status", std::string(ToName(aReply.status))}});
+        }
+        done();
+      });
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/MeshFleet.cpp
@@ -0,0 +1,255 @@
+#include "Mesh/MeshFleet.h"
+
+#include <algorithm>
+#include <set>
+
+#include "Node/Log.h"
+
+namespace fescueline {
+
+namespace {
+/// Pauses between connection attempts to one node.
+constexpr Duration kFirstDialPause = std::chrono::milliseconds(100);
+constexpr Duration kLongestDialPause = std::chrono::seconds(2);
+
+std::string NodeOf(const std::string& aKey) {
+  return aKey.starts_with(kMeshMemberPrefix)
+             ? aKey.substr(kMeshMemberPrefix.size())
+             : std::string();
+}
+}  // namespace
+
+MeshFleet::MeshFleet(Settings aSettings)
+    : settings(std::move(aSettings)),
+      table(this->settings.table),
+      picker(this->table, this->settings.picker) {}
+
+void MeshFleet::OnSnapshot(const std::vector<StoredRow>& aRows) {
+  std::set<std::string> present;
+  for (const StoredRow& row : aRows) {
+    present.insert(NodeOf(row.key));
+    this->Apply(row);
+  }
+  std::vector<std::string> gone;
+  for (const auto& [node, member] : this->members) {
+    if (!present.contains(node)) {
+      gone.push_back(node);
+    }
+  }
+  for (const std::string& node : gone) {
+    this->Remove(node);
+  }
+}
+
+void MeshFleet::OnChanges(const std::vector<StoredRow>& aRows) {
+  for (const StoredRow& row : aRows) {
+    this->Apply(row);
+  }
+}
+
+void MeshFleet::OnPeerRows(const std::vector<FleetRowWire>& aRows) {
+  for (const FleetRowWire& row : aRows) {
+    this->Apply({.key = row.key, .value = row.value, .version = row.version});
+  }
+}
+
+void MeshFleet::Apply(const StoredRow& aRow) {
+  const std::string node = NodeOf(aRow.key);
+  if (node.empty()) {
+    return;
+  }
+  const auto known = this->members.find(node);
+  if (known != this->members.end() && aRow.version <= known->second.version) {
+    return;
+  }
+  if (aRow.removed) {
+    this->Remove(node);
+    return;
+  }
+  const auto record = DecodeMeshMember(aRow.value);
+  if (!record || record->node != node) {
+    Log(LogLevel::Warning, "member row ignored", {{"key", aRow.key}});
+    return;
+  }
+  Member& member = this->members[node];
+  const bool changed = !(member.record == *record);
+  member.record = *record;
+  member.value = aRow.value;
+  member.version = aRow.version;
+  if (!changed) {
+    return;
+  }
+  Log(LogLevel::Info, "member joined",
+      {{"node", node},
+       {"incarnation", record->incarnation.ToString()},
+       {"service", record->service},
+       {"row_version", std::to_string(aRow.version)}});
+  if (member.client) {
+    member.client->Close("node has a new incarnation");
+    member.client = nullptr;
+  }
+  member.pause = kFirstDialPause;
+  member.lastHeard = SteadyClock().Now();
+  this->Dial(member, SteadyClock().Now());
+}
+
+void MeshFleet::Remove(const std::string& aNode) {
+  const auto found = this->members.find(aNode);
+  if (found == this->members.end()) {
+    return;
+  }
+  Log(LogLevel::Info, "member left", {{"node", aNode}});
+  if (found->second.client) {
+    found->second.client->Close("member left");
+  }
+  if (const auto target = this->table.Find(aNode)) {
+    this->table.Remove(*target);
+  }
+  this->members.erase(found);
+}
+
+void MeshFleet::Dial(Member& aMember, TimePoint aNow) {
+  const std::string node = aMember.record.node;
+  aMember.nextDial = aNow + aMember.pause;
+  aMember.pause = std::min(kLongestDialPause, aMember.pause * 2);
+  const auto holder = std::make_shared<std::weak_ptr<PeerClient>>();
+  aMember.client = std::make_shared<PeerClient>(PeerClient::Settings{
+      .io = this->settings.io,
+      .self = this->settings.self,
+      .address = {.nodeId = node,
+                  .host = aMember.record.peers.host,
+                  .port = aMember.record.peers.port},
+      .connectTimeout = std::chrono::milliseconds(500),
+      .onState =
+          [this, node](const StateWire& aState,
+                       const std::string& aIncarnation) {
+            this->OnState(node, aState, aIncarnation);
+          },
+      .onPong =
+          [this, node](const StateWire& aState, TimePoint aPingSentAt) {
+            this->settings.onPong(node, aState, aPingSentAt);
+          },
+      .onMessage =
+          [this, node](const DecodedFrame& aFrame) {
+            this->settings.onMessage(node, aFrame);
+          },
+      .onReady = [] {},
+      .onClosed =
+          [this, node, holder](const std::string& aReason) {
+            this->OnClosed(node, holder->lock(), aReason);
+          }});
+  *holder = aMember.client;
+  aMember.client->Start();
+}
+
+void MeshFleet::OnState(const std::string& aNode, const StateWire& aState,
+                        const std::string& aIncarnation) {
+  const auto found = this->members.find(aNode);
+  if (found == this->members.end()) {
+    return;
+  }
+  const TimePoint now = SteadyClock().Now();
+  Member& member = found->second;
+  member.lastHeard = now;
+  member.pause = kFirstDialPause;
+  const auto incarnation = Id128::Parse(aIncarnation);
+  if (!incarnation) {
+    return;
+  }
+  const TargetRef target =
+      this->table.Upsert({.node = aNode,
+                          .incarnation = *incarnation,
+                          .service = aState.service,
+                          .dataCentre = member.record.dataCentre,
+                          .region = member.record.region,
+                          .capacity = std::max(1U, aState.limit)});
+  this->table.OnPong(target,
+                     {.state = static_cast<TargetState>(aState.state),
+                      .load = aState.load,
+                      .capacity = aState.limit},
+                     now);
+}
+
+void MeshFleet::OnClosed(const std::string& aNode, const ClientPtr& aClient,
+                         const std::string& aReason) {
+  const auto found = this->members.find(aNode);
+  if (found == this->members.end() || found->second.client != aClient) {
+    return;
+  }
+  found->second.client = nullptr;
+  if (const auto target = this->table.Find(aNode)) {
+    const auto* state = this->table.Get(*target);
+    if (state != nullptr && state->list != TargetList::Closed) {
+      Log(LogLevel::Warning, "peer lost",
+          {{"node", aNode}, {"reason", aReason}});
+    }
+    this->table.OnSilent(*target);
+  }
+}
+
+void MeshFleet::Tick(TimePoint aNow) {
+  this->table.Tick(aNow);
+  for (auto& [node, member] : this->members) {
+    if (!member.client && aNow >= member.nextDial) {
+      this->Dial(member, aNow);
+    }
+  }
+}
+
+std::optional<MeshFleet::Choice> MeshFleet::Pick(
+    const std::string& aService, const std::vector<TargetRef>& aTried,
+    TimePoint aNow) {
+  const auto target = this->picker.Pick(aService, aTried, aNow, ThreadRandom());
+  if (!target) {
+    return std::nullopt;
+  }
+  const std::string& node = this->table.Info(*target)->node;
+  ClientPtr client = this->ClientOf(node);
+  if (!client) {
+    return std::nullopt;
+  }
+  return Choice{.target = *target, .client = std::move(client), .node = node};
+}
+
+MeshFleet::ClientPtr MeshFleet::ClientOf(const std::string& aNode) const {
+  const auto found = this->members.find(aNode);
+  if (found == this->members.end() || !found->second.client ||
+      found->second.client->IsClosed()) {
+    return nullptr;
+  }
+  return found->second.client;
+}
+
+std::vector<FleetRowWire> MeshFleet::Rows() const {
+  std::vector<FleetRowWire> rows;
+  for (const auto& [node, member] : this->members) {
+    rows.push_back({.key = std::string(kMeshMemberPrefix) + node,
+                    .value = member.value,
+                    .version = member.version});
+  }
+  return rows;
+}
+
+std::vector<StoredRow> MeshFleet::Unreachable(TimePoint aNow,
+                                              Duration aFor) const {
+  std::vector<StoredRow> rows;
+  for (const auto& [node, member] : this->members) {
+    if (aNow - member.lastHeard > aFor) {
+      rows.push_back({.key = std::string(kMeshMemberPrefix) + node,
+                      .value = {},
+                      .version = member.version,
+                      .removed = false});
+    }
+  }
+  return rows;
+}
+
+void MeshFleet::CloseAll() {
+  for (auto& [node, member] : this->members) {
+    if (member.client) {
+      member.client->Close("node stops");
+    }
+  }
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/MeshFleet.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Core/RandomSource.h"
+#include "Mesh/MeshMember.h"
+#include "Mesh/RowStore.h"
+#include "Routing/TargetPicker.h"
+#include "Routing/TargetTable.h"
+#include "Transport/PeerClient.h"
+
+namespace fescueline {
+
+/// The other nodes: their rows, this node's connections to them, and what is
+/// known of the targets beside them. Runs on the loop.
+class MeshFleet {
+ public:
+  using ClientPtr = std::shared_ptr<PeerClient>;
+
+  /// A target and the connection to the node beside it.
+  struct Choice {
+    TargetRef target;
+    ClientPtr client;
+    std::string node;
+  };
+
+  /// Construction parameters.
+  struct Settings {
+    asio::io_context& io;
+    PeerIdentity self;
+    TargetTableSettings table;
+    TargetPickerSettings picker;
+    /// A peer answered a ping that left at that time.
+    std::function<void(const std::string& aNode, const StateWire&,
+                       TimePoint aPingSentAt)>
+        onPong;
+    /// A frame without a stream arrived from a peer.
+    std::function<void(const std::string& aNode, const DecodedFrame&)>
+        onMessage;
+  };
+
+  explicit MeshFleet(Settings aSettings);
+
+  /// Replaces all rows, or applies changed ones.
+  void OnSnapshot(const std::vector<StoredRow>& aRows);
+  void OnChanges(const std::vector<StoredRow>& aRows);
+  /// Rows learned from a peer: newer ones are applied, none is removed.
+  void OnPeerRows(const std::vector<FleetRowWire>& aRows);
+
+  /// Judges targets and reconnects; call every 500 ms.
+  void Tick(TimePoint aNow);
+  /// A target of the service outside aTried; nothing if there is none.
+  std::optional<Choice> Pick(const std::string& aService,
+                             const std::vector<TargetRef>& aTried,
+                             TimePoint aNow);
+  CallTicket OnStart(TargetRef aTarget, TimePoint aNow) {
+    return this->table.OnStart(aTarget, aNow);
+  }
+  void OnFinish(const CallTicket& aTicket, CallResult aResult, TimePoint aNow) {
+    this->table.OnFinish(aTicket, aResult, aNow);
+  }
+
+  /// Number of member rows.
+  size_t Size() const { return this->members.size(); }
+  /// Connection to a node; null if there is none.
+  ClientPtr ClientOf(const std::string& aNode) const;
+  /// Rows to pass on to a peer.
+  std::vector<FleetRowWire> Rows() const;
+  /// Rows of nodes that could not be reached for aFor.
+  std::vector<StoredRow> Unreachable(TimePoint aNow, Duration aFor) const;
+  /// Ends all connections.
+  void CloseAll();
+
+ private:
+  struct Member {
+    MeshMember record;
+    std::string value;
+    uint64_t version = 0;
+    ClientPtr client;
+    /// Next time to connect, and the pause before it.
+    TimePoint nextDial{};
+    Duration pause{};
+    /// When the node was last heard from, or its row first seen.
+    TimePoint lastHeard{};
+  };
+
+  void Apply(const StoredRow& aRow);
+  void Remove(const std::string& aNode);
+  void Dial(Member& aMember, TimePoint aNow);
+  void OnState(const std::string& aNode, const StateWire& aState,
+               const std::string& aIncarnation);
+  void OnClosed(const std::string& aNode, const ClientPtr& aClient,
+                const std::string& aReason);
+
+  Settings settings;
+  std::map<std::string, Member> members;
+  TargetTable table;
+  TargetPicker picker;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/MeshNode.cpp
@@ -0,0 +1,549 @@
+#include "Mesh/MeshNode.h"
+
+#include "Node/Log.h"
+
+namespace fescueline {
+
+namespace {
+/// Longest wait of a call for changes. A withdrawn key and a new route must be
+/// in force in 2 s even if one call's answer is lost.
+constexpr Duration kConfigWait = std::chrono::milliseconds(1000);
+/// Members change rarely, and peers notice their end by themselves.
+constexpr Duration kFleetWait = std::chrono::seconds(5);
+constexpr Duration kFleetPeriod = std::chrono::milliseconds(500);
+constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(300);
+constexpr Duration kGrantPeriod = std::chrono::milliseconds(10);
+constexpr Duration kStopPeriod = std::chrono::milliseconds(50);
+/// Time between two transfers of knowledge to one node.
+constexpr Duration kKnowledgeSpacing = std::chrono::seconds(1);
+/// Callers learn from two questions, a second apart, that a node is not ready.
+constexpr Duration kCallersLeave = std::chrono::milliseconds(2600);
+/// Part of the stop limit that is left for the end itself.
+constexpr Duration kEndMargin = std::chrono::milliseconds(500);
+/// Rows of nodes that were silent for this long are removed. Longer than the
+/// outages that a node comes back from, since a removed node has to write
+/// its row again.
+constexpr Duration kUnreachableFor = std::chrono::seconds(20);
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+TargetTableSettings TableSettings(const MeshSettings& aSettings) {
+  TargetTableSettings table;
+  table.dataCentre = aSettings.dataCentre;
+  table.region = aSettings.region;
+  table.rampTime = std::chrono::seconds(4);
+  return table;
+}
+}  // namespace
+
+MeshNode::MeshNode(asio::io_context& aIo, MeshSettings aSettings,
+                   MeshPorts aPorts)
+    : io(aIo),
+      settings(std::move(aSettings)),
+      ports(std::move(aPorts)),
+      self({.nodeId = this->settings.node,
+            .incarnation = Id128::Generate(),
+            .fleetSecret = this->settings.fleetSecret}),
+      config(this->ports.decodeConfig),
+      context{.io = this->io,
+              .settings = this->settings,
+              .headers = this->ports.headers,
+              .config = this->config,
+              .metrics = this->metrics},
+      target({.service = this->settings.service,
+              .silentAfter = this->settings.reportInterval * 4,
+              .drainLimit = this->settings.drainLimit}),
+      fleet({.io = this->io,
+             .self = this->self,
+             .table = TableSettings(this->settings),
+             .picker = {},
+             .onPong =
+                 [this](const std::string& aNode, const StateWire& aState,
+                        TimePoint aPingSentAt) {
+                   this->OnPong(aNode, aState, aPingSentAt);
+                 },
+             .onMessage =
+                 [this](const std::string& aNode, const DecodedFrame& aFrame) {
+                   this->OnPeerMessage(aNode, aFrame);
+                 }}),
+      issuer(GrantSettings{}),
+      grants(
+          GrantSettings{},
+          [this](const std::string& aOrganisation, uint32_t aWanted) {
+            return this->AskForTokens(aOrganisation, aWanted);
+          },
+          [this] { this->ScheduleGrantTick(); }),
+      targetService({.context = this->context,
+                     .target = this->target,
+                     .fleetSecret = this->self.fleetSecret}),
+      entryService({.context = this->context,
+                    .fleet = this->fleet,
+                    .grants = this->grants,
+                    .fleetSecret = this->self.fleetSecret}),
+      publisher({.io = this->io,
+                 .store = *this->ports.store,
+                 .table = std::string(kFleetTable),
+                 .record = {.node = this->settings.node,
+                            .incarnation = this->self.incarnation,
+                            .dataCentre = this->settings.dataCentre,
+                            .region = this->settings.region,
+                            .service = this->settings.service,
+                            .peers = this->settings.listenPeers}}),
+      lease({.io = this->io,
+             .store = *this->ports.store,
+             .table = std::string(kFleetTable),
+             .key = std::string(kIssuerKey),
+             .node = this->settings.node,
+             .incarnation = this->self.incarnation.ToString(),
+             .onChange =
+                 [this](bool aHeld) {
+                   this->issuer = GrantIssuer(GrantSettings{});
+                   if (aHeld) {
+                     this->ApplyLimits();
+                   }
+                 }}),
+      configFollower(
+          {.io = this->io,
+           .store = *this->ports.store,
+           .table = this->ports.configTable,
+           .wait = kConfigWait,
+           .onSnapshot =
+               [this](const std::vector<StoredRow>& aRows) {
+                 this->OnConfigRows(aRows);
+               },
+           .onChanges =
+               [this](const std::vector<StoredRow>& aRows) {
+                 this->OnConfigRows(aRows);
+               },
+           .onConfirmed =
+               [this](BootTime aMoment) { this->config.Confirm(aMoment); }}),
+      fleetFollower({.io = this->io,
+                     .store = *this->ports.store,
+                     .table = std::string(kFleetTable),
+                     .wait = kFleetWait,
+                     .onSnapshot =
+                         [this](const std::vector<StoredRow>& aRows) {
+                           this->OnFleetRows(aRows, true);
+                         },
+                     .onChanges =
+                         [this](const std::vector<StoredRow>& aRows) {
+                           this->OnFleetRows(aRows, false);
+                         },
+                     .onConfirmed = [](BootTime) {}}),
+      grantTimer(this->io) {
+  this->Listen();
+}
+
+void MeshNode::Listen() {
+  this->peerServer = std::make_unique<PeerServer>(
+      PeerServer::Settings{.io = this->io,
+                           .self = this->self,
+                           .host = this->settings.listenPeers.host,
+                           .port = this->settings.listenPeers.port,
+                           .handlers = this->PeerHandlers()});
+  const auto listen = [this](const SocketAddress& aAddress,
+                             std::function<void(HttpExchangePtr)> aHandler) {
+    return std::make_unique<LoopHttpServer>(
+        LoopHttpServer::Settings{.io = this->io,
+                                 .host = aAddress.host,
+                                 .port = aAddress.port,
+                                 .onRequest = std::move(aHandler)});
+  };
+  this->callers =
+      listen(this->settings.listenCallers, [this](HttpExchangePtr aExchange) {
+        this->entryService.OnRequest(std::move(aExchange));
+      });
+  this->ready = listen(this->settings.listenReady,
+                       [this](const HttpExchangePtr& aExchange) {
+                         this->OnReadyRequest(aExchange);
+                       });
+  this->reports = listen(
+      this->settings.listenReports,
+      [this](const HttpExchangePtr& aExchange) { this->OnReport(aExchange); });
+}
+
+PeerServer::Handlers MeshNode::PeerHandlers() {
+  using Session = PeerServer::SessionPtr;
+  return {.onRequest =
+              [this](const Session& aSession, RequestFrame aFrame,
+                     Duration aHeldUp) {
+                this->targetService.OnRequest(aSession, std::move(aFrame),
+                                              aHeldUp);
+              },
+          .onCredit =
+              [this](const Session& aSession, const CreditFrame& aFrame) {
+                this->targetService.OnCredit(aSession, aFrame);
+              },
+          .onCancel =
+              [this](const Session& aSession, uint64_t aStream) {
+                this->targetService.OnCancel(aSession, aStream);
+              },
+          .onQuery =
+              [](const Session& aSession, const AttemptQueryFrame& aFrame) {
+                aSession->Send(AttemptReplyFrame{
+                    .stream = aFrame.stream,
+                    .outcome = static_cast<uint8_t>(Outcome::Unknown)});
+              },
+          .onClosed =
+              [this](const Session& aSession) {
+                this->targetService.OnClosed(aSession);
+              },
+          .onMessage =
+              [this](const Session& aSession, const DecodedFrame& aFrame) {
+                this->OnSessionMessage(aSession, aFrame);
+              },
+          .state = [this] { return this->targetService.State(); }};
+}
+
+void MeshNode::Start() {
+  Log(LogLevel::Info, "node started",
+      {{"node", this->self.nodeId},
+       {"incarnation", this->self.incarnation.ToString()},
+       {"service", this->settings.service}});
+  this->peerServer->Start();
+  this->callers->Start();
+  this->ready->Start();
+  this->reports->Start();
+  this->configFollower.Start();
+  this->fleetFollower.Start();
+  this->Every(kFleetPeriod, [this] {
+    const TimePoint now = SteadyClock().Now();
+    this->fleet.Tick(now);
+    if (this->target.Expire(now)) {
+      Log(LogLevel::Warning, "target silent", {{"target", this->target.Id()}});
+      this->targetService.OnTargetChanged();
+      this->peerServer->PushState();
+    }
+  });
+  this->Every(kMaintenancePeriod, [this] { this->Maintain(); });
+}
+
+void MeshNode::Every(Duration aPeriod, std::function<void()> aFunction) {
+  const auto timer = std::make_shared<asio::steady_timer>(this->io, aPeriod);
+  timer->async_wait([this, timer, aPeriod, function = std::move(aFunction)](
+                        const asio::error_code& aError) {
+    if (aError) {
+      return;
+    }
+    function();
+    this->Every(aPeriod, function);
+  });
+}
+
+bool MeshNode::IsReady() const {
+  return !this->stopping && this->config.Current() && this->wasFresh;
+}
+
+void MeshNode::OnReadyRequest(const HttpExchangePtr& aExchange) {
+  const HttpRequest& request = aExchange->Request();
+  const std::string_view path = PathOf(request.target);
+  if (path == this->ports.readyPath) {
+    const bool isReady = this->IsReady();
+    if (isReady != this->lastReady) {
+      this->lastReady = isReady;
+      Log(LogLevel::Info, isReady ? "node ready" : "node not ready",
+          {{"config", std::to_string(this->config.Version())}});
+    }
+    aExchange->Respond({.status = isReady ? kOk : kUnavailable});
+  } else if (path == "/metrics") {
+    aExchange->Respond({.status = kOk,
+                        .headers = {{"Content-Type", "text/plain"}},
+                        .body = this->metrics.Page()});
+  } else {
+    aExchange->Respond({.status = kNotFound});
+  }
+}
+
+void MeshNode::OnReport(const HttpExchangePtr& aExchange) {
+  const ReportCall call = this->ports.decodeReport(aExchange->Request());
+  const TimePoint now = SteadyClock().Now();
+  ReportResult result = ReportResult::Outdated;
+  switch (call.kind) {
+    case ReportKind::Report:
+      result = this->target.OnReport(call.report, now);
+      break;
+    case ReportKind::Leave:
+      result = this->target.OnLeave(call.report.id, call.startedAt, now);
+      break;
+    case ReportKind::Malformed:
+      Log(LogLevel::Warning, "malformed report ignored",
+          {{"call", aExchange->Request().target}});
+      aExchange->Respond({.status = kBadRequest});
+      return;
+    case ReportKind::Unknown:
+      aExchange->Respond({.status = kNotFound});
+      return;
+  }
+  if (result == ReportResult::Changed) {
+    Log(LogLevel::Info, "target changed",
+        {{"target", this->target.Id()},
+         {"state", std::string(ToName(this->target.State()))},
+         {"slots", std::to_string(this->target.Slots())},
+         {"sequence", std::to_string(call.report.sequence)}});
+    this->targetService.OnTargetChanged();
+    this->peerServer->PushState();
+  } else if (result == ReportResult::Outdated) {
+    Log(LogLevel::Info, "outdated report ignored",
+        {{"target", call.report.id},
+         {"sequence", std::to_string(call.report.sequence)}});
+  }
+  aExchange->Respond(this->ports.reportAcknowledgement);
+}
+
+void MeshNode::OnConfigRows(const std::vector<StoredRow>& aRows) {
+  for (const StoredRow& row : aRows) {
+    if (row.key == this->ports.configKey && !row.removed) {
+      this->ApplyConfig(row.value, "store");
+    }
+  }
+}
+
+void MeshNode::ApplyConfig(const std::string& aStored,
+                           std::string_view aSource) {
+  if (!this->config.Apply(aStored)) {
+    return;
+  }
+  const MeshConfig& now = *this->config.Current();
+  Log(LogLevel::Info, "configuration in force",
+      {{"version", std::to_string(now.Version())},
+       {"source", std::string(aSource)},
+       {"routes", std::to_string(now.All().routes.size())},
+       {"organisations", std::to_string(now.All().organisations.size())}});
+  this->callers->SetLimits(now.All().limits);
+  this->ApplyLimits();
+  this->targetService.OnConfigChanged();
+}
+
+void MeshNode::ApplyLimits() {
+  const MeshConfigPtr& now = this->config.Current();
+  if (!now) {
+    return;
+  }
+  const TimePoint at = SteadyClock().Now();
+  for (const MeshOrganisation& organisation : now->All().organisations) {
+    this->grants.SetLimit(organisation.name, organisation.rate,
+                          this->fleet.Size(), at);
+    if (this->lease.IsHeld(BootClock::now())) {
+      this->issuer.SetLimit(organisation.name, organisation.rate, at);
+    }
+  }
+  this->grants.Retain([&now](const std::string& aName) {
+    return now->FindOrganisation(aName) != nullptr;
+  });
+}
+
+void MeshNode::OnFleetRows(const std::vector<StoredRow>& aRows,
+                           bool aSnapshot) {
+  bool ownSeen = false;
+  bool issuerSeen = false;
+  for (const StoredRow& row : aRows) {
+    if (row.key == kIssuerKey) {
+      issuerSeen = true;
+      this->lease.OnRow(row);
+    } else if (row.key == this->publisher.Key()) {
+      ownSeen = true;
+      this->publisher.OnRow(row);
+    }
+  }
+  if (aSnapshot) {
+    if (!issuerSeen) {
+      this->lease.OnAbsent();
+    }
+    if (!ownSeen) {
+      this->publisher.OnAbsent();
+    }
+    this->fleet.OnSnapshot(aRows);
+  } else {
+    this->fleet.OnChanges(aRows);
+  }
+  this->ApplyLimits();
+  this->Maintain();
+}
+
+void MeshNode::OnPong(const std::string& aNode, const StateWire& aState,
+                      TimePoint aPingSentAt) {
+  const uint64_t own = this->config.Version();
+  if (aState.configVersion == own) {
+    if (aState.configAge >= 0) {
+      // The boot clock runs at least as far as the steady clock does.
+      const Duration sinceAsked = SteadyClock().Now() - aPingSentAt;
+      this->config.ConfirmByPeer(aState.configVersion,
+                                 BootClock::now() - sinceAsked,
+                                 std::chrono::microseconds(aState.configAge));
+    }
+    return;
+  }
+  const auto client = this->fleet.ClientOf(aNode);
+  const TimePoint now = SteadyClock().Now();
+  TimePoint& sent = this->knowledgeSent[aNode];
+  if (!client || now - sent < kKnowledgeSpacing) {
+    return;
+  }
+  sent = now;
+  client->SendMessage(this->Knowledge(aState.configVersion > own));
+}
+
+KnowledgeFrame MeshNode::Knowledge(bool aWanted) const {
+  KnowledgeFrame frame{.configVersion = this->config.Version(),
+                       .config = {},
+                       .rows = {},
+                       .wanted = aWanted};
+  if (!aWanted) {
+    frame.config = this->config.Stored();
+    frame.rows = this->fleet.Rows();
+  }
+  return frame;
+}
+
+void MeshNode::ApplyKnowledge(const KnowledgeFrame& aFrame,
+                              const std::string& aNode) {
+  if (!aFrame.config.empty()) {
+    this->ApplyConfig(aFrame.config, aNode);
+  }
+  if (!aFrame.rows.empty() && !this->fleetFollower.IsUp()) {
+    this->fleet.OnPeerRows(aFrame.rows);
+    this->ApplyLimits();
+  }
+}
+
+void MeshNode::OnPeerMessage(const std::string& aNode,
+                             const DecodedFrame& aFrame) {
+  if (aFrame.type == FrameType::TokenGrant) {
+    const auto grant = aFrame.As<TokenGrantFrame>();
+    this->grants.OnGrant(grant.organisation, grant.tokens, grant.issuing,
+                         SteadyClock().Now());
+  } else if (aFrame.type == FrameType::Knowledge) {
+    this->ApplyKnowledge(aFrame.As<KnowledgeFrame>(), aNode);
+  }
+}
+
+void MeshNode::OnSessionMessage(const PeerServer::SessionPtr& aSession,
+                                const DecodedFrame& aFrame) {
+  if (aFrame.type == FrameType::TokenRequest) {
+    aSession->Send(this->GrantTokens(aFrame.As<TokenRequestFrame>()));
+  } else if (aFrame.type == FrameType::Knowledge) {
+    const auto frame = aFrame.As<KnowledgeFrame>();
+    this->ApplyKnowledge(frame, aSession->RemoteNode());
+    if (frame.wanted && this->config.Version() > frame.configVersion) {
+      aSession->Send(this->Knowledge(false));
+    }
+  }
+}
+
+void MeshNode::ScheduleGrantTick() {
+  if (this->grantTimerRunning) {
+    return;
+  }
+  this->grantTimerRunning = true;
+  this->grantTimer.expires_after(kGrantPeriod);
+  this->grantTimer.async_wait([this](const asio::error_code& aError) {
+    this->grantTimerRunning = false;
+    if (aError) {
+      return;
+    }
+    this->grants.Tick(SteadyClock().Now());
+    if (this->grants.HasWaiters()) {
+      this->ScheduleGrantTick();
+    }
+  });
+}
+
+bool MeshNode::AskForTokens(const std::string& aOrganisation,
+                            uint32_t aWanted) {
+  TokenRequestFrame request{.organisation = aOrganisation, .wanted = aWanted};
+  if (this->lease.IsHeld(BootClock::now())) {
+    asio::post(this->io, [this, request] {
+      const TokenGrantFrame grant = this->GrantTokens(request);
+      this->grants.OnGrant(grant.organisation, grant.tokens, grant.issuing,
+                           SteadyClock().Now());
+    });
+    return true;
+  }
+  const auto client = this->fleet.ClientOf(this->lease.Holder());
+  if (!client) {
+    return false;
+  }
+  client->SendMessage(std::move(request));
+  return true;
+}
+
+TokenGrantFrame MeshNode::GrantTokens(const TokenRequestFrame& aRequest) {
+  TokenGrantFrame grant{.organisation = aRequest.organisation};
+  if (this->lease.IsHeld(BootClock::now())) {
+    grant.issuing = true;
+    grant.tokens = this->issuer.Grant(aRequest.organisation, aRequest.wanted,
+                                      SteadyClock().Now());
+  }
+  return grant;
+}
+
+void MeshNode::Maintain() {
+  this->wasFresh = this->wasFresh || this->context.IsFresh();
+  this->publisher.Tick();
+  this->lease.Tick(this->fleetFollower.IsUp());
+  this->RemoveUnreachable();
+}
+
+void MeshNode::RemoveUnreachable() {
+  if (!this->fleetFollower.IsUp() || this->stopping) {
+    return;
+  }
+  for (const StoredRow& row :
+       this->fleet.Unreachable(SteadyClock().Now(), kUnreachableFor)) {
+    if (row.key == this->publisher.Key()) {
+      continue;
+    }
+    Log(LogLevel::Info, "row of an unreachable node removed",
+        {{"key", row.key}, {"row_version", std::to_string(row.version)}});
+    this->ports.store->Write({.table = std::string(kFleetTable),
+                              .key = row.key,
+                              .expected = row.version,
+                              .value = std::nullopt},
+                             [](const StoreReply&) {
+                               // Another node may have been first; the row's
+                               // change arrives with the table.
+                             });
+  }
+}
+
+void MeshNode::Reload(const MeshSettings& aSettings) {
+  this->settings.freshnessLimit = aSettings.freshnessLimit;
+  this->settings.drainLimit = aSettings.drainLimit;
+  this->settings.stopLimit = aSettings.stopLimit;
+  Log(LogLevel::Info, "settings reloaded", {{"node", this->settings.node}});
+}
+
+void MeshNode::Stop() {
+  if (this->stopping) {
+    return;
+  }
+  this->stopping = true;
+  this->stopSince = SteadyClock().Now();
+  Log(LogLevel::Info, "node stopping", {{"node", this->self.nodeId}});
+  this->targetService.Stop();
+  this->peerServer->PushState();
+  this->callers->CloseAfterResponses();
+  this->lease.Release();
+  this->Every(kStopPeriod, [this] { this->TryEnd(this->stopSince); });
+}
+
+void MeshNode::TryEnd(TimePoint aStopSince) {
+  const Duration since = SteadyClock().Now() - aStopSince;
+  const bool idle =
+      this->entryService.Open() == 0 && this->targetService.Open() == 0;
+  const bool late = since >= this->settings.stopLimit - kEndMargin;
+  if (late || (idle && since >= kCallersLeave)) {
+    this->End();
+  }
+}
+
+void MeshNode::End() {
+  Log(LogLevel::Info, "node stopped",
+      {{"entry_open", std::to_string(this->entryService.Open())},
+       {"target_open", std::to_string(this->targetService.Open())}});
+  this->io.stop();
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/MeshNode.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <asio.hpp>
+#include <memory>
+#include <string>
+
+#include "Http1/LoopHttpServer.h"
+#include "Limits/GrantHolder.h"
+#include "Limits/GrantIssuer.h"
+#include "Mesh/EntryService.h"
+#include "Mesh/IssuerLease.h"
+#include "Mesh/MemberPublisher.h"
+#include "Mesh/MeshContext.h"
+#include "Mesh/MeshFleet.h"
+#include "Mesh/MeshPorts.h"
+#include "Mesh/TableFollower.h"
+#include "Mesh/TargetService.h"
+
+namespace fescueline {
+
+/// A node on one event loop, whose fleet shares its state through the
+/// platform's store. Builds the parts and runs them until it is stopped.
+class MeshNode {
+ public:
+  /// Binds all listeners. Throws Error if that fails.
+  MeshNode(asio::io_context& aIo, MeshSettings aSettings, MeshPorts aPorts);
+  MeshNode(const MeshNode&) = delete;
+  MeshNode& operator=(const MeshNode&) = delete;
+
+  void Start();
+  /// Planned stop: not ready at once, serves on until callers have gone and
+  /// what is in flight has ended; then ends the loop.
+  void Stop();
+  /// Rereads settings that can change while running.
+  void Reload(const MeshSettings& aSettings);
+  /// Whether callers should send requests here.
+  bool IsReady() const;
+
+ private:
+  void Listen();
+  void Every(Duration aPeriod, std::function<void()> aFunction);
+  void OnReadyRequest(const HttpExchangePtr& aExchange);
+  void OnReport(const HttpExchangePtr& aExchange);
+  void OnConfigRows(const std::vector<StoredRow>& aRows);
+  void OnFleetRows(const std::vector<StoredRow>& aRows, bool aSnapshot);
+  /// Puts a stored configuration in force if it is newer.
+  void ApplyConfig(const std::string& aStored, std::string_view aSource);
+  /// Passes limits of the configuration and the fleet's size on.
+  void ApplyLimits();
+  void OnPong(const std::string& aNode, const StateWire& aState,
+              TimePoint aPingSentAt);
+  void OnPeerMessage(const std::string& aNode, const DecodedFrame& aFrame);
+  void OnSessionMessage(const PeerServer::SessionPtr& aSession,
+                        const DecodedFrame& aFrame);
+  void ApplyKnowledge(const KnowledgeFrame& aFrame, const std::string& aNode);
+  KnowledgeFrame Knowledge(bool aWanted) const;
+  /// Serves the requests that wait for tokens until there are none.
+  void ScheduleGrantTick();
+  bool AskForTokens(const std::string& aOrganisation, uint32_t aWanted);
+  TokenGrantFrame GrantTokens(const TokenRequestFrame& aRequest);
+  void Maintain();
+  void RemoveUnreachable();
+  void TryEnd(TimePoint aStopSince);
+  void End();
+  PeerServer::Handlers PeerHandlers();
+
+  asio::io_context& io;
+  MeshSettings settings;
+  MeshPorts ports;
+  PeerIdentity self;
+  Metrics metrics;
+  ConfigHolder config;
+  MeshContext context;
+  LocalTargetState target;
+  MeshFleet fleet;
+  GrantIssuer issuer;
+  GrantHolder grants;
+  TargetService targetService;
+  EntryService entryService;
+  MemberPublisher publisher;
+  IssuerLease lease;
+  TableFollower configFollower;
+  TableFollower fleetFollower;
+  std::unique_ptr<PeerServer> peerServer;
+  std::unique_ptr<LoopHttpServer> callers;
+  std::unique_ptr<LoopHttpServer> ready;
+  std::unique_ptr<LoopHttpServer> reports;
+  asio::steady_timer grantTimer;
+  bool grantTimerRunning = false;
+  bool stopping = false;
+  /// Whether the configuration was ever fresh in this process.
+  bool wasFresh = false;
+  bool lastReady = false;
+  /// When knowledge was last sent to each node.
+  std::unordered_map<std::string, TimePoint> knowledgeSent;
+  TimePoint stopSince{};
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/TableFollower.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <string>
+
+#include "Core/BootClock.h"
+#include "Mesh/RowStore.h"
+
+namespace fescueline {
+
+/// Keeps up with one table of the store: reads it whole, then follows its
+/// changes, and starts over when the history is gone. Runs on the loop.
+class TableFollower {
+ public:
+  /// Construction parameters.
+  struct Settings {
+    asio::io_context& io;
+    RowStore& store;
+    std::string table;
+    /// Longest wait of one call for a change.
+    Duration wait = std::chrono::seconds(1);
+    /// All rows of the table, after a whole read.
+    std::function<void(const std::vector<StoredRow>&)> onSnapshot;
+    /// Changed rows.
+    std::function<void(const std::vector<StoredRow>&)> onChanges;
+    /// The table was as known at that moment.
+    std::function<void(BootTime)> onConfirmed;
+  };
+
+  explicit TableFollower(Settings aSettings);
+
+  void Start();
+  void Stop();
+  /// Whether the last call succeeded.
+  bool IsUp() const { return this->up; }
+
+ private:
+  void ReadPage(const std::string& aAfter);
+  void Follow();
+  void Retry();
+  void SetUp(bool aUp, StoreStatus aStatus);
+  /// The moment at which the store's clock showed aStoreTime, at the latest
+  /// possible for an answer to a call sent at aSentAt.
+  BootTime MomentOf(Duration aStoreTime, BootTime aSentAt);
+
+  Settings settings;
+  asio::steady_timer timer;
+  /// Rows of the read in progress.
+  std::vector<StoredRow> pages;
+  /// When the read in progress began.
+  BootTime readSince{};
+  uint64_t after = 0;
+  bool synced = false;
+  bool up = false;
+  bool stopped = false;
+  /// Failures in a row, for the pause between calls.
+  uint32_t failures = 0;
+  /// Largest seen difference of the boot clock at sending and the store's
+  /// clock in the answer: a lower bound of the offset of the two clocks.
+  std::optional<Duration> offset;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/TargetAttempt.cpp
@@ -0,0 +1,311 @@
+#include "Mesh/TargetAttempt.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include "Http1/HttpWriter.h"
+#include "Node/Log.h"
+
+namespace fescueline {
+
+namespace {
+/// A request that may run only once goes out on a connection that rested no
+/// longer than this: the target, or something before it, may have forgotten
+/// one that rested longer.
+constexpr Duration kFreshRest = std::chrono::milliseconds(250);
+constexpr Duration kAnyRest = std::chrono::seconds(3);
+/// Wait suggested after the target shed a request.
+constexpr Duration kShedRetryAfter = std::chrono::milliseconds(300);
+/// The target gets this much less than what is left, so that its own timeout
+/// comes first.
+constexpr Duration kTimeoutMargin = std::chrono::milliseconds(2);
+constexpr int kMisdirected = 421;
+}  // namespace
+
+TargetAttempt::TargetAttempt(TargetService& aService,
+                             PeerServer::SessionPtr aSession,
+                             RequestFrame aFrame, RequestContext aContext,
+                             TimePoint aDeadline)
+    : service(aService),
+      session(std::move(aSession)),
+      frame(std::move(aFrame)),
+      context(std::move(aContext)),
+      deadline(aDeadline),
+      timer(aService.dependencies.context.io) {
+  const std::string& name =
+      this->service.dependencies.context.headers.requestId;
+  for (const HeaderWire& header : this->frame.headers) {
+    if (EqualHeaderName(header.name, name)) {
+      this->requestId = header.value;
+    }
+  }
+}
+
+void TargetAttempt::Run(AdmissionHandle aHandle) {
+  this->handle = aHandle;
+  this->admitted = true;
+  this->state = State::Connecting;
+  this->timer.expires_at(this->deadline);
+  this->timer.async_wait(
+      [self = this->shared_from_this()](const asio::error_code& aError) {
+        if (!aError && self->state == State::Running) {
+          self->connection->Close("deadline");
+        }
+      });
+  this->service.pool->Acquire(
+      this->context.idempotent ? kAnyRest : kFreshRest,
+      [self = this->shared_from_this()](
+          ConnectionPool::ConnectionPtr aConnection,
+          const std::string& aError) {
+        if (self->state != State::Connecting) {
+          if (aConnection) {
+            self->service.pool->Release(std::move(aConnection));
+          }
+          return;
+        }
+        if (!aConnection) {
+          self->Fail(Outcome::NotRun, Cause::ConnectFailed, kShedRetryAfter,
+                     aError);
+          return;
+        }
+        self->SendTo(std::move(aConnection));
+      });
+}
+
+void TargetAttempt::SendTo(ConnectionPool::ConnectionPtr aConnection) {
+  const TimePoint now = SteadyClock().Now();
+  Cause cause = this->service.Check(this->context, now);
+  if (cause == Cause::None && this->deadline <= now) {
+    cause = Cause::DeadlineExpired;
+  }
+  if (cause != Cause::None) {
+    this->service.pool->Release(std::move(aConnection));
+    this->Fail(Outcome::NotRun, cause, kShedRetryAfter, "before the send");
+    return;
+  }
+  this->state = State::Running;
+  this->connection = std::move(aConnection);
+  const auto self = this->shared_from_this();
+  this->connection->Send(
+      this->RequestBytes(now), this->frame.method == "HEAD",
+      {.onHead =
+           [self](HttpHead aHead) { return self->OnHead(std::move(aHead)); },
+       .onBody = [self](std::string_view aPart) { self->OnBody(aPart); },
+       .onDone =
+           [self](const ClientExchangeResult& aResult) {
+             self->OnDone(aResult);
+           }});
+}
+
+std::string TargetAttempt::RequestBytes(TimePoint aNow) const {
+  const HeaderVocabulary& names = this->service.dependencies.context.headers;
+  HttpHeaders headers;
+  headers.reserve(this->frame.headers.size() + 2);
+  for (const HeaderWire& header : this->frame.headers) {
+    headers.push_back({header.name, header.value});
+  }
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(Duration(std::chrono::milliseconds(1)),
+               this->deadline - aNow - kTimeoutMargin));
+  headers.push_back({names.timeout, std::to_string(left.count())});
+  headers.push_back(
+      {names.expectedTarget, this->service.dependencies.target.Id()});
+  HttpFraming framing;
+  const bool mayLackLength =
+      this->frame.method == "GET" || this->frame.method == "HEAD";
+  if (!this->frame.body.empty() || !mayLackLength) {
+    framing.length = this->frame.body.size();
+  }
+  return WriteRequestHead(this->frame.method, this->frame.target, headers,
+                          framing) +
+         this->frame.body;
+}
+
+bool TargetAttempt::OnHead(HttpHead aHead) {
+  const HeaderVocabulary& names = this->service.dependencies.context.headers;
+  const auto echoed = FindHeader(aHead.headers, names.requestId);
+  if (echoed && !this->requestId.empty() && *echoed != this->requestId) {
+    Log(LogLevel::Warning, "response of another request dropped",
+        {{"request", this->requestId},
+         {"answered", std::string(*echoed)},
+         {"target", this->service.dependencies.target.Id()}});
+    return false;
+  }
+  this->NoteLoad(aHead.headers);
+  this->status = aHead.status;
+  this->declaredNotRun = FindHeader(aHead.headers, names.notRun).has_value() ||
+                         aHead.status == kMisdirected;
+  if (this->declaredNotRun || this->abandoned) {
+    return true;
+  }
+  RemoveHopByHopHeaders(aHead.headers);
+  ResponseHeadFrame head{
+      .stream = this->frame.stream,
+      .status = static_cast<uint16_t>(aHead.status),
+      .headers = {},
+      .contentLength =
+          aHead.length ? static_cast<int64_t>(*aHead.length) : int64_t{-1}};
+  for (HttpHeader& header : aHead.headers) {
+    head.headers.push_back({std::move(header.name), std::move(header.value)});
+  }
+  this->headSent = true;
+  this->session->Send(head);
+  return true;
+}
+
+void TargetAttempt::NoteLoad(const HttpHeaders& aHeaders) {
+  const auto value =
+      FindHeader(aHeaders, this->service.dependencies.context.headers.load);
+  if (!value) {
+    return;
+  }
+  std::array<uint32_t, 3> counts{};
+  const char* at = value->data();
+  const char* const end = at + value->size();
+  for (uint32_t& count : counts) {
+    const auto result = std::from_chars(at, end, count);
+    if (result.ec != std::errc()) {
+      return;
+    }
+    at = result.ptr == end ? end : result.ptr + 1;
+  }
+  this->service.SetReportedLoad(counts[0], counts[1], counts[2]);
+}
+
+void TargetAttempt::OnBody(std::string_view aPart) {
+  if (!this->headSent || this->abandoned) {
+    return;
+  }
+  this->credit -= static_cast<int64_t>(aPart.size());
+  while (!aPart.empty()) {
+    const std::string_view part = aPart.substr(0, kMaxDataBytes);
+    this->session->Send(ResponseDataFrame{.stream = this->frame.stream,
+                                          .data = std::string(part)});
+    aPart.remove_prefix(part.size());
+  }
+  if (this->credit <= 0) {
+    this->connection->SetPaused(true);
+  }
+}
+
+void TargetAttempt::AddCredit(uint64_t aBytes) {
+  this->credit += static_cast<int64_t>(aBytes);
+  if (this->credit > 0 && this->state == State::Running) {
+    this->connection->SetPaused(false);
+  }
+}
+
+void TargetAttempt::OnDone(const ClientExchangeResult& aResult) {
+  if (this->state != State::Running) {
+    return;
+  }
+  if (aResult.reusable) {
+    this->service.pool->Release(this->connection);
+  }
+  if (this->declaredNotRun) {
+    this->Fail(
+        Outcome::NotRun,
+        this->status == kMisdirected ? Cause::NoTarget : Cause::TargetShed,
+        kShedRetryAfter, fmt::format("status {}", this->status));
+    return;
+  }
+  if (!this->headSent) {
+    const bool late = SteadyClock().Now() >= this->deadline;
+    this->Fail(Outcome::Unknown,
+               late ? Cause::DeadlineExpired : Cause::ConnectionLost, {},
+               aResult.error);
+    return;
+  }
+  if (!aResult.whole) {
+    Log(LogLevel::Warning, "response broken off by the target",
+        {{"request", this->requestId}, {"error", aResult.error}});
+  }
+  if (!this->abandoned) {
+    this->session->Send(ResponseEndFrame{.stream = this->frame.stream,
+                                         .whole = aResult.whole,
+                                         .unspentRetries = 0,
+                                         .thresholds = {}});
+  }
+  this->Finish(aResult.whole);
+}
+
+void TargetAttempt::Refuse(Cause aCause, Duration aRetryAfter) {
+  this->Fail(Outcome::NotRun, aCause, aRetryAfter, "");
+}
+
+void TargetAttempt::Fail(Outcome aOutcome, Cause aCause, Duration aRetryAfter,
+                         const std::string& aDetail) {
+  this->service.dependencies.context.metrics.CountRefusal(
+      this->context.organisation, this->context.importance, aCause);
+  Log(LogLevel::Info, "attempt failed",
+      {{"request", this->requestId},
+       {"route", this->context.route},
+       {"target", this->service.dependencies.target.Id()},
+       {"outcome", std::string(ToName(aOutcome))},
+       {"cause", std::string(ToName(aCause))},
+       {"detail", aDetail},
+       {"queued", std::to_string(this->service.controller.Core().Queued())},
+       {"running", std::to_string(this->service.controller.Core().InFlight())},
+       {"left_ms",
+        fmt::format("{:.1f}",
+                    ToSeconds(this->deadline - SteadyClock().Now()) * 1000)}});
+  if (!this->abandoned) {
+    this->session->Send(RefusalFrame{
+        .stream = this->frame.stream,
+        .outcome = static_cast<uint8_t>(aOutcome),
+        .cause = static_cast<uint8_t>(aCause),
+        .retryAfter = static_cast<uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(aRetryAfter)
+                .count()),
+        .unspentRetries = 0,
+        .thresholds = {}});
+  }
+  this->Finish(false);
+}
+
+void TargetAttempt::Abandon(const std::string& aReason) {
+  switch (this->state) {
+    case State::Queued:
+      this->service.controller.Cancel(this->handle);
+      this->abandoned = true;
+      this->Finish(false);
+      return;
+    case State::Connecting:
+      this->abandoned = true;
+      this->Finish(false);
+      return;
+    case State::Running:
+      this->abandoned = true;
+      // A request that may run only once is left to end, since its effect
+      // would be unknown otherwise.
+      if (this->context.idempotent) {
+        this->connection->Close(aReason);
+      } else {
+        this->connection->SetPaused(false);
+      }
+      return;
+    case State::Done:
+      return;
+  }
+}
+
+void TargetAttempt::Finish(bool aComplete) {
+  if (this->state == State::Done) {
+    return;
+  }
+  const auto self = this->shared_from_this();
+  this->state = State::Done;
+  this->timer.cancel();
+  this->connection = nullptr;
+  this->service.Remove(*this);
+  if (this->admitted) {
+    this->service.controller.Finished(
+        this->handle, {.childTime = Duration::zero(), .complete = aComplete},
+        SteadyClock().Now());
+    this->service.Pump();
+  }
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/TargetAttempt.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <asio.hpp>
+#include <memory>
+#include <string>
+
+#include "Admission/AdmissionRequest.h"
+#include "Http1/ConnectionPool.h"
+#include "Mesh/TargetService.h"
+#include "Transport/PeerServer.h"
+#include "Transport/RequestContext.h"
+
+namespace fescueline {
+
+/// One attempt at the local target, from its arrival from a peer to the end
+/// of its response. Runs on the loop.
+class TargetAttempt : public std::enable_shared_from_this<TargetAttempt> {
+ public:
+  TargetAttempt(TargetService& aService, PeerServer::SessionPtr aSession,
+                RequestFrame aFrame, RequestContext aContext,
+                TimePoint aDeadline);
+
+  const RequestContext& Context() const { return this->context; }
+  const PeerServer::SessionPtr& Session() const { return this->session; }
+  uint64_t Stream() const { return this->frame.stream; }
+  TimePoint Deadline() const { return this->deadline; }
+
+  void SetQueued(AdmissionHandle aHandle) { this->handle = aHandle; }
+  /// Admitted: sends the request to the target.
+  void Run(AdmissionHandle aHandle);
+  /// Ends the attempt without running it.
+  void Refuse(Cause aCause, Duration aRetryAfter);
+  void AddCredit(uint64_t aBytes);
+  /// The sender gave up or is gone.
+  void Abandon(const std::string& aReason);
+
+ private:
+  enum class State : uint8_t { Queued, Connecting, Running, Done };
+
+  void SendTo(ConnectionPool::ConnectionPtr aConnection);
+  std::string RequestBytes(TimePoint aNow) const;
+  bool OnHead(HttpHead aHead);
+  void OnBody(std::string_view aPart);
+  void OnDone(const ClientExchangeResult& aResult);
+  void NoteLoad(const HttpHeaders& aHeaders);
+  /// Ends the attempt with a refusal of the given outcome.
+  void Fail(Outcome aOutcome, Cause aCause, Duration aRetryAfter,
+            const std::string& aDetail);
+  void Finish(bool aComplete);
+
+  TargetService& service;
+  PeerServer::SessionPtr session;
+  RequestFrame frame;
+  RequestContext context;
+  TimePoint deadline;
+  std::string requestId;
+  State state = State::Queued;
+  AdmissionHandle handle;
+  /// Whether the handle is that of a running request.
+  bool admitted = false;
+  ConnectionPool::ConnectionPtr connection;
+  asio::steady_timer timer;
+  /// Whether the target says that it did not run the request.
+  bool declaredNotRun = false;
+  bool headSent = false;
+  int status = 0;
+  /// Body bytes that the sender still takes.
+  int64_t credit = kInitialCredit;
+  /// Whether nobody waits for the response any more.
+  bool abandoned = false;
+};
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/TargetService.cpp
@@ -0,0 +1,246 @@
+#include "Mesh/TargetService.h"
+
+#include "Core/RandomSource.h"
+#include "Mesh/TargetAttempt.h"
+#include "Node/Log.h"
+
+namespace fescueline {
+
+namespace {
+/// Time between looks at a queue that nothing else moves.
+constexpr Duration kPumpPeriod = std::chrono::milliseconds(10);
+constexpr Duration kDrainingRetryAfter = std::chrono::milliseconds(100);
+/// Part of the slots that is used. Targets slow down when nearly full, and a
+/// new connection may take a slot for a moment.
+constexpr double kSlotShare = 0.95;
+
+AdmissionSettings Settings() {
+  AdmissionSettings settings;
+  // Targets state their slots, and the time of a request contains that of its
+  // own calls, which this node cannot tell apart: nothing is learned from it.
+  settings.limit.tolerance = 1e9;
+  settings.limit.maximum = 100'000;
+  settings.limit.initial = 64;
+  settings.queueTime = std::chrono::milliseconds(250);
+  settings.maxWait = std::chrono::milliseconds(1500);
+  return settings;
+}
+}  // namespace
+
+TargetService::TargetService(Dependencies aDependencies)
+    : dependencies(aDependencies),
+      controller(Settings(), ThreadRandom().Next()),
+      pool(std::make_unique<ConnectionPool>(ConnectionPool::Settings{
+          .io = this->dependencies.context.io,
+          .peer = {asio::ip::make_address(
+                       this->dependencies.context.settings.target.host),
+                   this->dependencies.context.settings.target.port}})),
+      pumpTimer(this->dependencies.context.io) {}
+
+void TargetService::OnTargetChanged() {
+  const std::string& id = this->dependencies.target.Id();
+  if (id != this->poolOf) {
+    this->pool->Clear();
+    this->poolOf = id;
+  }
+  this->ApplyBounds();
+}
+
+void TargetService::ApplyBounds() {
+  const LocalTargetState& target = this->dependencies.target;
+  const MeshConfigPtr& config = this->dependencies.context.config.Current();
+  const MeshService* service =
+      config ? config->FindService(target.Service()) : nullptr;
+  std::optional<uint32_t> connections;
+  if (service != nullptr && service->maxConnections > 0) {
+    connections = service->maxConnections;
+  }
+  if (target.Slots() > 0) {
+    this->controller.Core().SetStated(
+        std::max(1U, static_cast<uint32_t>(target.Slots() * kSlotShare)),
+        connections);
+  }
+  this->Pump();
+}
+
+void TargetService::Stop() { this->stopping = true; }
+
+StateWire TargetService::State() const {
+  const LocalTargetState& target = this->dependencies.target;
+  const TargetState state =
+      this->stopping && target.State() == TargetState::Ready
+          ? TargetState::Draining
+          : target.State();
+  const auto& core = this->controller.Core();
+  const MeshContext& context = this->dependencies.context;
+  const Duration age = context.config.Age(BootClock::now());
+  return {.service = target.Service(),
+          .state = static_cast<uint8_t>(state),
+          .load = static_cast<uint32_t>(core.Queued()) + core.InFlight(),
+          .limit = core.Limit().Ceiling(),
+          .thresholds = {},
+          .configVersion = context.config.Version(),
+          .configAge =
+              age == Duration::max()
+                  ? -1
+                  : std::chrono::duration_cast<std::chrono::microseconds>(age)
+                        .count()};
+}
+
+void TargetService::SetReportedLoad(uint32_t aRunning, uint32_t aWaiting,
+                                    uint32_t aSlots) {
+  this->reportedLoad = aRunning + aWaiting;
+  static_cast<void>(aSlots);
+}
+
+Cause TargetService::Check(const RequestContext& aContext,
+                           TimePoint aNow) const {
+  const MeshContext& context = this->dependencies.context;
+  if (aContext.service != this->dependencies.target.Service()) {
+    return Cause::NoTarget;
+  }
+  if (!this->dependencies.target.MayPass(aNow)) {
+    return Cause::Draining;
+  }
+  if (aContext.open) {
+    return Cause::None;
+  }
+  if (!context.IsFresh()) {
+    return Cause::StaleKnowledge;
+  }
+  const MeshConfigPtr& config = context.config.Current();
+  const MeshOrganisation* organisation =
+      config->FindByKeyHash(aContext.keyHash);
+  if (organisation == nullptr) {
+    // A key that this node has not heard of yet, unless it knows as much as
+    // the entry node did.
+    return config->Version() >= aContext.configVersion ? Cause::UnknownKey
+                                                       : Cause::StaleKnowledge;
+  }
+  return organisation->name == aContext.organisation ? Cause::None
+                                                     : Cause::UnknownKey;
+}
+
+void TargetService::OnRequest(const PeerServer::SessionPtr& aSession,
+                              RequestFrame aFrame, Duration aHeldUp) {
+  const TimePoint now = SteadyClock().Now();
+  auto context = VerifyContext(aFrame.context, this->dependencies.fleetSecret);
+  if (!context) {
+    throw Error("peer.request", aSession->RemoteNode(),
+                "request without a valid context");
+  }
+  const TimePoint deadline = now + context->remaining - aHeldUp;
+  const auto attempt = std::make_shared<TargetAttempt>(
+      *this, aSession, std::move(aFrame), std::move(*context), deadline);
+  this->attempts[aSession->Number()][attempt->Stream()] = attempt;
+  ++this->open;
+  Cause cause = this->Check(attempt->Context(), now);
+  if (cause == Cause::None &&
+      (this->stopping ||
+       this->dependencies.target.State() != TargetState::Ready)) {
+    cause = Cause::Draining;
+  }
+  if (cause != Cause::None) {
+    attempt->Refuse(cause, kDrainingRetryAfter);
+    return;
+  }
+  const RequestContext& known = attempt->Context();
+  const OfferResult result =
+      this->controller.Offer({.organisation = known.organisation,
+                              .importance = known.importance,
+                              .rootId = known.rootId,
+                              .depth = known.depth,
+                              .rootStart = now - known.age,
+                              .deadline = deadline},
+                             AttemptPtr(attempt), now);
+  if (!result.enqueued) {
+    attempt->Refuse(result.refusal.cause, result.refusal.retryAfter);
+    this->Pump();
+    return;
+  }
+  attempt->SetQueued(result.handle);
+  this->Pump();
+}
+
+void TargetService::Pump() {
+  if (this->pumping) {
+    this->pumpAgain = true;
+    return;
+  }
+  this->pumping = true;
+  do {
+    this->pumpAgain = false;
+    Controller::Batch batch;
+    this->controller.Next(SteadyClock().Now(), batch);
+    for (auto& started : batch.started) {
+      started.ticket->Run(started.handle);
+    }
+    for (auto& dropped : batch.dropped) {
+      dropped.ticket->Refuse(dropped.refusal.cause, dropped.refusal.retryAfter);
+    }
+  } while (this->pumpAgain);
+  this->pumping = false;
+  this->SchedulePump();
+}
+
+void TargetService::SchedulePump() {
+  if (this->pumpScheduled || this->controller.Core().Queued() == 0) {
+    return;
+  }
+  this->pumpScheduled = true;
+  this->pumpTimer.expires_after(kPumpPeriod);
+  this->pumpTimer.async_wait([this](const asio::error_code& aError) {
+    this->pumpScheduled = false;
+    if (!aError) {
+      this->Pump();
+    }
+  });
+}
+
+TargetService::AttemptPtr TargetService::Find(
+    const PeerServer::SessionPtr& aSession, uint64_t aStream) {
+  const auto session = this->attempts.find(aSession->Number());
+  if (session == this->attempts.end()) {
+    return nullptr;
+  }
+  const auto found = session->second.find(aStream);
+  return found == session->second.end() ? nullptr : found->second;
+}
+
+void TargetService::Remove(const TargetAttempt& aAttempt) {
+  const auto session = this->attempts.find(aAttempt.Session()->Number());
+  if (session != this->attempts.end()) {
+    session->second.erase(aAttempt.Stream());
+    if (session->second.empty()) {
+      this->attempts.erase(session);
+    }
+  }
+  --this->open;
+}
+
+void TargetService::OnCredit(const PeerServer::SessionPtr& aSession,
+                             const CreditFrame& aFrame) {
+  if (const AttemptPtr attempt = this->Find(aSession, aFrame.stream)) {
+    attempt->AddCredit(aFrame.bytes);
+  }
+}
+
+void TargetService::OnCancel(const PeerServer::SessionPtr& aSession,
+                             uint64_t aStream) {
+  if (const AttemptPtr attempt = this->Find(aSession, aStream)) {
+    attempt->Abandon("cancelled by the entry node");
+  }
+}
+
+void TargetService::OnClosed(const PeerServer::SessionPtr& aSession) {
+  const auto session = this->attempts.find(aSession->Number());
+  if (session == this->attempts.end()) {
+    return;
+  }
+  const auto open = session->second;
+  for (const auto& [stream, attempt] : open) {
+    attempt->Abandon("connection to the entry node lost");
+  }
+}
+
+}  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/TargetService.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <asio.hpp>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "Admission/AdmissionController.h"
+#include "Http1/ConnectionPool.h"
+#include "Mesh/LocalTargetState.h"
+#include "Mesh/MeshContext.h"
+#include "Transport/PeerServer.h"
+#include "Transport/RequestContext.h"
+
+namespace fescueline {
+
+class TargetAttempt;
+
+/// Runs the attempts of all nodes at the local target: checks their authority
+/// right before each is sent, queues them by importance, and keeps the target
+/// within its slots. Runs on the loop.
+class TargetService {
+ public:
+  using AttemptPtr = std::shared_ptr<TargetAttempt>;
+  using Controller = AdmissionController<AttemptPtr>;
+
+  /// Construction parameters.
+  struct Dependencies {
+    MeshContext& context;
+    LocalTargetState& target;
+    std::string fleetSecret;
+  };
+
+  explicit TargetService(Dependencies aDependencies);
+
+  /// A request, and how long it was held up on the way.
+  void OnRequest(const PeerServer::SessionPtr& aSession, RequestFrame aFrame,
+                 Duration aHeldUp);
+  void OnCredit(const PeerServer::SessionPtr& aSession,
+                const CreditFrame& aFrame);
+  void OnCancel(const PeerServer::SessionPtr& aSession, uint64_t aStream);
+  void OnClosed(const PeerServer::SessionPtr& aSession);
+  /// The target's state or slots changed.
+  void OnTargetChanged();
+  /// A new configuration is in force: the service's bounds may differ.
+  void OnConfigChanged() { this->ApplyBounds(); }
+  /// The node is stopping: takes nothing new.
+  void Stop();
+  bool IsStopping() const { return this->stopping; }
+
+  /// State of the target for peers.
+  StateWire State() const;
+  /// Attempts queued or running.
+  size_t Open() const { return this->open; }
+  /// Requests of which the target says that it holds them.
+  void SetReportedLoad(uint32_t aRunning, uint32_t aWaiting, uint32_t aSlots);
+
+ private:
+  friend class TargetAttempt;
+
+  /// Why the attempt must not run; None if it may.
+  Cause Check(const RequestContext& aContext, TimePoint aNow) const;
+  /// Passes the target's slots and connections on to the admission.
+  void ApplyBounds();
+  /// Starts and drops queued attempts.
+  void Pump();
+  void SchedulePump();
+  AttemptPtr Find(const PeerServer::SessionPtr& aSession, uint64_t aStream);
+  void Remove(const TargetAttempt& aAttempt);
+
+  Dependencies dependencies;
+  Controller controller;
+  std::unique_ptr<ConnectionPool> pool;
+  /// Target that the resting connections lead to.
+  std::string poolOf;
+  asio::steady_timer pumpTimer;
+  bool pumpScheduled = false;
+  /// Guards against a pump within a pump.
+  bool pumping = false;
+  bool pumpAgain = false;
+  bool stopping = false;
+  /// Attempts by session and stream.
+  std::unordered_map<uint64_t, std::unordered_map<uint64_t, AttemptPtr>>
+      attempts;
+  size_t open = 0;
+  /// Requests that the target last said it holds.
+  uint32_t reportedLoad = 0;
+};
+
+}  // namespace fescueline
--- a/src/Transport/FrameChannel.cpp
+++ b/src/Transport/FrameChannel.cpp
@@ -164,6 +164,7 @@
     return;
   }
   if (this->sendsPings) {
+    this->pingSentAt = now;
     this->Send(PingFrame{.sequence = ++this->pingSequence});
   }
   this->ScheduleLiveness();
--- a/src/Transport/FrameChannel.h
+++ b/src/Transport/FrameChannel.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "Core/Time.h"
@@ -66,6 +67,11 @@
   }
 
   bool IsOpen() const { return this->open; }
+  /// When the ping with that number left; nothing unless it is the last one.
+  std::optional<TimePoint> PingSentAt(uint64_t aSequence) const {
+    return aSequence == this->pingSequence ? std::optional(this->pingSentAt)
+                                           : std::nullopt;
+  }
   const Strand& GetStrand() const { return this->strand; }
   const std::string& Peer() const { return this->peer; }
 
@@ -111,6 +117,8 @@
   TimePoint lastReceived;
   /// Number of the last ping.
   uint64_t pingSequence = 0;
+  /// When it was sent.
+  TimePoint pingSentAt{};
   /// Frames waiting to be written; the front ones are being written.
   std::deque<PendingWrite> writes;
   /// Number of queued frames that the running write covers.
--- a/src/Transport/Frames.h
+++ b/src/Transport/Frames.h
@@ -30,12 +30,15 @@
   AttemptReply,
   Ping,
   Pong,
-  StateUpdate
+  StateUpdate,
+  Knowledge,
+  TokenRequest,
+  TokenGrant
 };
 
 /// Highest valid FrameType value.
 inline constexpr uint8_t kMaxFrameType =
-    static_cast<uint8_t>(FrameType::StateUpdate);
+    static_cast<uint8_t>(FrameType::TokenGrant);
 
 /// Header field on the wire.
 struct HeaderWire {
@@ -206,7 +209,13 @@
   /// Current concurrency limit.
   uint32_t limit = 0;
   std::vector<ThresholdWire> thresholds;
-  MSGPACK_DEFINE_ARRAY(service, state, load, limit, thresholds)
+  /// Version of the configuration in force at the sender; 0 if none.
+  uint64_t configVersion = 0;
+  /// Time since that version was known to be the newest, microseconds;
+  /// negative if never.
+  int64_t configAge = -1;
+  MSGPACK_DEFINE_ARRAY(service, state, load, limit, thresholds, configVersion,
+                       configAge)
 };
 
 /// Answer to Ping.
@@ -224,4 +233,46 @@
   MSGPACK_DEFINE_ARRAY(state)
 };
 
+/// One row of the fleet's shared state, passed between nodes.
+struct FleetRowWire {
+  std::string key;
+  std::string value;
+  /// Version of the row at the store.
+  uint64_t version = 0;
+  MSGPACK_DEFINE_ARRAY(key, value, version)
+};
+
+/// What the sender knows of configuration and members, for a node that cannot
+/// read the store.
+struct KnowledgeFrame {
+  static constexpr FrameType kType = FrameType::Knowledge;
+  /// Version of the configuration; 0 if the sender has none.
+  uint64_t configVersion = 0;
+  /// The configuration as stored; empty if only asking.
+  std::string config;
+  std::vector<FleetRowWire> rows;
+  /// Whether the sender wants the receiver's knowledge in return.
+  bool wanted = false;
+  MSGPACK_DEFINE_ARRAY(configVersion, config, rows, wanted)
+};
+
+/// Asks the issuer for tokens of an organisation's rate.
+struct TokenRequestFrame {
+  static constexpr FrameType kType = FrameType::TokenRequest;
+  std::string organisation;
+  /// Tokens wanted.
+  uint32_t wanted = 0;
+  MSGPACK_DEFINE_ARRAY(organisation, wanted)
+};
+
+/// Tokens granted, perhaps none.
+struct TokenGrantFrame {
+  static constexpr FrameType kType = FrameType::TokenGrant;
+  std::string organisation;
+  uint32_t tokens = 0;
+  /// Whether the sender issues tokens at all.
+  bool issuing = false;
+  MSGPACK_DEFINE_ARRAY(organisation, tokens, issuing)
+};
+
 }  // namespace fescueline
--- a/src/Transport/PeerClient.cpp
+++ b/src/Transport/PeerClient.cpp
@@ -76,10 +76,21 @@
     return;
   }
   switch (aFrame.type) {
-    case FrameType::Pong:
+    case FrameType::Pong: {
+      const auto pong = aFrame.As<PongFrame>();
       if (this->settings.onState) {
-        this->settings.onState(aFrame.As<PongFrame>().state,
-                               this->remoteIncarnation);
+        this->settings.onState(pong.state, this->remoteIncarnation);
+      }
+      const auto sentAt = this->channel->PingSentAt(pong.sequence);
+      if (sentAt && this->settings.onPong) {
+        this->settings.onPong(pong.state, *sentAt);
+      }
+      break;
+    }
+    case FrameType::Knowledge:
+    case FrameType::TokenGrant:
+      if (this->settings.onMessage) {
+        this->settings.onMessage(aFrame);
       }
       break;
     case FrameType::StateUpdate:
@@ -113,6 +124,9 @@
                               this->settings.self.incarnation.ToString())});
   this->ready = true;
   this->connectTimer.cancel();
+  if (this->settings.onReady) {
+    this->settings.onReady();
+  }
   std::vector<std::function<void()>> sends;
   sends.swap(this->waiting);
   for (const auto& send : sends) {
--- a/src/Transport/PeerClient.h
+++ b/src/Transport/PeerClient.h
@@ -50,6 +50,12 @@
     /// State of the target beside the other node; after each pong and push.
     std::function<void(const StateWire&, const std::string& aIncarnation)>
         onState;
+    /// The other side answered the ping sent at that time.
+    std::function<void(const StateWire&, TimePoint aPingSentAt)> onPong;
+    /// Any other frame that belongs to no stream.
+    std::function<void(const DecodedFrame&)> onMessage;
+    /// The handshake is done.
+    std::function<void()> onReady;
     /// The connection ended.
     std::function<void(const std::string& aReason)> onClosed;
   };
@@ -68,6 +74,16 @@
   void Credit(uint64_t aStream, uint64_t aBytes);
   /// Gives up a stream without further events.
   void Cancel(uint64_t aStream);
+  /// Sends a frame outside of any stream; dropped before the handshake.
+  template <typename T>
+  void SendMessage(T aFrame) {
+    asio::post(this->strand,
+               [self = this->shared_from_this(), frame = std::move(aFrame)] {
+                 if (self->ready && !self->closed) {
+                   self->channel->Send(frame);
+                 }
+               });
+  }
   /// Closes the connection.
   void Close(const std::string& aReason);
   /// Whether the connection has ended or failed. Any thread.
--- a/src/Transport/PeerServer.cpp
+++ b/src/Transport/PeerServer.cpp
@@ -61,6 +61,12 @@
       this->Send(PongFrame{.sequence = aFrame.As<PingFrame>().sequence,
                            .state = handlers.state()});
       break;
+    case FrameType::Knowledge:
+    case FrameType::TokenRequest:
+      if (handlers.onMessage) {
+        handlers.onMessage(this->shared_from_this(), aFrame);
+      }
+      break;
     default:
       throw Error("peer.frame", this->RemoteNode(), "unexpected frame");
   }
--- a/src/Transport/PeerServer.h
+++ b/src/Transport/PeerServer.h
@@ -78,6 +78,8 @@
     std::function<void(const SessionPtr&, uint64_t aStream)> onCancel;
     std::function<void(const SessionPtr&, const AttemptQueryFrame&)> onQuery;
     std::function<void(const SessionPtr&)> onClosed;
+    /// Any other frame that belongs to no stream.
+    std::function<void(const SessionPtr&, const DecodedFrame&)> onMessage;
     /// State of the local target for a pong.
     std::function<StateWire()> state;
   };
