Let calls of targets inherit from the request that makes them

Cause: calls arrive without our context, so at the busiest service they counted as equal to each other and to new work.

Ruled out: matching calls to parents by deadline (clients send no timeout); throttling each route by its own results (it sheds filings before lookups, as they make more calls).

Change: a call's identifier extends that of the request that makes it, so the node beside the target finds the running parent; importance, organisation, root, deadline and the chain's retries are inherited, and calls end with their parent. Thresholds travel back with answers and refuse roots early. Ranks of organisation and route are spread over the importance classes in their order.

--- a/src/Mesh/EntryCall.cpp
+++ b/src/Mesh/EntryCall.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 
 #include "Node/Log.h"
+#include "Node/ThresholdMessages.h"
 
 namespace fescueline {
 
@@ -32,6 +33,10 @@
 constexpr Duration kRateRetryAfter = std::chrono::milliseconds(1000);
 constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(300);
 constexpr int kFirstServerError = 500;
+/// Retries of a caller's request over its whole chain of calls, and of a call
+/// whose parent is not known.
+constexpr uint32_t kChainRetries = 4;
+constexpr uint32_t kOrphanRetries = 1;
 
 std::string HostOf(const HttpHeaders& aHeaders) {
   return std::string(FindHeader(aHeaders, "host").value_or(""));
@@ -83,6 +88,15 @@
   if (!this->Route() || !this->Authenticate()) {
     return;
   }
+  this->importance =
+      this->config->ImportanceOf(*this->route, this->organisation);
+  this->rootId = Id128::Generate();
+  if (this->organisation != nullptr) {
+    this->shareOf = this->organisation->name;
+  }
+  if (const auto running = this->context.running.ParentOf(this->requestId)) {
+    this->Inherit(running);
+  }
   this->PrepareHeaders();
   this->exchange->OnAbort([weak = this->weak_from_this()] {
     if (const auto self = weak.lock()) {
@@ -96,15 +110,58 @@
           self->OnTimeout();
         }
       });
+  if (!this->BeginBudget()) {
+    this->Refuse(Outcome::NotRun, Cause::Cancelled);
+    return;
+  }
+  const bool refusedFurtherDown =
+      !this->parent && this->context.thresholds.ShouldRefuse(
+                           this->route->name, this->shareOf, this->importance,
+                           RootHash(this->rootId), this->startedAt);
+  if (refusedFurtherDown) {
+    this->Refuse(Outcome::NotRun, Cause::Overloaded, kOverloadRetryAfter);
+    return;
+  }
   this->AdmitByRate();
 }
 
+void EntryCall::Inherit(const RunningAttemptPtr& aParent) {
+  const RequestContext& root = aParent->Context();
+  this->parent = aParent;
+  this->rootId = root.rootId;
+  this->shareOf = root.organisation;
+  this->importance = root.importance;
+  this->depth = root.depth + 1;
+  this->deadline = std::min(this->deadline, aParent->Deadline());
+}
+
+bool EntryCall::BeginBudget() {
+  if (!this->parent) {
+    const bool isCall =
+        this->requestId.find('.') != std::string::npos && this->route->open;
+    this->budget = std::make_shared<RunningAttempt>(
+        RequestContext{},
+        RunningAttempt::Times{.rootStart = this->startedAt,
+                              .deadline = this->deadline},
+        isCall ? kOrphanRetries : kChainRetries);
+    return true;
+  }
+  this->budget = this->parent;
+  this->callNumber = this->parent->BeginCall(
+      [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->OnCallerGone();
+        }
+      },
+      this->startedAt);
+  return this->callNumber != 0;
+}
+
 bool EntryCall::Route() {
   const HttpRequest& request = this->exchange->Request();
   this->route =
       this->config->FindRoute(HostOf(request.headers), PathOf(request.target));
   if (this->route != nullptr) {
-    this->importance = this->route->importance;
     this->deadline =
         std::min(this->deadline, this->startedAt + this->route->timeout);
     return true;
@@ -138,7 +195,6 @@
     return false;
   }
   this->keyHash = AsBytes(Sha256(*key));
-  this->importance = this->organisation->importance.value_or(this->importance);
   return true;
 }
 
@@ -211,10 +267,10 @@
                           .startedAt = now};
   this->context.metrics.CountAttempt(number > 1);
   RequestContext sent;
-  sent.organisation =
-      this->organisation == nullptr ? "" : this->organisation->name;
+  sent.organisation = this->shareOf;
   sent.keyHash = this->keyHash;
-  sent.rootId = Id128::Generate();
+  sent.rootId = this->rootId;
+  sent.depth = this->depth;
   sent.attemptId = Id128::Generate();
   sent.route = this->route->name;
   sent.service = this->chosenService;
@@ -226,8 +282,10 @@
   sent.age = now - this->startedAt;
   sent.configVersion = this->config->Version();
   const HttpRequest& request = this->exchange->Request();
+  this->attempt->granted = this->budget->GrantForCall();
   RequestFrame frame{
       .context = SignContext(sent, this->service.dependencies.fleetSecret),
+      .retries = this->attempt->granted,
       .method = request.method,
       .target = this->target,
       .headers = this->headers,
@@ -252,7 +310,7 @@
            },
        .onEnd =
            [guard](const ResponseEndFrame& aFrame) {
-             guard([&](EntryCall& aCall) { aCall.OnEnd(aFrame.whole); });
+             guard([&](EntryCall& aCall) { aCall.OnEnd(aFrame); });
            },
        .onRefusal =
            [guard](const RefusalFrame& aFrame) {
@@ -299,22 +357,25 @@
   this->exchange->Write(std::move(aData), credit);
 }
 
-void EntryCall::OnEnd(bool aWhole) {
+void EntryCall::OnEnd(const ResponseEndFrame& aFrame) {
+  this->LearnThresholds(aFrame.thresholds);
   if (this->delivery == Delivery::Streamed) {
-    this->EndAttempt(aWhole ? CallResult::Answered : CallResult::Failed);
-    this->exchange->EndStream(aWhole);
-    if (!aWhole) {
+    this->EndAttempt(aFrame.whole ? CallResult::Answered : CallResult::Failed,
+                     aFrame.unspentRetries);
+    this->exchange->EndStream(aFrame.whole);
+    if (!aFrame.whole) {
       this->LogEnd("response broken off", Outcome::Ran, Cause::TargetFailed);
     }
     this->Finish();
     return;
   }
-  if (!aWhole) {
+  if (!aFrame.whole) {
     this->OnFailed(Outcome::Unknown, Cause::TargetFailed, {});
     return;
   }
   this->EndAttempt(this->status >= kFirstServerError ? CallResult::Failed
-                                                     : CallResult::Answered);
+                                                     : CallResult::Answered,
+                   aFrame.unspentRetries);
   ++this->arrivals;
   this->DeliverBuffered();
 }
@@ -330,7 +391,17 @@
   this->Finish();
 }
 
+void EntryCall::LearnThresholds(const std::vector<ThresholdWire>& aThresholds) {
+  // Thresholds of a call belong to the path of the request that makes it.
+  const std::string& path =
+      this->parent ? this->parent->Context().route : this->route->name;
+  this->context.thresholds.Learn(this->attempt->choice.node, path,
+                                 FromWire(aThresholds), SteadyClock().Now());
+}
+
 void EntryCall::OnRefusal(const RefusalFrame& aFrame) {
+  this->LearnThresholds(aFrame.thresholds);
+  this->attempt->unspent = aFrame.unspentRetries;
   this->OnFailed(static_cast<Outcome>(aFrame.outcome),
                  static_cast<Cause>(aFrame.cause),
                  std::chrono::milliseconds(aFrame.retryAfter));
@@ -352,7 +423,7 @@
   } else if (aOutcome != Outcome::NotRun) {
     result = CallResult::Failed;
   }
-  this->EndAttempt(result);
+  this->EndAttempt(result, this->attempt->unspent);
   this->delivery = Delivery::None;
   if (this->MayRepeat(aOutcome, aCause)) {
     Log(LogLevel::Info, "request repeated",
@@ -382,11 +453,13 @@
     return false;
   }
   return this->arrivals < this->route->maxTargets &&
-         this->service.RetriesOf(this->chosenService).TryRetry(now);
+         this->service.RetriesOf(this->chosenService).TryRetry(now) &&
+         this->budget->SpendRetry();
 }
 
-void EntryCall::EndAttempt(CallResult aResult) {
+void EntryCall::EndAttempt(CallResult aResult, uint32_t aUnspentRetries) {
   if (this->attempt) {
+    this->budget->ReturnGrant(this->attempt->granted, aUnspentRetries);
     this->service.dependencies.fleet.OnFinish(this->attempt->ticket, aResult,
                                               SteadyClock().Now());
     this->attempt.reset();
@@ -477,6 +550,9 @@
 void EntryCall::Finish() {
   this->finished = true;
   this->timer.cancel();
+  if (this->callNumber != 0) {
+    this->parent->EndCall(this->callNumber, SteadyClock().Now());
+  }
   this->EndAttempt(CallResult::Cancelled);
 }
 
--- a/src/Mesh/EntryCall.h
+++ b/src/Mesh/EntryCall.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Mesh/EntryService.h"
+#include "Node/RunningAttempt.h"
 #include "Transport/RequestContext.h"
 
 namespace fescueline {
@@ -32,8 +33,16 @@
     CallTicket ticket;
     uint64_t stream = 0;
     TimePoint startedAt;
+    /// Retries that were passed on.
+    uint32_t granted = 0;
+    /// Those of them that came back unspent.
+    uint32_t unspent = 0;
   };
 
+  /// Takes over what the request that makes this call has.
+  void Inherit(const RunningAttemptPtr& aParent);
+  /// Finds the retries that the request may use; false if its parent ended.
+  bool BeginBudget();
   /// Checks route and key; false if the request was refused.
   bool Route();
   bool Authenticate();
@@ -43,13 +52,14 @@
   void Send(MeshFleet::Choice aChoice);
   void OnHead(const ResponseHeadFrame& aFrame);
   void OnData(std::string aData);
-  void OnEnd(bool aWhole);
+  void OnEnd(const ResponseEndFrame& aFrame);
   void OnRefusal(const RefusalFrame& aFrame);
   void OnLost(bool aSent);
   /// An attempt ended without a usable response.
   void OnFailed(Outcome aOutcome, Cause aCause, Duration aRetryAfter);
   bool MayRepeat(Outcome aOutcome, Cause aCause);
-  void EndAttempt(CallResult aResult);
+  void EndAttempt(CallResult aResult, uint32_t aUnspentRetries = 0);
+  void LearnThresholds(const std::vector<ThresholdWire>& aThresholds);
   void OnTimeout();
   void OnCallerGone();
   void Refuse(Outcome aOutcome, Cause aCause, Duration aRetryAfter = {});
@@ -71,6 +81,16 @@
   std::string target;
   /// Service that the request goes to.
   std::string chosenService;
+  /// Request of the local target that makes this call; null for a caller's.
+  RunningAttemptPtr parent;
+  /// Number of the call at its parent.
+  uint64_t callNumber = 0;
+  /// Holder of the retries of the whole chain.
+  RunningAttemptPtr budget;
+  /// Organisation for shares and thresholds; that of the root for a call.
+  std::string shareOf;
+  Id128 rootId;
+  uint32_t depth = 0;
   Importance importance = Importance::Normal;
   std::string keyHash;
   /// Headers for the target.
--- a/src/Mesh/MeshConfig.cpp
+++ b/src/Mesh/MeshConfig.cpp
@@ -40,6 +40,17 @@
       this->organisationByKeyHash.emplace(AsBytes(Sha256(key)), i);
     }
   }
+  for (const MeshRoute& route : this->content.routes) {
+    if (route.open) {
+      continue;
+    }
+    for (const MeshOrganisation& organisation : this->content.organisations) {
+      this->ranks.emplace_back(organisation.rank, route.rank);
+    }
+  }
+  std::sort(this->ranks.begin(), this->ranks.end());
+  this->ranks.erase(std::unique(this->ranks.begin(), this->ranks.end()),
+                    this->ranks.end());
   for (size_t i = 0; i < this->content.services.size(); ++i) {
     this->serviceByName.emplace(this->content.services[i].name, i);
   }
@@ -78,4 +89,23 @@
   return FindIn(this->serviceByName, this->content.services, aName);
 }
 
+Importance MeshConfig::ImportanceOf(
+    const MeshRoute& aRoute, const MeshOrganisation* aOrganisation) const {
+  if (this->ranks.empty()) {
+    return static_cast<Importance>(
+        std::min<uint32_t>(aRoute.rank, kImportanceClasses - 1));
+  }
+  // Without an organisation it is the work of targets, which is counted with
+  // that of the first organisations.
+  const std::pair<uint32_t, uint32_t> rank(
+      aOrganisation == nullptr ? 0 : aOrganisation->rank, aRoute.rank);
+  const auto position = static_cast<size_t>(
+      std::lower_bound(this->ranks.begin(), this->ranks.end(), rank) -
+      this->ranks.begin());
+  // The ranks in use are spread over the classes in their order.
+  const size_t classes = std::max(this->ranks.size(), kImportanceClasses);
+  return static_cast<Importance>(std::min(
+      position * kImportanceClasses / classes, kImportanceClasses - 1));
+}
+
 }  // namespace fescueline
--- a/src/Mesh/MeshConfig.h
+++ b/src/Mesh/MeshConfig.h
@@ -41,8 +41,8 @@
   Duration latencyObjective{};
   /// Most targets that one request may be sent to.
   uint32_t maxTargets = 1;
-  /// Importance of its requests.
-  Importance importance = Importance::Normal;
+  /// Rank of its requests; a lower one is more important.
+  uint32_t rank = 0;
 };
 
 /// A service of the graph.
@@ -57,8 +57,8 @@
   std::string name;
   std::vector<std::string> keys;
   OrganisationRate rate;
-  /// Goes before the importance of the route, if there is one.
-  std::optional<Importance> importance;
+  /// Rank of the organisation; goes before the rank of the route.
+  uint32_t rank = 0;
 };
 
 /// One version of the configuration, decoded. Immutable and shared.
@@ -86,6 +86,10 @@
   const MeshOrganisation* FindByKeyHash(const std::string& aKeyHash) const;
   const MeshOrganisation* FindOrganisation(const std::string& aName) const;
   const MeshService* FindService(const std::string& aName) const;
+  /// Importance of an organisation's requests on a route, or of requests
+  /// without an organisation if it is null.
+  Importance ImportanceOf(const MeshRoute& aRoute,
+                          const MeshOrganisation* aOrganisation) const;
   /// Whether requests on closed routes need a key.
   bool HasOrganisations() const { return !this->content.organisations.empty(); }
 
@@ -97,6 +101,8 @@
   std::unordered_map<std::string, size_t> organisationByKeyHash;
   std::unordered_map<std::string, size_t> organisationByName;
   std::unordered_map<std::string, size_t> serviceByName;
+  /// Pairs of ranks in use, of organisation and route, in their order.
+  std::vector<std::pair<uint32_t, uint32_t>> ranks;
 };
 
 using MeshConfigPtr = std::shared_ptr<const MeshConfig>;
--- a/src/Mesh/MeshContext.h
+++ b/src/Mesh/MeshContext.h
@@ -3,9 +3,11 @@
 #include <asio.hpp>
 #include <string>
 
+#include "Admission/ThresholdTable.h"
 #include "Mesh/ConfigHolder.h"
 #include "Mesh/HeaderVocabulary.h"
 #include "Mesh/MeshSettings.h"
+#include "Mesh/RunningRequests.h"
 #include "Node/Metrics.h"
 
 namespace fescueline {
@@ -17,6 +19,10 @@
   const HeaderVocabulary& headers;
   ConfigHolder& config;
   Metrics& metrics;
+  /// Thresholds of the services that requests reach, for early refusal.
+  ThresholdTable& thresholds;
+  /// Requests that the local target is running.
+  RunningRequests& running;
 
   /// Whether the configuration is recent enough to run a request with a key.
   bool IsFresh() const {
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -70,6 +70,8 @@
   PeerIdentity self;
   Metrics metrics;
   ConfigHolder config;
+  ThresholdTable thresholds;
+  RunningRequests running;
   MeshContext context;
   LocalTargetState target;
   MeshFleet fleet;
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -33,6 +33,12 @@
       frame(std::move(aFrame)),
       context(std::move(aContext)),
       deadline(aDeadline),
+      running(std::make_shared<RunningAttempt>(
+          this->context,
+          RunningAttempt::Times{
+              .rootStart = SteadyClock().Now() - this->context.age,
+              .deadline = aDeadline},
+          this->frame.retries)),
       timer(aService.dependencies.context.io) {
   const std::string& name =
       this->service.dependencies.context.headers.requestId;
@@ -87,6 +93,19 @@
   }
   this->state = State::Running;
   this->connection = std::move(aConnection);
+  this->running->SetCallObserver([this](bool aBegins) {
+    auto& core = this->service.controller.Core();
+    if (aBegins) {
+      core.ChildStarted(this->handle);
+      this->service.SchedulePumpNow();
+    } else {
+      core.ChildEnded(this->handle);
+    }
+  });
+  if (!this->requestId.empty()) {
+    this->service.dependencies.context.running.Add(this->requestId,
+                                                   this->running);
+  }
   const auto self = this->shared_from_this();
   this->connection->Send(
       this->RequestBytes(now), this->frame.method == "HEAD",
@@ -223,10 +242,11 @@
         {{"request", this->requestId}, {"error", aResult.error}});
   }
   if (!this->abandoned) {
-    this->session->Send(ResponseEndFrame{.stream = this->frame.stream,
-                                         .whole = aResult.whole,
-                                         .unspentRetries = 0,
-                                         .thresholds = {}});
+    this->session->Send(ResponseEndFrame{
+        .stream = this->frame.stream,
+        .whole = aResult.whole,
+        .unspentRetries = this->running->UnspentRetries(),
+        .thresholds = this->service.Thresholds(this->context)});
   }
   this->Finish(aResult.whole);
 }
@@ -259,8 +279,8 @@
         .retryAfter = static_cast<uint32_t>(
             std::chrono::duration_cast<std::chrono::milliseconds>(aRetryAfter)
                 .count()),
-        .unspentRetries = 0,
-        .thresholds = {}});
+        .unspentRetries = this->running->UnspentRetries(),
+        .thresholds = this->service.Thresholds(this->context)});
   }
   this->Finish(false);
 }
@@ -298,12 +318,17 @@
   const auto self = this->shared_from_this();
   this->state = State::Done;
   this->timer.cancel();
+  this->service.dependencies.context.running.Remove(this->requestId,
+                                                    this->running);
+  const TimePoint now = SteadyClock().Now();
+  const Duration childTime = this->running->CallTime(now);
+  // Calls of a request that has ended are of no use to anybody.
+  this->running->End();
   this->connection = nullptr;
   this->service.Remove(*this);
   if (this->admitted) {
     this->service.controller.Finished(
-        this->handle, {.childTime = Duration::zero(), .complete = aComplete},
-        SteadyClock().Now());
+        this->handle, {.childTime = childTime, .complete = aComplete}, now);
     this->service.Pump();
   }
 }
--- a/src/Mesh/TargetAttempt.h
+++ b/src/Mesh/TargetAttempt.h
@@ -7,6 +7,7 @@
 #include "Admission/AdmissionRequest.h"
 #include "Http1/ConnectionPool.h"
 #include "Mesh/TargetService.h"
+#include "Node/RunningAttempt.h"
 #include "Transport/PeerServer.h"
 #include "Transport/RequestContext.h"
 
@@ -25,6 +26,9 @@
   uint64_t Stream() const { return this->frame.stream; }
   TimePoint Deadline() const { return this->deadline; }
 
+  /// What the target's calls for this request inherit.
+  const RunningAttemptPtr& Running() const { return this->running; }
+
   void SetQueued(AdmissionHandle aHandle) { this->handle = aHandle; }
   /// Admitted: sends the request to the target.
   void Run(AdmissionHandle aHandle);
@@ -54,6 +58,7 @@
   RequestContext context;
   TimePoint deadline;
   std::string requestId;
+  RunningAttemptPtr running;
   State state = State::Queued;
   AdmissionHandle handle;
   /// Whether the handle is that of a running request.
--- a/src/Mesh/TargetService.cpp
+++ b/src/Mesh/TargetService.cpp
@@ -3,6 +3,7 @@
 #include "Core/RandomSource.h"
 #include "Mesh/TargetAttempt.h"
 #include "Node/Log.h"
+#include "Node/ThresholdMessages.h"
 
 namespace fescueline {
 
@@ -21,8 +22,6 @@
   settings.limit.tolerance = 1e9;
   settings.limit.maximum = 100'000;
   settings.limit.initial = 64;
-  settings.queueTime = std::chrono::milliseconds(250);
-  settings.maxWait = std::chrono::milliseconds(1500);
   return settings;
 }
 }  // namespace
@@ -197,6 +196,23 @@
   });
 }
 
+void TargetService::SchedulePumpNow() {
+  if (this->controller.Core().Queued() > 0) {
+    asio::post(this->dependencies.context.io, [this] { this->Pump(); });
+  }
+}
+
+std::vector<ThresholdWire> TargetService::Thresholds(
+    const RequestContext& aContext) {
+  return ReportThresholds(
+      this->dependencies.context.thresholds,
+      {.service = aContext.service,
+       .organisation = aContext.organisation,
+       .threshold = this->controller.Core().ThresholdFor(aContext.organisation),
+       .age = Duration(0)},
+      aContext.route, SteadyClock().Now());
+}
+
 TargetService::AttemptPtr TargetService::Find(
     const PeerServer::SessionPtr& aSession, uint64_t aStream) {
   const auto session = this->attempts.find(aSession->Number());
--- a/src/Mesh/TargetService.h
+++ b/src/Mesh/TargetService.h
@@ -65,6 +65,10 @@
   /// Starts and drops queued attempts.
   void Pump();
   void SchedulePump();
+  /// Pumps once the present event has been handled.
+  void SchedulePumpNow();
+  /// Thresholds on the path of a request, for the frame that ends it.
+  std::vector<ThresholdWire> Thresholds(const RequestContext& aContext);
   AttemptPtr Find(const PeerServer::SessionPtr& aSession, uint64_t aStream);
   void Remove(const TargetAttempt& aAttempt);
 
--- a/src/Node/FleetView.cpp
+++ b/src/Node/FleetView.cpp
@@ -2,40 +2,11 @@
 
 #include <mutex>
 
+#include "Node/ThresholdMessages.h"
 #include "Settings/SocketAddress.h"
 
 namespace fescueline {
 
-namespace {
-
-std::vector<ThresholdReport> FromWire(
-    const std::vector<ThresholdWire>& aThresholds) {
-  std::vector<ThresholdReport> reports;
-  for (const ThresholdWire& wire : aThresholds) {
-    if (wire.importance < kImportanceClasses && wire.age >= 0) {
-      reports.push_back(
-          {.service = wire.service,
-           .organisation = wire.organisation,
-           .threshold = {.importance = static_cast<Importance>(wire.importance),
-                         .cutoff = wire.cutoff},
-           .age = std::chrono::microseconds(wire.age)});
-    }
-  }
-  return reports;
-}
-
-ThresholdWire ToWire(const ThresholdReport& aReport) {
-  return {
-      .service = aReport.service,
-      .organisation = aReport.organisation,
-      .importance = static_cast<uint8_t>(aReport.threshold.importance),
-      .cutoff = aReport.threshold.cutoff,
-      .age = std::chrono::duration_cast<std::chrono::microseconds>(aReport.age)
-                 .count()};
-}
-
-}  // namespace
-
 FleetView::FleetView(Settings aSettings)
     : settings(std::move(aSettings)),
       table(this->settings.table),
@@ -180,22 +151,13 @@
 std::vector<ThresholdWire> FleetView::Thresholds(const RequestContext& aContext,
                                                  const AdmissionThreshold& aOwn,
                                                  TimePoint aNow) {
-  std::vector<ThresholdReport> reports = {
-      {.service = aContext.service,
-       .organisation = aContext.organisation,
-       .threshold = aOwn,
-       .age = Duration(0)}};
-  {
-    const std::lock_guard lock(this->mutex);
-    this->thresholds.Report(aContext.route, aContext.organisation, aNow,
-                            reports);
-  }
-  std::vector<ThresholdWire> wires;
-  wires.reserve(reports.size());
-  for (const ThresholdReport& report : reports) {
-    wires.push_back(ToWire(report));
-  }
-  return wires;
+  const std::lock_guard lock(this->mutex);
+  return ReportThresholds(this->thresholds,
+                          {.service = aContext.service,
+                           .organisation = aContext.organisation,
+                           .threshold = aOwn,
+                           .age = Duration(0)},
+                          aContext.route, aNow);
 }
 
 void FleetView::CountFirstAttempt(TimePoint aNow) {
