--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -1,3 +1,18 @@
+# fl_tests(NAME LIBRARY): the test binary NAMETests of tests/NAME/*Test.cpp.
+function(fl_tests name library)
+  file(GLOB tests CONFIGURE_DEPENDS tests/${name}/*Test.cpp)
+  if(tests)
+    add_executable(${name}Tests ${tests} tests/TestMain.cpp)
+    target_include_directories(${name}Tests PRIVATE tests)
+    target_link_libraries(${name}Tests PRIVATE ${library} doctest::doctest
+      rapidcheck)
+    add_test(NAME ${name} COMMAND ${name}Tests)
+    set_tests_properties(${name} PROPERTIES TIMEOUT 300
+      # A fixed seed gives the same verdict on every run.
+      ENVIRONMENT "FESCUELINE_BIN=${CMAKE_BINARY_DIR};RC_PARAMS=seed=20261204")
+  endif()
+endfunction()
+
 # fl_library(NAME DEPS ...): the library src/NAME, its test binary
 # NAMETests (tests/NAME/*Test.cpp) and its benchmark NAMEBench
 # (benchmarks/NAME/*.cpp). Folders without sources are skipped.
@@ -24,17 +39,7 @@
     endif()
   endforeach()
 
-  file(GLOB tests CONFIGURE_DEPENDS tests/${name}/*Test.cpp)
-  if(tests)
-    add_executable(${name}Tests ${tests} tests/TestMain.cpp)
-    target_include_directories(${name}Tests PRIVATE tests)
-    target_link_libraries(${name}Tests PRIVATE fl${name} doctest::doctest
-      rapidcheck)
-    add_test(NAME ${name} COMMAND ${name}Tests)
-    set_tests_properties(${name} PROPERTIES TIMEOUT 300
-      # A fixed seed gives the same verdict on every run.
-      ENVIRONMENT "FESCUELINE_BIN=${CMAKE_BINARY_DIR};RC_PARAMS=seed=20261204")
-  endif()
+  fl_tests(${name} fl${name})
 
   file(GLOB benches CONFIGURE_DEPENDS benchmarks/${name}/*.cpp)
   if(benches)
--- /dev/null
+++ b/tests/Http1/HttpClientConnectionTest.cpp
@@ -0,0 +1,177 @@
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "Http1/ConnectionPool.h"
+#include "Http1/HttpClientConnection.h"
+#include "Http1/LoopPeer.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A client connection and the server that the test plays.
+struct Pair {
+  Pair() : acceptor(this->io, {asio::ip::make_address("127.0.0.1"), 0}) {
+    this->server.Accept(this->acceptor);
+    std::string error = "pending";
+    this->client->Connect(
+        this->acceptor.local_endpoint(), 1s,
+        [&error](const std::string& aError) { error = aError; });
+    REQUIRE(RunUntil(
+        this->io, [&] { return error != "pending" && this->server.accepted; }));
+    REQUIRE(error.empty());
+  }
+
+  /// Sends a request; the answer must carry the id to be accepted.
+  void Send(const std::string& aId) {
+    this->client->Send(
+        "GET / HTTP/1.1\r\nId: " + aId + "\r\n\r\n", false,
+        {.onHead =
+             [this, aId](const HttpHead& aHead) {
+               return FindHeader(aHead.headers, "id") == aId;
+             },
+         .onBody = [this](std::string_view aPart) { this->body += aPart; },
+         .onDone =
+             [this](const ClientExchangeResult& aResult) {
+               this->result = aResult;
+             }});
+    REQUIRE(RunUntil(this->io, [&] {
+      return Contains(this->server.received, "Id: " + aId);
+    }));
+  }
+  bool WaitDone() {
+    return RunUntil(this->io, [&] { return this->result.has_value(); });
+  }
+
+  asio::io_context io{1};
+  asio::ip::tcp::acceptor acceptor;
+  RawPeer server{this->io};
+  std::shared_ptr<HttpClientConnection> client =
+      std::make_shared<HttpClientConnection>(this->io);
+  std::string body;
+  std::optional<ClientExchangeResult> result;
+};
+
+std::string Answer(const std::string& aId, const std::string& aBody) {
+  return "HTTP/1.1 200 OK\r\nId: " + aId +
+         "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+         aBody;
+}
+
+}  // namespace
+
+// Guards against a late second answer reaching the next request.
+TEST_CASE("an answer of another request is skipped") {
+  Pair pair;
+  pair.Send("b");
+  pair.server.Send(Answer("a", "late") + Answer("b", "mine"));
+  REQUIRE(pair.WaitDone());
+  CHECK(pair.result->whole);
+  CHECK(pair.result->reusable);
+  CHECK(pair.body == "mine");
+}
+
+// Guards against reuse of a connection on which bytes belong to no request.
+TEST_CASE("bytes while the connection rests close it") {
+  Pair pair;
+  pair.Send("a");
+  pair.server.Send(Answer("a", "x"));
+  REQUIRE(pair.WaitDone());
+  CHECK(pair.client->IsResting());
+  pair.server.Send(Answer("a", "again"));
+  CHECK(RunUntil(pair.io, [&] { return !pair.client->IsOpen(); }));
+}
+
+struct BrokenCase {
+  const char* what;
+  std::string bytes;
+  bool whole;
+};
+
+// Guards against broken answers that count as complete.
+TEST_CASE("answers that break off are not whole") {
+  for (const BrokenCase& row : std::vector<BrokenCase>{
+           {"no answer", "", false},
+           {"half a head", "HTTP/1.1 200 O", false},
+           {"short body",
+            "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nx", false},
+           {"no answer at all", "garbage\r\n\r\n", false},
+           {"until the end", "HTTP/1.1 200 OK\r\nId: a\r\n\r\nall", true}}) {
+    CAPTURE(row.what);
+    Pair pair;
+    pair.Send("a");
+    if (!row.bytes.empty()) {
+      pair.server.Send(row.bytes);
+    }
+    pair.server.Close();
+    REQUIRE(pair.WaitDone());
+    CHECK(pair.result->whole == row.whole);
+    CHECK_FALSE(pair.result->reusable);
+    CHECK(pair.result->sent);
+  }
+}
+
+// Guards against a reset that completes a response without a length.
+TEST_CASE("a reset does not complete a response without a length") {
+  Pair pair;
+  pair.Send("a");
+  pair.server.Send("HTTP/1.1 200 OK\r\nId: a\r\n\r\nall");
+  REQUIRE(RunUntil(pair.io, [&] { return pair.body == "all"; }));
+  pair.server.Reset();
+  REQUIRE(pair.WaitDone());
+  CHECK_FALSE(pair.result->whole);
+}
+
+// Guards against payments on a connection that the target has forgotten.
+TEST_CASE("a pool hands out connections by the time they rested") {
+  asio::io_context io{1};
+  asio::ip::tcp::acceptor acceptor(io,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  ConnectionPool pool({.io = io, .peer = acceptor.local_endpoint()});
+  const auto acquire = [&](Duration aMaxRest) {
+    ConnectionPool::ConnectionPtr taken;
+    bool done = false;
+    pool.Acquire(aMaxRest, [&](ConnectionPool::ConnectionPtr aConnection,
+                               const std::string&) {
+      taken = std::move(aConnection);
+      done = true;
+    });
+    REQUIRE(RunUntil(io, [&] { return done; }));
+    return taken;
+  };
+  const auto first = acquire(1s);
+  pool.Release(first);
+  CHECK(acquire(1s) == first);
+  pool.Release(first);
+  RunUntil(
+      io, [] { return false; }, 60ms);
+  const auto fresh = acquire(20ms);
+  CHECK(fresh != first);
+  CHECK(pool.Made() == 2);
+  pool.Release(fresh);
+  // The one that rested least is taken first.
+  CHECK(acquire(1s) == fresh);
+}
+
+// Guards against a target that is gone holding up its callers.
+TEST_CASE("a connection that is refused is reported") {
+  asio::io_context io{1};
+  uint16_t port = 0;
+  {
+    asio::ip::tcp::acceptor closed(io,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+    port = closed.local_endpoint().port();
+  }
+  ConnectionPool pool(
+      {.io = io, .peer = {asio::ip::make_address("127.0.0.1"), port}});
+  std::string error;
+  pool.Acquire(1s, [&](const ConnectionPool::ConnectionPtr& aConnection,
+                       const std::string& aError) {
+    CHECK(aConnection == nullptr);
+    error = aError;
+  });
+  CHECK(RunUntil(io, [&] { return !error.empty(); }));
+}
--- /dev/null
+++ b/tests/Http1/HttpReaderTest.cpp
@@ -0,0 +1,144 @@
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "Core/Error.h"
+#include "Http1/HttpReader.h"
+
+using namespace fescueline;
+
+namespace {
+
+/// What a reader reported of one message.
+struct Parsed {
+  HttpHead head;
+  std::string body;
+  bool ended = false;
+};
+
+/// A reader and the messages it reported.
+struct Recorder {
+  explicit Recorder(HttpReaderKind aKind, size_t aMaxHead = 4096)
+      : reader({.kind = aKind,
+                .maxHeadBytes = aMaxHead,
+                .events = {
+                    .onHead =
+                        [this](HttpHead aHead) {
+                          this->messages.push_back({.head = std::move(aHead)});
+                          return true;
+                        },
+                    .onBody =
+                        [this](std::string_view aPart) {
+                          this->messages.back().body += aPart;
+                        },
+                    .onEnd = [this] { this->messages.back().ended = true; }}}) {
+  }
+
+  std::vector<Parsed> messages;
+  HttpReader reader;
+};
+
+struct MessageCase {
+  const char* what;
+  HttpReaderKind kind;
+  std::string bytes;
+  std::string body;
+  std::optional<uint64_t> length;
+  bool keepAlive;
+};
+
+const std::vector<MessageCase> kMessages = {
+    {"request without a body", HttpReaderKind::Request,
+     "GET /a/b?c=1 HTTP/1.1\r\nHost: h\r\n\r\n", "", std::nullopt, true},
+    {"request with a length", HttpReaderKind::Request,
+     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz", "xyz", 3,
+     true},
+    {"chunked request", HttpReaderKind::Request,
+     "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "2\r\nxy\r\n1\r\nz\r\n0\r\n\r\n",
+     "xyz", std::nullopt, true},
+    {"response with a length", HttpReaderKind::Response,
+     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxyz", "xyz", 3, true},
+    {"response that closes", HttpReaderKind::Response,
+     "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "", 0,
+     false},
+    {"response after an interim one", HttpReaderKind::Response,
+     "HTTP/1.1 100 Continue\r\n\r\n"
+     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+     "x", 1, true}};
+
+}  // namespace
+
+// Guards against messages that read differently when the network splits them.
+TEST_CASE("messages read the same whole and byte by byte") {
+  for (const MessageCase& row : kMessages) {
+    CAPTURE(row.what);
+    for (const size_t step : {row.bytes.size(), size_t{1}, size_t{7}}) {
+      Recorder recorder(row.kind);
+      for (size_t at = 0; at < row.bytes.size(); at += step) {
+        const std::string part = row.bytes.substr(at, step);
+        CHECK(recorder.reader.Feed(part) == part.size());
+      }
+      REQUIRE(recorder.messages.size() == 1);
+      const Parsed& message = recorder.messages.front();
+      CHECK(message.ended);
+      CHECK(message.body == row.body);
+      CHECK(message.head.length == row.length);
+      CHECK(message.head.keepAlive == row.keepAlive);
+      CHECK_FALSE(recorder.reader.InMessage());
+    }
+  }
+}
+
+// Guards against bytes behind a response being taken for a part of it.
+TEST_CASE("a reader stops at the end of a message") {
+  Recorder recorder(HttpReaderKind::Response);
+  const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+  const std::string both = first + "HTTP/1.1 200 OK\r\n";
+  CHECK(recorder.reader.Feed(both) == first.size());
+  CHECK(recorder.messages.size() == 1);
+  CHECK(recorder.messages.front().ended);
+}
+
+// Guards against a response that was cut off counting as complete.
+TEST_CASE("the end of input completes only a response without a length") {
+  struct Case {
+    const char* bytes;
+    bool complete;
+  };
+  for (const Case& row : std::vector<Case>{
+           {"HTTP/1.1 200 OK\r\n\r\nabc", true},
+           {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", false},
+           {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+            "\r\n3\r\nabc\r\n",
+            false},
+           {"HTTP/1.1 200 OK\r\nConte", false}}) {
+    CAPTURE(row.bytes);
+    Recorder recorder(HttpReaderKind::Response);
+    recorder.reader.Feed(row.bytes);
+    CHECK(recorder.reader.FinishAtEof() == row.complete);
+  }
+}
+
+// Guards against smuggled requests and unbounded heads.
+TEST_CASE("what is no proper message is refused") {
+  for (const std::string& bytes : std::vector<std::string>{
+           "NONSENSE\r\n\r\n", "GET / HTTP/1.1\r\nbroken header\r\n\r\n",
+           "POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+           "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+           "GET / HTTP/1.1\r\nA: " + std::string(8192, 'a') + "\r\n\r\n"}) {
+    CAPTURE(bytes.substr(0, 60));
+    Recorder recorder(HttpReaderKind::Request);
+    CHECK_THROWS_AS(recorder.reader.Feed(bytes), Error);
+  }
+}
+
+// Guards against waiting for the body of a response to HEAD.
+TEST_CASE("a response to HEAD has no body") {
+  Recorder recorder(HttpReaderKind::Response);
+  recorder.reader.ExpectNoBody(true);
+  recorder.reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+  REQUIRE(recorder.messages.size() == 1);
+  CHECK(recorder.messages.front().ended);
+}
--- /dev/null
+++ b/tests/Http1/LoopPeer.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <asio.hpp>
+#include <chrono>
+#include <functional>
+#include <string>
+
+namespace fescueline::test {
+
+/// Runs the loop until the condition holds; false after the limit.
+inline bool RunUntil(
+    asio::io_context& aIo, const std::function<bool()>& aCondition,
+    std::chrono::milliseconds aLimit = std::chrono::milliseconds(5000)) {
+  const auto end = std::chrono::steady_clock::now() + aLimit;
+  while (!aCondition()) {
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    aIo.restart();
+    aIo.run_for(std::chrono::milliseconds(5));
+  }
+  return true;
+}
+
+/// The other end of a connection under test: collects what arrives and writes
+/// what it is told. Runs on the loop.
+class RawPeer {
+ public:
+  explicit RawPeer(asio::io_context& aIo) : socket(aIo) {}
+
+  /// Connects to a port of this host.
+  void Connect(uint16_t aPort) {
+    this->socket.connect({asio::ip::make_address("127.0.0.1"), aPort});
+    this->Read();
+  }
+  /// Takes the next connection of an acceptor.
+  void Accept(asio::ip::tcp::acceptor& aAcceptor) {
+    aAcceptor.async_accept(this->socket,
+                           [this](const asio::error_code& aError) {
+                             this->accepted = !aError;
+                             this->Read();
+                           });
+  }
+  void Send(const std::string& aBytes) {
+    asio::write(this->socket, asio::buffer(aBytes));
+  }
+  void Close() {
+    asio::error_code ignored;
+    this->socket.close(ignored);
+  }
+  /// Closes so that the other side sees a reset.
+  void Reset() {
+    this->socket.set_option(asio::socket_base::linger(true, 0));
+    this->Close();
+  }
+
+  std::string received;
+  bool accepted = false;
+  bool closed = false;
+
+ private:
+  void Read() {
+    this->socket.async_read_some(
+        asio::buffer(this->buffer),
+        [this](const asio::error_code& aError, size_t aSize) {
+          if (aError) {
+            this->closed = true;
+            return;
+          }
+          this->received.append(this->buffer.data(), aSize);
+          this->Read();
+        });
+  }
+
+  asio::ip::tcp::socket socket;
+  std::array<char, 4096> buffer{};
+};
+
+/// Whether a text occurs in another.
+inline bool Contains(const std::string& aText, const std::string& aPart) {
+  return aText.find(aPart) != std::string::npos;
+}
+
+}  // namespace fescueline::test
--- /dev/null
+++ b/tests/Mesh/StoreDutiesTest.cpp
@@ -0,0 +1,174 @@
+#include <doctest/doctest.h>
+
+#include "Http1/LoopPeer.h"
+#include "Mesh/FakeRowStore.h"
+#include "Mesh/IssuerLease.h"
+#include "Mesh/MemberPublisher.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+IssuerLease::Settings Lease(asio::io_context& aIo, FakeRowStore& aStore,
+                            const std::string& aNode,
+                            const std::string& aIncarnation) {
+  return {.io = aIo,
+          .store = aStore,
+          .table = "fleet",
+          .key = "issuer",
+          .node = aNode,
+          .incarnation = aIncarnation,
+          .length = 1500ms,
+          .renewEvery = 100ms};
+}
+
+}  // namespace
+
+// Guards against two issuers at once.
+TEST_CASE("one node holds the issuer's lease") {
+  asio::io_context io{1};
+  FakeRowStore store;
+  IssuerLease first(Lease(io, store, "n1", "i1"));
+  IssuerLease second(Lease(io, store, "n2", "i2"));
+  first.OnAbsent();
+  second.OnAbsent();
+  first.Tick(true);
+  second.Tick(true);
+  REQUIRE(store.calls.size() == 2);
+  store.Answer();
+  store.Answer();
+  CHECK(first.IsHeld(BootClock::now()));
+  CHECK_FALSE(second.IsHeld(BootClock::now()));
+  CHECK(second.Holder() == "n1");
+  second.Tick(true);
+  CHECK(store.calls.empty());
+}
+
+// Guards against a holder that cannot reach the store issuing beside its
+// successor.
+TEST_CASE("a holder stops before its lease lapses for others") {
+  asio::io_context io{1};
+  FakeRowStore store;
+  IssuerLease holder(Lease(io, store, "n1", "i1"));
+  holder.OnAbsent();
+  holder.Tick(true);
+  store.Answer();
+  IssuerLease other(Lease(io, store, "n2", "i2"));
+  other.OnRow(store.rows.at("issuer"));
+  RunUntil(
+      io, [] { return false; }, 700ms);
+  CHECK_FALSE(holder.IsHeld(BootClock::now()));
+  other.Tick(true);
+  CHECK(store.calls.empty());
+  RunUntil(
+      io, [] { return false; }, 900ms);
+  SUBCASE("a node that does not see the table waits") {
+    other.Tick(false);
+    CHECK(store.calls.empty());
+  }
+  SUBCASE("a node that sees it takes over") {
+    other.Tick(true);
+    REQUIRE(store.calls.size() == 1);
+    store.Answer();
+    CHECK(other.IsHeld(BootClock::now()));
+  }
+}
+
+// Guards against waiting out the lease of a process that is known to be dead.
+TEST_CASE("a restarted node takes its own lease back at once") {
+  asio::io_context io{1};
+  FakeRowStore store;
+  store.Put("issuer", "n1 old");
+  IssuerLease lease(Lease(io, store, "n1", "new"));
+  lease.OnRow(store.rows.at("issuer"));
+  CHECK_FALSE(lease.IsHeld(BootClock::now()));
+  lease.Tick(true);
+  REQUIRE(store.calls.size() == 1);
+  store.Answer();
+  CHECK(lease.IsHeld(BootClock::now()));
+}
+
+// Guards against a planned stop that leaves the duty undone for a lease.
+TEST_CASE("a stopping holder gives its lease up") {
+  asio::io_context io{1};
+  FakeRowStore store;
+  IssuerLease lease(Lease(io, store, "n1", "i1"));
+  lease.OnAbsent();
+  lease.Tick(true);
+  store.Answer();
+  lease.Release();
+  CHECK_FALSE(lease.IsHeld(BootClock::now()));
+  store.Answer();
+  CHECK(store.rows.at("issuer").removed);
+  lease.Tick(true);
+  CHECK(store.calls.empty());
+}
+
+namespace {
+
+MemberPublisher::Settings Publisher(asio::io_context& aIo,
+                                    FakeRowStore& aStore) {
+  return {.io = aIo,
+          .store = aStore,
+          .table = "fleet",
+          .record = {.node = "n1",
+                     .incarnation = Id128::Generate(),
+                     .dataCentre = "d1",
+                     .region = "r1",
+                     .service = "fees",
+                     .peers = {"127.0.0.1", 1}}};
+}
+
+}  // namespace
+
+// Guards against a write that was done although its answer was lost, and
+// against one that takes effect later and undoes a newer one.
+TEST_CASE("a member's row survives lost answers and removals") {
+  asio::io_context io{1};
+  FakeRowStore store;
+  MemberPublisher publisher(Publisher(io, store));
+  publisher.OnAbsent();
+  publisher.Tick();
+  REQUIRE(store.calls.size() == 1);
+  store.Fail(StoreStatus::Unknown, true);
+  RunUntil(io, [&] {
+    publisher.Tick();
+    return !store.calls.empty();
+  });
+  SUBCASE("the repeated write conflicts with the first and is settled") {
+    store.Answer();
+    publisher.Tick();
+    CHECK(store.calls.empty());
+    CHECK_FALSE(store.rows.at("node/n1").removed);
+  }
+  SUBCASE("a row that others removed is written again") {
+    store.Answer();
+    const uint64_t version = ++store.version;
+    store.rows["node/n1"] = {
+        .key = "node/n1", .version = version, .removed = true};
+    publisher.OnRow(store.rows["node/n1"]);
+    publisher.Tick();
+    REQUIRE(store.calls.size() == 1);
+    store.Answer();
+    CHECK_FALSE(store.rows.at("node/n1").removed);
+  }
+}
+
+// Guards against an entry of a node that has stopped as planned.
+TEST_CASE("a stopping node removes its row") {
+  asio::io_context io{1};
+  FakeRowStore store;
+  MemberPublisher publisher(Publisher(io, store));
+  publisher.OnAbsent();
+  publisher.Tick();
+  store.Answer();
+  bool done = false;
+  publisher.Leave([&done] { done = true; });
+  store.Answer();
+  CHECK(done);
+  CHECK(store.rows.at("node/n1").removed);
+  publisher.Tick();
+  CHECK(store.calls.empty());
+}
--- /dev/null
+++ b/tests/Mesh/TableFollowerTest.cpp
@@ -0,0 +1,112 @@
+#include <doctest/doctest.h>
+
+#include "Http1/LoopPeer.h"
+#include "Mesh/FakeRowStore.h"
+#include "Mesh/TableFollower.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture {
+  asio::io_context io{1};
+  FakeRowStore store;
+  std::vector<StoredRow> snapshot;
+  std::vector<StoredRow> changes;
+  size_t snapshots = 0;
+  std::vector<BootTime> confirmed;
+  TableFollower follower{
+      {.io = this->io,
+       .store = this->store,
+       .table = "t",
+       .onSnapshot =
+           [this](const std::vector<StoredRow>& aRows) {
+             this->snapshot = aRows;
+             ++this->snapshots;
+           },
+       .onChanges =
+           [this](const std::vector<StoredRow>& aRows) {
+             this->changes.insert(this->changes.end(), aRows.begin(),
+                                  aRows.end());
+           },
+       .onConfirmed =
+           [this](BootTime aMoment) { this->confirmed.push_back(aMoment); }}};
+
+  bool WaitCall() {
+    return RunUntil(this->io, [this] { return !this->store.calls.empty(); });
+  }
+};
+
+}  // namespace
+
+// Guards against changes that fall between the read and the first follow.
+TEST_CASE("a follower reads the table and then follows from that version") {
+  Fixture fixture;
+  fixture.store.Put("a", "1");
+  fixture.follower.Start();
+  fixture.store.Answer();
+  REQUIRE(fixture.snapshot.size() == 1);
+  fixture.store.Put("b", "2");
+  fixture.store.Answer();
+  REQUIRE(fixture.changes.size() == 1);
+  CHECK(fixture.changes[0].key == "b");
+  CHECK(fixture.follower.IsUp());
+}
+
+// Guards against a node that misses changes after the store has dropped its
+// history.
+TEST_CASE("a lost history leads to a new read") {
+  Fixture fixture;
+  fixture.follower.Start();
+  fixture.store.Answer();
+  fixture.store.Put("a", "1");
+  fixture.store.Fail(StoreStatus::HistoryLost);
+  REQUIRE(fixture.store.calls.front().what == "read");
+  fixture.store.Answer();
+  CHECK(fixture.snapshots == 2);
+  CHECK(fixture.snapshot.size() == 1);
+}
+
+// Guards against a follower that gives up, and against one that reads the
+// whole table again after each failed call.
+TEST_CASE("failed calls are repeated where they stopped") {
+  Fixture fixture;
+  fixture.follower.Start();
+  fixture.store.Fail(StoreStatus::Refused);
+  CHECK_FALSE(fixture.follower.IsUp());
+  REQUIRE(fixture.WaitCall());
+  CHECK(fixture.store.calls.front().what == "read");
+  fixture.store.Answer();
+  fixture.store.Fail(StoreStatus::Unknown);
+  REQUIRE(fixture.WaitCall());
+  CHECK(fixture.store.calls.front().what == "follow");
+  fixture.store.Answer();
+  CHECK(fixture.follower.IsUp());
+}
+
+// Guards against trusting a configuration for longer than it was confirmed: an
+// answer that waited in the network says nothing about the moment it arrived.
+TEST_CASE("an answer confirms the moment at which the store gave it") {
+  Fixture fixture;
+  fixture.follower.Start();
+  fixture.store.Answer();
+  // The store answers at once, but the answer arrives 60 ms later.
+  const BootTime before = BootClock::now();
+  const FakeRowStore::Call call = fixture.store.Take();
+  const StoreReply reply = fixture.store.Perform(call);
+  RunUntil(
+      fixture.io, [] { return false; }, 60ms);
+  call.done(reply);
+  REQUIRE(fixture.confirmed.size() == 2);
+  CHECK(fixture.confirmed[1] <= before + 20ms);
+  // An answer after a wait of 200 ms at the store confirms a later moment.
+  const FakeRowStore::Call later = fixture.store.Take();
+  fixture.store.now += 200ms;
+  RunUntil(
+      fixture.io, [] { return false; }, 200ms);
+  later.done(fixture.store.Perform(later));
+  CHECK(fixture.confirmed[2] >= fixture.confirmed[1] + 100ms);
+  CHECK(fixture.confirmed[2] <= BootClock::now());
+}
