Read through one buffer a thread in place of one a connection

Change: sockets wait for readability and read into a buffer of the thread; frames are cut out of what has arrived.

--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 
 #include "Core/Error.h"
+#include "Transport/SocketRead.h"
 
 namespace fescueline {
 
@@ -76,6 +77,7 @@
         }
         asio::error_code ignored;
         self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->socket.non_blocking(true, ignored);
         self->open = true;
         self->restingSince = SteadyClock().Now();
         self->Read();
@@ -114,17 +116,16 @@
     return;
   }
   this->reading = true;
-  this->socket.async_read_some(
-      asio::buffer(this->buffer),
-      [self = this->shared_from_this()](const asio::error_code& aError,
-                                        size_t aSize) {
-        self->reading = false;
-        self->OnRead(aError, aSize);
-      });
+  AsyncReadShared(this->socket,
+                  [self = this->shared_from_this()](
+                      const asio::error_code& aError, std::string_view aBytes) {
+                    self->reading = false;
+                    self->OnRead(aError, aBytes);
+                  });
 }
 
 void HttpClientConnection::OnRead(const asio::error_code& aError,
-                                  size_t aSize) {
+                                  std::string_view aBytes) {
   if (!this->open) {
     return;
   }
@@ -136,7 +137,7 @@
     this->Close("read: " + aError.message());
     return;
   }
-  std::string_view bytes(this->buffer.data(), aSize);
+  std::string_view bytes = aBytes;
   try {
     while (!bytes.empty() && this->open) {
       if (!this->busy) {
--- a/src/Http1/HttpClientConnection.h
+++ b/src/Http1/HttpClientConnection.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <asio.hpp>
 #include <functional>
 #include <memory>
@@ -65,13 +64,12 @@
   bool OnHead(HttpHead aHead);
   void OnEnd();
   void Read();
-  void OnRead(const asio::error_code& aError, size_t aSize);
+  void OnRead(const asio::error_code& aError, std::string_view aBytes);
   void Finish(ClientExchangeResult aResult);
 
   asio::ip::tcp::socket socket;
   asio::steady_timer connectTimer;
   HttpReader reader;
-  std::array<char, size_t{16} * 1024> buffer{};
   std::string outgoing;
   ClientExchangeEvents events;
   bool open = false;
--- a/src/Http1/LoopHttpConnection.cpp
+++ b/src/Http1/LoopHttpConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Error.h"
 #include "Http1/HttpWriter.h"
+#include "Transport/SocketRead.h"
 
 namespace fescueline {
 
@@ -83,6 +84,7 @@
 void LoopHttpConnection::Start() {
   asio::error_code ignored;
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  this->socket.non_blocking(true, ignored);
   this->Read();
 }
 
@@ -106,16 +108,16 @@
     return;
   }
   this->reading = true;
-  this->socket.async_read_some(
-      asio::buffer(this->buffer),
-      [self = this->shared_from_this()](const asio::error_code& aError,
-                                        size_t aSize) {
-        self->reading = false;
-        self->OnRead(aError, aSize);
-      });
+  AsyncReadShared(this->socket,
+                  [self = this->shared_from_this()](
+                      const asio::error_code& aError, std::string_view aBytes) {
+                    self->reading = false;
+                    self->OnRead(aError, aBytes);
+                  });
 }
 
-void LoopHttpConnection::OnRead(const asio::error_code& aError, size_t aSize) {
+void LoopHttpConnection::OnRead(const asio::error_code& aError,
+                                std::string_view aBytes) {
   if (this->closed) {
     return;
   }
@@ -124,7 +126,7 @@
     return;
   }
   if (!this->lingering) {
-    this->inbox.append(this->buffer.data(), aSize);
+    this->inbox.append(aBytes);
     if (!this->busy) {
       this->lastProgress = SteadyClock().Now();
     }
--- a/src/Http1/LoopHttpConnection.h
+++ b/src/Http1/LoopHttpConnection.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <array>
 #include <asio.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "Http1/HttpReader.h"
 #include "Http1/LoopHttpServer.h"
@@ -54,7 +54,7 @@
   void OnBody(std::string_view aPart);
   void OnRequest();
   void Read();
-  void OnRead(const asio::error_code& aError, size_t aSize);
+  void OnRead(const asio::error_code& aError, std::string_view aBytes);
   void Parse();
   /// Answers a request that can't be parsed or is too long, then closes.
   void Reject(int aStatus);
@@ -69,7 +69,6 @@
   LoopHttpServer& server;
   asio::ip::tcp::socket socket;
   HttpReader reader;
-  std::array<char, size_t{16} * 1024> buffer{};
   /// Received bytes that are not parsed yet.
   std::string inbox;
   /// Request being received, then in progress.
--- a/src/Transport/FrameChannel.cpp
+++ b/src/Transport/FrameChannel.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Transport/SocketRead.h"
+
 namespace fescueline {
 
 namespace {
@@ -26,7 +28,8 @@
   asio::error_code ignored;
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   this->lastReceived = SteadyClock().Now();
-  this->ReadPrefix();
+  this->socket.non_blocking(true, ignored);
+  this->Read();
   this->ScheduleLiveness();
 }
 
@@ -93,41 +96,52 @@
       });
 }
 
-void FrameChannel::ReadPrefix() {
-  asio::async_read(this->socket, asio::buffer(this->prefix),
-                   [self = this->shared_from_this()](
-                       const asio::error_code& aError, size_t) {
-                     if (aError) {
-                       self->Close("read: " + aError.message());
-                       return;
-                     }
-                     try {
-                       self->ReadBody(DecodeFrameLength(std::string_view(
-                           self->prefix.data(), self->prefix.size())));
-                     } catch (const Error& failure) {
-                       self->Close(failure.what());
-                     }
-                   });
+void FrameChannel::Read() {
+  AsyncReadShared(this->socket,
+                  [self = this->shared_from_this()](
+                      const asio::error_code& aError, std::string_view aBytes) {
+                    if (aError) {
+                      self->Close("read: " + aError.message());
+                      return;
+                    }
+                    self->lastReceived = SteadyClock().Now();
+                    self->OnBytes(aBytes);
+                    if (self->open) {
+                      self->Read();
+                    }
+                  });
 }
 
-void FrameChannel::ReadBody(size_t aLength) {
-  this->lastReceived = SteadyClock().Now();
-  this->body.resize(aLength);
-  asio::async_read(this->socket, asio::buffer(this->body),
-                   [self = this->shared_from_this()](
-                       const asio::error_code& aError, size_t) {
-                     if (aError) {
-                       self->Close("read: " + aError.message());
-                       return;
-                     }
-                     self->lastReceived = SteadyClock().Now();
-                     self->OnBody();
-                   });
+void FrameChannel::OnBytes(std::string_view aBytes) {
+  std::string joined;
+  std::string_view rest = aBytes;
+  if (!this->inbox.empty()) {
+    joined = std::move(this->inbox);
+    joined += aBytes;
+    rest = joined;
+    this->inbox.clear();
+  }
+  try {
+    while (this->open && rest.size() >= kFramePrefixBytes) {
+      const size_t length =
+          DecodeFrameLength(rest.substr(0, kFramePrefixBytes));
+      if (rest.size() < kFramePrefixBytes + length) {
+        break;
+      }
+      this->OnBody(rest.substr(kFramePrefixBytes, length));
+      rest.remove_prefix(kFramePrefixBytes + length);
+    }
+  } catch (const Error& failure) {
+    this->Close(failure.what());
+  }
+  if (this->open) {
+    this->inbox = rest;
+  }
 }
 
-void FrameChannel::OnBody() {
+void FrameChannel::OnBody(std::string_view aBody) {
   try {
-    const DecodedFrame frame = DecodeFrame(this->body);
+    const DecodedFrame frame = DecodeFrame(aBody);
     if (this->handlers.onFrame) {
       // A copy keeps the handler alive if it closes the connection.
       const auto onFrame = this->handlers.onFrame;
@@ -135,10 +149,6 @@
     }
   } catch (const std::exception& failure) {
     this->Close(failure.what());
-    return;
-  }
-  if (this->open) {
-    this->ReadPrefix();
   }
 }
 
--- a/src/Transport/FrameChannel.h
+++ b/src/Transport/FrameChannel.h
@@ -89,9 +89,10 @@
 
   void SendBytes(std::string aBytes, const std::function<void()>& aOnWriting);
   void WriteNext();
-  void ReadPrefix();
-  void ReadBody(size_t aLength);
-  void OnBody();
+  void Read();
+  /// Handles the whole frames that have arrived.
+  void OnBytes(std::string_view aBytes);
+  void OnBody(std::string_view aBody);
   void ScheduleLiveness();
   void CheckLiveness();
 
@@ -123,10 +124,8 @@
   std::deque<PendingWrite> writes;
   /// Number of queued frames that the running write covers.
   size_t writing = 0;
-  /// Length prefix being read.
-  std::array<char, kFramePrefixBytes> prefix{};
-  /// Frame being read.
-  std::string body;
+  /// Part of a frame that has arrived.
+  std::string inbox;
   /// Whether the connection is usable.
   bool open = false;
   /// Smallest difference of receive and send time seen, microseconds.
--- /dev/null
+++ b/src/Transport/SocketRead.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <array>
+#include <asio.hpp>
+#include <string_view>
+#include <utility>
+
+namespace fescueline {
+
+/// Waits until a socket has bytes and reads them into a buffer that all
+/// sockets of the thread share, so that a resting connection holds none and no
+/// read is tried in vain. aHandler gets the error and the bytes, which are
+/// valid during the call. The socket must be in non-blocking mode.
+template <typename Handler>
+void AsyncReadShared(asio::ip::tcp::socket& aSocket, Handler aHandler) {
+  aSocket.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [&aSocket,
+       handler = std::move(aHandler)](asio::error_code aError) mutable {
+        constexpr size_t kBufferBytes = size_t{64} * 1024;
+        static thread_local std::array<char, kBufferBytes> sBuffer;
+        size_t size = 0;
+        if (!aError) {
+          size = aSocket.read_some(asio::buffer(sBuffer), aError);
+        }
+        if (aError == asio::error::would_block) {
+          AsyncReadShared(aSocket, std::move(handler));
+          return;
+        }
+        handler(aError, std::string_view(sBuffer.data(), size));
+      });
+}
+
+}  // namespace fescueline
