Issue rates up to what users tolerate, ask the store less, repeat failed runs

Change: three nodes confirm the configuration every second, others learn its age from them and make long calls, which a shorter one replaces when needed. Cause: idempotent runs that failed by themselves were passed on as failures, and half of the allowed repeats were left unused while all targets of one service shed. Change: a quick failure on a calm path is repeated; calls of a repeated run count as repeats; three quarters of the bound are used.

--- a/apps/Fescueline.cpp
+++ b/apps/Fescueline.cpp
@@ -8,7 +8,7 @@
 #include "Ctl/RunCtl.h"
 #include "Mesh/MeshNode.h"
 #include "Mesh/MeshReloader.h"
-#include "Node/Log.h"
+#include "Log/Log.h"
 #include "Node/Node.h"
 #include "PlatformPorts.h"
 #include "Settings/SettingsLoader.h"
--- a/src/Limits/GrantHolder.cpp
+++ b/src/Limits/GrantHolder.cpp
@@ -34,16 +34,30 @@
   const bool isNew = share.nodes == 0;
   share.rate = aRate;
   share.nodes = nodes;
-  const double part = this->settings.fixedShare / static_cast<double>(nodes);
-  share.fixed.Clear(aNow);
-  share.fixed.Add(
-      {.rate = Micro(aRate.perSecond * part), .capacity = kMicroTokensPerToken},
-      0, aNow);
+  this->ApplyFixed(share, aNow);
   if (isNew) {
     share.demandAt = aNow;
   }
 }
 
+void GrantHolder::ApplyFixed(Share& aShare, TimePoint aNow) {
+  const double part = this->settings.FixedPart(aShare.nodes, this->alone);
+  aShare.fixed.Clear(aNow);
+  aShare.fixed.Add({.rate = Micro(aShare.rate.perSecond * part),
+                    .capacity = kMicroTokensPerToken},
+                   0, aNow);
+}
+
+void GrantHolder::SetAlone(bool aAlone, TimePoint aNow) {
+  if (this->alone == aAlone) {
+    return;
+  }
+  this->alone = aAlone;
+  for (auto& [organisation, share] : this->shares) {
+    this->ApplyFixed(share, aNow);
+    share.granted = aAlone ? 0 : share.granted;
+  }
+}
 void GrantHolder::Retain(const std::function<bool(const std::string&)>& aKeep) {
   for (auto entry = this->shares.begin(); entry != this->shares.end();) {
     if (aKeep(entry->first)) {
--- a/src/Limits/GrantHolder.h
+++ b/src/Limits/GrantHolder.h
@@ -32,6 +32,9 @@
   /// Sets an organisation's limit and the number of nodes that share it.
   void SetLimit(const std::string& aOrganisation, const OrganisationRate& aRate,
                 size_t aNodes, TimePoint aNow);
+  /// Tells whether there is no issuer for this node. It then uses an even part
+  /// of each rate by itself, which the issuer does not give to others.
+  void SetAlone(bool aAlone, TimePoint aNow);
   /// Forgets the organisations for which aKeep is false.
   void Retain(const std::function<bool(const std::string&)>& aKeep);
 
@@ -71,6 +74,8 @@
     TimePoint demandAt{};
   };
 
+  /// Sets what this node may use by itself.
+  void ApplyFixed(Share& aShare, TimePoint aNow);
   bool TrySpend(Share& aShare, TimePoint aNow);
   void UpdateDemand(Share& aShare, TimePoint aNow);
   void MaybeAsk(const std::string& aOrganisation, Share& aShare,
@@ -83,6 +88,7 @@
   std::function<void()> onWaiting;
   std::unordered_map<std::string, Share> shares;
   size_t waiting = 0;
+  bool alone = false;
 };
 
 }  // namespace fescueline
--- a/src/Limits/GrantIssuer.cpp
+++ b/src/Limits/GrantIssuer.cpp
@@ -13,12 +13,17 @@
 }  // namespace
 
 void GrantIssuer::SetLimit(const std::string& aOrganisation,
-                           const OrganisationRate& aRate, TimePoint aNow) {
+                           const OrganisationRate& aRate, size_t aNodes,
+                           size_t aReached, TimePoint aNow) {
+  const size_t nodes = std::max<size_t>(1, aNodes);
+  const double reached = static_cast<double>(std::min(aReached, nodes)) /
+                         static_cast<double>(nodes);
+  const double share = this->settings.IssuedShare(nodes) * reached;
   TokenBucket& bucket = this->buckets[aOrganisation];
   const Portion wanted{
-      .rate = Micro(aRate.perSecond * this->settings.issuedShare),
-      .capacity =
-          Micro(std::max(1.0, aRate.burst * this->settings.issuedShare))};
+      .rate = Micro(aRate.perSecond * share),
+      .capacity = Micro(
+          std::max(1.0, aRate.burst * this->settings.burstShare * reached))};
   const Portion before = bucket.Size();
   const Portion more{
       .rate = std::max<MicroTokens>(0, wanted.rate - before.rate),
--- a/src/Limits/GrantIssuer.h
+++ b/src/Limits/GrantIssuer.h
@@ -17,9 +17,11 @@
  public:
   explicit GrantIssuer(const GrantSettings& aSettings) : settings(aSettings) {}
 
-  /// Sets an organisation's limit; tokens that a lower one cannot hold go.
+  /// Sets an organisation's limit, the number of nodes, and how many of them
+  /// reach this issuer: the others use their part by themselves. Tokens that a
+  /// lower limit cannot hold go.
   void SetLimit(const std::string& aOrganisation, const OrganisationRate& aRate,
-                TimePoint aNow);
+                size_t aNodes, size_t aReached, TimePoint aNow);
   /// Takes up to aWanted tokens out of the organisation's bucket.
   uint32_t Grant(const std::string& aOrganisation, uint32_t aWanted,
                  TimePoint aNow);
--- a/src/Limits/GrantSettings.h
+++ b/src/Limits/GrantSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 #include "Core/Time.h"
@@ -19,12 +20,19 @@
 
 /// Settings of grants, equal on all nodes.
 struct GrantSettings {
-  /// Share of a rate that is divided evenly among the nodes. They may use it
-  /// without the issuer, so this much is served while there is none.
-  double fixedShare = 0.25;
-  /// Share of a rate that the issuer gives out. The two shares add up to one
-  /// less a margin for what nodes may use late.
-  double issuedShare = 0.75;
+  /// What is given out in all over the rate. Tokens are lost where they are
+  /// not needed; users tolerate a tenth more than the rate.
+  double total = 1.08;
+  /// Share of a rate that is divided evenly among the nodes of a small fleet,
+  /// who may use it without the issuer.
+  double fixedShare = 0.2;
+  /// Nodes up to which a fixed share is worth dividing. Beyond that most nodes
+  /// would hold fractions of a token.
+  size_t fixedNodes = 24;
+  /// Share of a rate that is divided evenly among nodes without an issuer.
+  double alone = 0.9;
+  /// Share of the burst that the issuer can save up.
+  double burstShare = 0.95;
   /// Time after which a granted token lapses. A rate window sees at most this
   /// much of an earlier one's tokens.
   Duration grantLifetime = std::chrono::milliseconds(500);
@@ -35,6 +43,18 @@
   Duration askSpacing = std::chrono::milliseconds(25);
   /// Time after which a request for tokens counts as lost.
   Duration answerTimeout = std::chrono::milliseconds(150);
+
+  /// Share that each of that many nodes may use by itself.
+  double FixedPart(size_t aNodes, bool aAlone) const {
+    const double share =
+        aAlone ? this->alone
+               : (aNodes <= this->fixedNodes ? this->fixedShare : 0.0);
+    return share / static_cast<double>(aNodes);
+  }
+  /// Share that the issuer gives out among that many nodes.
+  double IssuedShare(size_t aNodes) const {
+    return this->total - (aNodes <= this->fixedNodes ? this->fixedShare : 0.0);
+  }
 };
 
 }  // namespace fescueline
--- /dev/null
+++ b/src/Log/Log.cpp
@@ -0,0 +1,152 @@
+#include "Log/Log.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/trivial.hpp>
+#include <boost/smart_ptr/make_shared_object.hpp>
+#include <chrono>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+#include "Log/EventLimiter.h"
+#include "Log/LineWriter.h"
+
+namespace fescueline {
+
+namespace {
+/// Lines of one event kept in a second: enough to see how a burst begins, and
+/// about 10 KB.
+constexpr uint32_t kLinesPerEvent = 40;
+
+std::string_view NameOf(LogLevel aLevel) {
+  switch (aLevel) {
+    case LogLevel::Warning:
+      return "warning";
+    case LogLevel::Error:
+      return "error";
+    default:
+      return "info";
+  }
+}
+
+std::string TimeText() {
+  const auto now = std::chrono::system_clock::now();
+  const auto seconds = std::chrono::time_point_cast<std::chrono::seconds>(now);
+  const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(now - seconds);
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:06}Z",
+                     fmt::gmtime(std::chrono::system_clock::to_time_t(seconds)),
+                     micros.count());
+}
+
+std::string Line(LogLevel aLevel, std::string_view aEvent,
+                 const std::vector<LogField>& aFields) {
+  nlohmann::ordered_json object;
+  object["time"] = TimeText();
+  object["level"] = NameOf(aLevel);
+  object["event"] = aEvent;
+  for (const LogField& field : aFields) {
+    object[std::string(field.key)] = field.value;
+  }
+  // Values come from callers and need not be valid text.
+  return object.dump(-1, ' ', false,
+                     nlohmann::ordered_json::error_handler_t::replace);
+}
+
+/// Boost.Log backend that never waits for the reader of the log.
+class LineBackend : public boost::log::sinks::basic_formatted_sink_backend<
+                        char, boost::log::sinks::synchronized_feeding> {
+ public:
+  // Boost.Log calls this name.
+  void consume(  // NOLINT(readability-identifier-naming)
+      const boost::log::record_view&, const std::string& aLine) {
+    const TimePoint now = SteadyClock().Now();
+    this->writer.Write(aLine, now);
+    if (const uint64_t dropped = this->writer.TakeDropped()) {
+      this->lost += dropped;
+    } else if (this->lost > 0) {
+      const std::string count = std::to_string(this->lost);
+      this->lost = 0;
+      this->writer.Write(
+          Line(LogLevel::Warning, "log lines dropped", {{"count", count}}),
+          now);
+    }
+  }
+  void Flush() { this->writer.Flush(SteadyClock().Now()); }
+
+ private:
+  LineWriter writer{LineWriter::Settings{}};
+  /// Lines dropped that no line has told of.
+  uint64_t lost = 0;
+};
+
+using Sink = boost::log::sinks::synchronous_sink<LineBackend>;
+
+/// The process's log.
+struct LogState {
+  LogState() : sink(boost::make_shared<Sink>()) {
+    this->sink->set_formatter(boost::log::expressions::stream
+                              << boost::log::expressions::message);
+    boost::log::core::get()->add_sink(this->sink);
+  }
+
+  boost::shared_ptr<Sink> sink;
+  /// Guards the limiter; no other lock is taken while it is held.
+  std::mutex mutex;
+  EventLimiter limiter{kLinesPerEvent};
+};
+
+LogState& State() {
+  // Never destroyed, as threads may log until the process ends.
+  static auto* const sState = new LogState();
+  return *sState;
+}
+
+void Emit(LogLevel aLevel, std::string_view aEvent,
+          const std::vector<LogField>& aFields) {
+  BOOST_LOG_STREAM(boost::log::trivial::logger::get())
+      << Line(aLevel, aEvent, aFields);
+}
+
+void EmitSuppressed(LogState& aState, TimePoint aNow) {
+  std::vector<EventLimiter::Suppressed> suppressed;
+  {
+    const std::lock_guard lock(aState.mutex);
+    suppressed = aState.limiter.TakeSuppressed(aNow);
+  }
+  for (const auto& [event, count] : suppressed) {
+    Emit(LogLevel::Warning, "log lines suppressed",
+         {{"of", event}, {"count", std::to_string(count)}});
+  }
+}
+}  // namespace
+
+void Log(LogLevel aLevel, std::string_view aEvent,
+         const std::vector<LogField>& aFields) {
+  LogState& state = State();
+  const TimePoint now = SteadyClock().Now();
+  EmitSuppressed(state, now);
+  {
+    const std::lock_guard lock(state.mutex);
+    if (!state.limiter.Admit(aEvent, now)) {
+      return;
+    }
+  }
+  Emit(aLevel, aEvent, aFields);
+}
+
+void FlushLog() {
+  LogState& state = State();
+  EmitSuppressed(state, SteadyClock().Now());
+  state.sink->locked_backend()->Flush();
+}
+
+void DisableLog() { boost::log::core::get()->set_logging_enabled(false); }
+
+}  // namespace fescueline
--- a/src/Mesh/EntryCall.cpp
+++ b/src/Mesh/EntryCall.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <charconv>
 
-#include "Node/Log.h"
+#include "Log/Log.h"
 #include "Node/ThresholdMessages.h"
 
 namespace fescueline {
@@ -33,6 +33,8 @@
 constexpr Duration kRateRetryAfter = std::chrono::milliseconds(1000);
 constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(300);
 constexpr int kFirstServerError = 500;
+/// Status of a target that ran a request and failed.
+constexpr int kOwnFailure = 500;
 /// Retries of a caller's request over its whole chain of calls, and of a call
 /// whose parent is not known.
 constexpr uint32_t kChainRetries = 4;
@@ -132,6 +134,7 @@
   this->shareOf = root.organisation;
   this->importance = root.importance;
   this->depth = root.depth + 1;
+  this->ofRepeat = root.repeated;
   this->deadline = std::min(this->deadline, aParent->Deadline());
 }
 
@@ -242,7 +245,11 @@
   const TimePoint now = SteadyClock().Now();
   if (this->attemptNumber == 0) {
     const std::string& chosen = this->service.ServiceFor(*this->route);
-    this->service.RetriesOf(chosen).OnFirst(now);
+    RetryRatio& retries = this->service.RetriesOf(chosen);
+    retries.OnFirst(now);
+    if (this->ofRepeat) {
+      retries.OnRepeat(now);
+    }
     this->chosenService = chosen;
   }
   auto choice = this->service.dependencies.fleet.Pick(this->chosenService,
@@ -271,6 +278,7 @@
   sent.keyHash = this->keyHash;
   sent.rootId = this->rootId;
   sent.depth = this->depth;
+  sent.repeated = this->ofRepeat || this->arrivals > 0;
   sent.attemptId = Id128::Generate();
   sent.route = this->route->name;
   sent.service = this->chosenService;
@@ -373,10 +381,20 @@
     this->OnFailed(Outcome::Unknown, Cause::TargetFailed, {});
     return;
   }
-  this->EndAttempt(this->status >= kFirstServerError ? CallResult::Failed
-                                                     : CallResult::Answered,
+  const bool failed = this->status >= kFirstServerError;
+  this->EndAttempt(failed ? CallResult::Failed : CallResult::Answered,
                    aFrame.unspentRetries);
   ++this->arrivals;
+  if (failed && this->MayRepeatFailure()) {
+    this->LogRepeat(Outcome::Ran, Cause::TargetFailed);
+    this->failure = HttpResponse{.status = this->status,
+                                 .headers = std::move(this->responseHeaders),
+                                 .body = std::move(this->responseBody)};
+    this->delivery = Delivery::None;
+    this->mayHaveRun = true;
+    this->TryNext();
+    return;
+  }
   this->DeliverBuffered();
 }
 
@@ -426,12 +444,7 @@
   this->EndAttempt(result, this->attempt->unspent);
   this->delivery = Delivery::None;
   if (this->MayRepeat(aOutcome, aCause)) {
-    Log(LogLevel::Info, "request repeated",
-        {{"request", this->requestId},
-         {"service", this->chosenService},
-         {"outcome", std::string(ToName(aOutcome))},
-         {"cause", std::string(ToName(aCause))},
-         {"attempt", std::to_string(this->attemptNumber)}});
+    this->LogRepeat(aOutcome, aCause);
     this->TryNext();
     return;
   }
@@ -439,6 +452,27 @@
                aRetryAfter);
 }
 
+void EntryCall::LogRepeat(Outcome aOutcome, Cause aCause) const {
+  Log(LogLevel::Info, "request repeated",
+      {{"request", this->requestId},
+       {"service", this->chosenService},
+       {"outcome", std::string(ToName(aOutcome))},
+       {"cause", std::string(ToName(aCause))},
+       {"attempt", std::to_string(this->attemptNumber)}});
+}
+
+bool EntryCall::MayRepeatFailure() {
+  const TimePoint now = SteadyClock().Now();
+  // A failure that has taken long comes from further down, where another run
+  // would only add load; so does one while the path is overloaded.
+  const bool quick = now - this->startedAt < this->Remaining(now);
+  const bool calm =
+      this->context.thresholds.Lowest(this->route->name, this->shareOf, now)
+          .IsOpen();
+  return this->status == kOwnFailure && quick && calm &&
+         this->MayRepeat(Outcome::Ran, Cause::TargetFailed);
+}
+
 bool EntryCall::MayRepeat(Outcome aOutcome, Cause aCause) {
   const TimePoint now = SteadyClock().Now();
   if (this->Remaining(now) < kWorthRepeating ||
@@ -539,7 +573,10 @@
         {"Retry-After",
          fmt::format("{:.3f}", ToSeconds(this->RetryAfter(aRetryAfter)))});
   }
-  if (!this->requestId.empty()) {
+  if (this->failure) {
+    // What the target itself said is worth more than our own words.
+    response = std::move(*this->failure);
+  } else if (!this->requestId.empty()) {
     response.headers.push_back(
         {this->context.headers.requestId, this->requestId});
   }
--- a/src/Mesh/EntryCall.h
+++ b/src/Mesh/EntryCall.h
@@ -57,6 +57,8 @@
   void OnLost(bool aSent);
   /// An attempt ended without a usable response.
   void OnFailed(Outcome aOutcome, Cause aCause, Duration aRetryAfter);
+  /// Whether to run an idempotent request again that the target failed.
+  bool MayRepeatFailure();
   bool MayRepeat(Outcome aOutcome, Cause aCause);
   void EndAttempt(CallResult aResult, uint32_t aUnspentRetries = 0);
   void LearnThresholds(const std::vector<ThresholdWire>& aThresholds);
@@ -69,6 +71,7 @@
   /// Wait that still lets the caller come back in time, spread so that
   /// refused callers do not return together.
   Duration RetryAfter(Duration aSuggested) const;
+  void LogRepeat(Outcome aOutcome, Cause aCause) const;
   void LogEnd(std::string_view aEvent, Outcome aOutcome, Cause aCause) const;
 
   EntryService& service;
@@ -91,6 +94,8 @@
   std::string shareOf;
   Id128 rootId;
   uint32_t depth = 0;
+  /// Whether the request that makes this call runs as a repeat.
+  bool ofRepeat = false;
   Importance importance = Importance::Normal;
   std::string keyHash;
   /// Headers for the target.
@@ -113,6 +118,8 @@
   HttpHeaders responseHeaders;
   std::optional<uint64_t> responseLength;
   std::string responseBody;
+  /// Failure that the target answered before the request was repeated.
+  std::optional<HttpResponse> failure;
   bool finished = false;
 };
 
--- a/src/Mesh/EntryService.cpp
+++ b/src/Mesh/EntryService.cpp
@@ -7,10 +7,9 @@
 namespace fescueline {
 
 namespace {
-/// Part of the fleet's bound on repeats that nodes use. Repeats of a run's own
-/// calls count as well and are not known as such here, and windows of nodes
-/// are not aligned.
-constexpr double kRetryShare = 0.4;
+/// Part of the fleet's bound on repeats that nodes use, as their windows are
+/// not aligned and calls whose parent is not known may belong to repeats.
+constexpr double kRetryShare = 0.75;
 }  // namespace
 
 EntryService::EntryService(Dependencies aDependencies)
--- a/src/Mesh/MemberPublisher.cpp
+++ b/src/Mesh/MemberPublisher.cpp
@@ -1,7 +1,7 @@
 #include "Mesh/MemberPublisher.h"
 
 #include "Core/RandomSource.h"
-#include "Node/Log.h"
+#include "Log/Log.h"
 
 namespace fescueline {
 
--- a/src/Mesh/MeshFleet.cpp
+++ b/src/Mesh/MeshFleet.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <set>
 
-#include "Node/Log.h"
+#include "Log/Log.h"
 
 namespace fescueline {
 
@@ -151,6 +151,7 @@
   const TimePoint now = SteadyClock().Now();
   Member& member = found->second;
   member.lastHeard = now;
+  member.refused = false;
   member.pause = kFirstDialPause;
   const auto incarnation = Id128::Parse(aIncarnation);
   if (!incarnation) {
@@ -176,6 +177,7 @@
   if (found == this->members.end() || found->second.client != aClient) {
     return;
   }
+  found->second.refused = aClient && aClient->WasRefused();
   found->second.client = nullptr;
   if (const auto target = this->table.Find(aNode)) {
     const auto* state = this->table.Get(*target);
@@ -211,6 +213,21 @@
   return Choice{.target = *target, .client = std::move(client), .node = node};
 }
 
+bool MeshFleet::IsAmongFirst(const std::string& aNode, size_t aCount) const {
+  const auto rank = [](const std::string& aName) {
+    return std::make_pair(std::hash<std::string>{}(aName), aName);
+  };
+  const auto own = rank(aNode);
+  size_t before = 0;
+  for (const auto& [node, member] : this->members) {
+    const bool alive = member.client && !member.client->IsClosed();
+    if (node != aNode && alive && rank(node) < own) {
+      ++before;
+    }
+  }
+  return before < aCount;
+}
+
 MeshFleet::ClientPtr MeshFleet::ClientOf(const std::string& aNode) const {
   const auto found = this->members.find(aNode);
   if (found == this->members.end() || !found->second.client ||
@@ -220,6 +237,11 @@
   return found->second.client;
 }
 
+bool MeshFleet::IsDown(const std::string& aNode) const {
+  const auto found = this->members.find(aNode);
+  return found != this->members.end() && found->second.refused;
+}
+
 std::vector<FleetRowWire> MeshFleet::Rows() const {
   std::vector<FleetRowWire> rows;
   for (const auto& [node, member] : this->members) {
--- a/src/Mesh/MeshFleet.h
+++ b/src/Mesh/MeshFleet.h
@@ -68,8 +68,13 @@
 
   /// Number of member rows.
   size_t Size() const { return this->members.size(); }
+  /// Whether a node is among the first that are alive, by a hash of the names
+  /// so that each data centre has some.
+  bool IsAmongFirst(const std::string& aNode, size_t aCount) const;
   /// Connection to a node; null if there is none.
   ClientPtr ClientOf(const std::string& aNode) const;
+  /// Whether the node's host answered that no process of it is running.
+  bool IsDown(const std::string& aNode) const;
   /// Rows to pass on to a peer.
   std::vector<FleetRowWire> Rows() const;
   /// Rows of nodes that could not be reached for aFor.
@@ -88,6 +93,8 @@
     Duration pause{};
     /// When the node was last heard from, or its row first seen.
     TimePoint lastHeard{};
+    /// Whether the last connection was refused.
+    bool refused = false;
   };
 
   void Apply(const StoredRow& aRow);
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -1,15 +1,18 @@
 #include "Mesh/MeshNode.h"
 
-#include "Node/Log.h"
+#include <set>
+
+#include "Log/Log.h"
 
 namespace fescueline {
 
 namespace {
-/// Longest wait of a call for changes. A withdrawn key and a new route must be
-/// in force in 2 s even if one call's answer is lost.
-constexpr Duration kConfigWait = std::chrono::milliseconds(1000);
-/// Members change rarely, and peers notice their end by themselves.
-constexpr Duration kFleetWait = std::chrono::seconds(5);
+/// Nodes that confirm the configuration at the store every second; the others
+/// learn its age from them. Three, so that two may be lost at once.
+constexpr size_t kConfirmers = 3;
+/// Age of the configuration from which a node confirms it by itself. Pongs
+/// arrive every half second and are about a second old.
+constexpr Duration kUnconfirmedFor = std::chrono::milliseconds(2000);
 constexpr Duration kFleetPeriod = std::chrono::milliseconds(500);
 constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(300);
 constexpr Duration kGrantPeriod = std::chrono::milliseconds(10);
@@ -24,6 +27,12 @@
 /// outages that a node comes back from, since a removed node has to write
 /// its row again.
 constexpr Duration kUnreachableFor = std::chrono::seconds(20);
+/// Without a word of the issuer for this long, the issuer has noticed that
+/// this node is cut off as well: both ends of a connection give up after
+/// 1.5 s of silence, one after the other at the latest.
+constexpr Duration kIssuerSilence = std::chrono::milliseconds(3500);
+/// Time after which an issuer that has given up the lease says so itself.
+constexpr Duration kIssuerGivenUp = std::chrono::milliseconds(1000);
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -111,7 +120,7 @@
           {.io = this->io,
            .store = *this->ports.store,
            .table = this->ports.configTable,
-           .wait = kConfigWait,
+           .isUrgent = [this] { return this->NeedsConfirmation(); },
            .onSnapshot =
                [this](const std::vector<StoredRow>& aRows) {
                  this->OnConfigRows(aRows);
@@ -125,7 +134,6 @@
       fleetFollower({.io = this->io,
                      .store = *this->ports.store,
                      .table = std::string(kFleetTable),
-                     .wait = kFleetWait,
                      .onSnapshot =
                          [this](const std::vector<StoredRow>& aRows) {
                            this->OnFleetRows(aRows, true);
@@ -197,7 +205,12 @@
               [this](const Session& aSession, const DecodedFrame& aFrame) {
                 this->OnSessionMessage(aSession, aFrame);
               },
-          .state = [this] { return this->targetService.State(); }};
+          .state =
+              [this] {
+                StateWire state = this->targetService.State();
+                state.issuing = this->lease.IsHeld(BootClock::now());
+                return state;
+              }};
 }
 
 void MeshNode::Start() {
@@ -328,15 +341,28 @@
   for (const MeshOrganisation& organisation : now->All().organisations) {
     this->grants.SetLimit(organisation.name, organisation.rate,
                           this->fleet.Size(), at);
-    if (this->lease.IsHeld(BootClock::now())) {
-      this->issuer.SetLimit(organisation.name, organisation.rate, at);
-    }
   }
+  this->ApplyReach();
   this->grants.Retain([&now](const std::string& aName) {
     return now->FindOrganisation(aName) != nullptr;
   });
 }
 
+void MeshNode::ApplyReach() {
+  const MeshConfigPtr& now = this->config.Current();
+  if (!now || !this->lease.IsHeld(BootClock::now())) {
+    return;
+  }
+  const size_t nodes = std::max<size_t>(1, this->fleet.Size());
+  std::set<std::string> reached = this->peerServer->ConnectedNodes();
+  reached.insert(this->self.nodeId);
+  const TimePoint at = SteadyClock().Now();
+  for (const MeshOrganisation& organisation : now->All().organisations) {
+    this->issuer.SetLimit(organisation.name, organisation.rate, nodes,
+                          reached.size(), at);
+  }
+}
+
 void MeshNode::OnFleetRows(const std::vector<StoredRow>& aRows,
                            bool aSnapshot) {
   bool ownSeen = false;
@@ -367,6 +393,10 @@
 
 void MeshNode::OnPong(const std::string& aNode, const StateWire& aState,
                       TimePoint aPingSentAt) {
+  if (aState.issuing) {
+    this->issuerHeard = aNode;
+    this->issuerHeardAt = SteadyClock().Now();
+  }
   const uint64_t own = this->config.Version();
   if (aState.configVersion == own) {
     if (aState.configAge >= 0) {
@@ -464,7 +494,7 @@
     });
     return true;
   }
-  const auto client = this->fleet.ClientOf(this->lease.Holder());
+  const auto client = this->fleet.ClientOf(this->IssuerNode());
   if (!client) {
     return false;
   }
@@ -472,6 +502,24 @@
   return true;
 }
 
+std::string MeshNode::IssuerNode() const {
+  const bool heard = SteadyClock().Now() - this->issuerHeardAt < kIssuerSilence;
+  return heard ? this->issuerHeard : this->lease.Holder();
+}
+
+bool MeshNode::IsWithoutIssuer() const {
+  if (this->lease.IsHeld(BootClock::now())) {
+    return false;
+  }
+  const Duration silence = SteadyClock().Now() - this->issuerHeardAt;
+  if (silence > kIssuerSilence) {
+    return true;
+  }
+  // A process that has ended, or has given the lease up, issues nothing more.
+  return this->fleet.IsDown(this->issuerHeard) ||
+         (this->lease.Holder().empty() && silence > kIssuerGivenUp);
+}
+
 TokenGrantFrame MeshNode::GrantTokens(const TokenRequestFrame& aRequest) {
   TokenGrantFrame grant{.organisation = aRequest.organisation};
   if (this->lease.IsHeld(BootClock::now())) {
@@ -482,11 +530,20 @@
   return grant;
 }
 
+bool MeshNode::NeedsConfirmation() const {
+  return this->context.config.Age(BootClock::now()) > kUnconfirmedFor ||
+         this->fleet.IsAmongFirst(this->self.nodeId, kConfirmers);
+}
+
 void MeshNode::Maintain() {
+  this->configFollower.Hurry();
   this->wasFresh = this->wasFresh || this->context.IsFresh();
   this->publisher.Tick();
   this->lease.Tick(this->fleetFollower.IsUp());
   this->RemoveUnreachable();
+  this->ApplyReach();
+  this->grants.SetAlone(this->IsWithoutIssuer(), SteadyClock().Now());
+  FlushLog();
 }
 
 void MeshNode::RemoveUnreachable() {
@@ -546,6 +603,7 @@
   Log(LogLevel::Info, "node stopped",
       {{"entry_open", std::to_string(this->entryService.Open())},
        {"target_open", std::to_string(this->targetService.Open())}});
+  FlushLog();
   this->io.stop();
 }
 
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -47,6 +47,8 @@
   void ApplyConfig(const std::string& aStored, std::string_view aSource);
   /// Passes limits of the configuration and the fleet's size on.
   void ApplyLimits();
+  /// Tells the issuer, if this node is one, how many nodes reach it.
+  void ApplyReach();
   void OnPong(const std::string& aNode, const StateWire& aState,
               TimePoint aPingSentAt);
   void OnPeerMessage(const std::string& aNode, const DecodedFrame& aFrame);
@@ -57,8 +59,14 @@
   /// Serves the requests that wait for tokens until there are none.
   void ScheduleGrantTick();
   bool AskForTokens(const std::string& aOrganisation, uint32_t aWanted);
+  /// Node that issues tokens as far as known; empty if none.
+  std::string IssuerNode() const;
+  /// Whether no issuer counts on this node to ask it.
+  bool IsWithoutIssuer() const;
   TokenGrantFrame GrantTokens(const TokenRequestFrame& aRequest);
   void Maintain();
+  /// Whether this node confirms the configuration for others or itself.
+  bool NeedsConfirmation() const;
   void RemoveUnreachable();
   void TryEnd(TimePoint aStopSince);
   void End();
@@ -96,6 +104,9 @@
   /// When knowledge was last sent to each node.
   std::unordered_map<std::string, TimePoint> knowledgeSent;
   TimePoint stopSince{};
+  /// Peer that last said that it issues tokens, and when.
+  std::string issuerHeard;
+  TimePoint issuerHeardAt{};
 };
 
 }  // namespace fescueline
--- a/src/Mesh/MeshReloader.cpp
+++ b/src/Mesh/MeshReloader.cpp
@@ -3,7 +3,7 @@
 #include <csignal>
 
 #include "Core/Error.h"
-#include "Node/Log.h"
+#include "Log/Log.h"
 
 namespace fescueline {
 
--- a/src/Mesh/TableFollower.cpp
+++ b/src/Mesh/TableFollower.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "Core/RandomSource.h"
-#include "Node/Log.h"
+#include "Log/Log.h"
 
 namespace fescueline {
 
@@ -64,9 +64,17 @@
     return;
   }
   const BootTime sentAt = BootClock::now();
+  const bool urgent =
+      !this->settings.isUrgent || !this->up || this->settings.isUrgent();
+  this->waitsLong = !urgent;
+  const uint64_t number = ++this->call;
   this->settings.store.Follow(
-      this->settings.table, this->after, this->settings.wait,
-      [this, sentAt](const StoreReply& aReply) {
+      this->settings.table, this->after,
+      urgent ? this->settings.urgentWait : this->settings.wait,
+      [this, sentAt, number](const StoreReply& aReply) {
+        if (number != this->call) {
+          return;
+        }
         if (aReply.status == StoreStatus::HistoryLost) {
           Log(LogLevel::Warning, "table history lost",
               {{"table", this->settings.table},
@@ -90,6 +98,13 @@
       });
 }
 
+void TableFollower::Hurry() {
+  if (this->waitsLong && this->settings.isUrgent()) {
+    this->waitsLong = false;
+    this->Follow();
+  }
+}
+
 BootTime TableFollower::MomentOf(Duration aStoreTime, BootTime aSentAt) {
   // The clock was read after the call was sent, so this is too early, never
   // too late; the quickest call gives the best bound.
--- a/src/Mesh/TableFollower.h
+++ b/src/Mesh/TableFollower.h
@@ -18,8 +18,12 @@
     asio::io_context& io;
     RowStore& store;
     std::string table;
-    /// Longest wait of one call for a change.
-    Duration wait = std::chrono::seconds(1);
+    /// Longest wait of one call for a change, while the table's age does not
+    /// matter and while it does.
+    Duration wait = std::chrono::seconds(10);
+    Duration urgentWait = std::chrono::seconds(1);
+    /// Whether an answer is needed soon to confirm what is known.
+    std::function<bool()> isUrgent;
     /// All rows of the table, after a whole read.
     std::function<void(const std::vector<StoredRow>&)> onSnapshot;
     /// Changed rows.
@@ -34,6 +38,9 @@
   void Stop();
   /// Whether the last call succeeded.
   bool IsUp() const { return this->up; }
+  /// Ends a call that waits for a change and makes an urgent one in its place
+  /// if one is needed; call now and then.
+  void Hurry();
 
  private:
   void ReadPage(const std::string& aAfter);
@@ -54,6 +61,10 @@
   bool synced = false;
   bool up = false;
   bool stopped = false;
+  /// Number of the present call; answers to earlier ones are ignored.
+  uint64_t call = 0;
+  /// Whether the present call waits long.
+  bool waitsLong = false;
   /// Failures in a row, for the pause between calls.
   uint32_t failures = 0;
   /// Largest seen difference of the boot clock at sending and the store's
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -6,7 +6,7 @@
 #include <charconv>
 
 #include "Http1/HttpWriter.h"
-#include "Node/Log.h"
+#include "Log/Log.h"
 
 namespace fescueline {
 
--- a/src/Mesh/TargetService.cpp
+++ b/src/Mesh/TargetService.cpp
@@ -1,8 +1,8 @@
 #include "Mesh/TargetService.h"
 
 #include "Core/RandomSource.h"
+#include "Log/Log.h"
 #include "Mesh/TargetAttempt.h"
-#include "Node/Log.h"
 #include "Node/ThresholdMessages.h"
 
 namespace fescueline {
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "Node/Log.h"
+#include "Log/Log.h"
 #include "Node/NodeOptions.h"
 #include "Node/TableReadRule.h"
 #include "Node/TargetAnnouncements.h"
@@ -222,6 +222,7 @@
     this->fleet.Tick(SteadyClock().Now());
     this->Connect();
     this->status->PublishGauges();
+    FlushLog();
   });
   this->Every(kWatchPeriod, [this] { this->Watch(); });
   this->Every(kExpiryPeriod,
@@ -425,6 +426,7 @@
   this->Shutdown();
   Log(LogLevel::Info, "node stopped",
       {{"node", this->self.nodeId}, {"idle", idle ? "true" : "false"}});
+  FlushLog();
   return idle;
 }
 
--- a/src/Retry/RetryRatio.cpp
+++ b/src/Retry/RetryRatio.cpp
@@ -26,6 +26,12 @@
   return true;
 }
 
+void RetryRatio::OnRepeat(TimePoint aNow) {
+  this->Advance(aNow);
+  ++this->buckets[this->current].retries;
+  ++this->total.retries;
+}
+
 double RetryRatio::Used(TimePoint aNow) {
   this->Advance(aNow);
   return static_cast<double>(this->total.retries) / this->Allowance();
--- a/src/Retry/RetryRatio.h
+++ b/src/Retry/RetryRatio.h
@@ -32,6 +32,10 @@
   /// reached.
   bool TryRetry(TimePoint aNow);
 
+  /// Counts a retry that was decided elsewhere, such as a call that a repeated
+  /// run makes again.
+  void OnRepeat(TimePoint aNow);
+
   /// Share of the allowance that is used, for metrics.
   double Used(TimePoint aNow);
 
--- a/src/Transport/Frames.h
+++ b/src/Transport/Frames.h
@@ -214,8 +214,10 @@
   /// Time since that version was known to be the newest, microseconds;
   /// negative if never.
   int64_t configAge = -1;
+  /// Whether the sender issues tokens of the organisations' rates.
+  bool issuing = false;
   MSGPACK_DEFINE_ARRAY(service, state, load, limit, thresholds, configVersion,
-                       configAge)
+                       configAge, issuing)
 };
 
 /// Answer to Ping.
--- a/src/Transport/PeerClient.cpp
+++ b/src/Transport/PeerClient.cpp
@@ -44,6 +44,7 @@
 
 void PeerClient::OnConnected(const asio::error_code& aError) {
   if (aError || this->closed) {
+    this->refused = aError == asio::error::connection_refused;
     this->OnChannelClosed("connect: " + aError.message());
     return;
   }
--- a/src/Transport/PeerClient.h
+++ b/src/Transport/PeerClient.h
@@ -88,6 +88,9 @@
   void Close(const std::string& aReason);
   /// Whether the connection has ended or failed. Any thread.
   bool IsClosed() const { return this->closed.load(); }
+  /// Whether the other side's host answered that nobody listens: no process of
+  /// that node is running. Valid once closed.
+  bool WasRefused() const { return this->refused.load(); }
   /// Incarnation of the other node; empty before the handshake. On the strand
   /// or from stream events.
   const std::string& RemoteIncarnation() const {
@@ -127,6 +130,8 @@
   bool ready = false;
   /// Set when the connection has ended.
   std::atomic<bool> closed{false};
+  /// Set when the connection was refused.
+  std::atomic<bool> refused{false};
   /// Source of stream numbers.
   std::atomic<uint64_t> nextStream{1};
   /// Incarnation of the other node.
--- a/src/Transport/PeerServer.cpp
+++ b/src/Transport/PeerServer.cpp
@@ -165,6 +165,16 @@
   this->sessions.erase(aSession);
 }
 
+std::set<std::string> PeerServer::ConnectedNodes() {
+  std::set<std::string> nodes;
+  for (const SessionPtr& session : this->Sessions()) {
+    if (session->IsReady() && session->IsOpen()) {
+      nodes.insert(session->RemoteNode());
+    }
+  }
+  return nodes;
+}
+
 void PeerServer::PushState() {
   for (const SessionPtr& session : this->Sessions()) {
     session->Post([this, session] {
--- a/src/Transport/PeerServer.h
+++ b/src/Transport/PeerServer.h
@@ -35,6 +35,8 @@
   bool IsOpen() const { return this->channel->IsOpen(); }
   /// Node id of the other side, after the handshake.
   const std::string& RemoteNode() const { return this->hello.nodeId; }
+  /// Whether the handshake is done.
+  bool IsReady() const { return this->ready; }
   /// Number of the session, unique within the process.
   uint64_t Number() const { return this->number; }
 
@@ -102,6 +104,8 @@
   uint16_t Port() const;
   /// Sends the target's state on all connections.
   void PushState();
+  /// Nodes that are connected now.
+  std::set<std::string> ConnectedNodes();
   /// Stops accepting; connections stay.
   void StopAccepting();
   /// Closes all connections.
--- a/src/Transport/RequestContext.cpp
+++ b/src/Transport/RequestContext.cpp
@@ -27,11 +27,12 @@
   uint64_t configVersion = 0;
   uint64_t allocationVersion = 0;
   uint32_t depth = 0;
+  bool repeated = false;
 
   MSGPACK_DEFINE_ARRAY(organisation, keyHash, rootHigh, rootLow, attemptHigh,
                        attemptLow, route, service, importance, idempotent, open,
                        remainingMicroseconds, ageMicroseconds, configVersion,
-                       allocationVersion, depth)
+                       allocationVersion, depth, repeated)
 };
 
 ContextWire ToWire(const RequestContext& aContext) {
@@ -56,7 +57,8 @@
               .count(),
       .configVersion = aContext.configVersion,
       .allocationVersion = aContext.allocationVersion,
-      .depth = aContext.depth};
+      .depth = aContext.depth,
+      .repeated = aContext.repeated};
 }
 
 RequestContext FromWire(const ContextWire& aWire) {
@@ -74,7 +76,8 @@
       .age = std::chrono::microseconds(aWire.ageMicroseconds),
       .configVersion = aWire.configVersion,
       .allocationVersion = aWire.allocationVersion,
-      .depth = aWire.depth};
+      .depth = aWire.depth,
+      .repeated = aWire.repeated};
 }
 
 bool IsValid(const ContextWire& aWire) {
--- a/tests/Mesh/TableFollowerTest.cpp
+++ b/tests/Mesh/TableFollowerTest.cpp
@@ -86,6 +86,38 @@
   CHECK(fixture.follower.IsUp());
 }
 
+// Guards against calls that nobody needs, and against a table that stays
+// unconfirmed because a long call was made before.
+TEST_CASE("a call that waits long gives way to an urgent one") {
+  Fixture fixture;
+  bool urgent = false;
+  TableFollower follower({.io = fixture.io,
+                          .store = fixture.store,
+                          .table = "t",
+                          .isUrgent = [&urgent] { return urgent; },
+                          .onSnapshot = [](const std::vector<StoredRow>&) {},
+                          .onChanges = [](const std::vector<StoredRow>&) {},
+                          .onConfirmed =
+                              [&fixture](BootTime aMoment) {
+                                fixture.confirmed.push_back(aMoment);
+                              }});
+  follower.Start();
+  fixture.store.Answer();
+  REQUIRE(fixture.store.calls.size() == 1);
+  follower.Hurry();
+  CHECK(fixture.store.calls.size() == 1);
+  urgent = true;
+  follower.Hurry();
+  follower.Hurry();
+  REQUIRE(fixture.store.calls.size() == 2);
+  // The answer to the first call comes late and must not start a second chain
+  // of calls.
+  fixture.store.Answer();
+  CHECK(fixture.store.calls.size() == 1);
+  fixture.store.Answer();
+  CHECK(fixture.store.calls.size() == 1);
+}
+
 // Guards against trusting a configuration for longer than it was confirmed: an
 // answer that waited in the network says nothing about the moment it arrived.
 TEST_CASE("an answer confirms the moment at which the store gave it") {
--- a/tests/Node/PathTest.cpp
+++ b/tests/Node/PathTest.cpp
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "EmbeddedFleet.h"
-#include "Node/Log.h"
+#include "Log/Log.h"
 
 using namespace fescueline;
 
--- a/tools/Demo.cpp
+++ b/tools/Demo.cpp
@@ -7,7 +7,7 @@
 
 #include "Core/Error.h"
 #include "EmbeddedFleet.h"
-#include "Node/Log.h"
+#include "Log/Log.h"
 #include "Traffic.h"
 
 namespace fescueline {
