Bound reruns of chains, let calls wait longer, read the issuer's lease on demand

Change: reruns of requests that make calls use a part of the allowance; test in RetryRatioTest. Change: the lease is read only while no issuer is heard; changes of members are gathered for 0.4 s; tests. Also: a request that expires in a queue is refused as not run (503, not 504).

--- a/src/Admission/AdmissionCore.cpp
+++ b/src/Admission/AdmissionCore.cpp
@@ -48,7 +48,7 @@
       return refuse(Cause::DeadlineExpired, this->counters.hopeless);
     }
   }
-  if (this->queue.Size() >= this->Capacity()) {
+  if (this->queue.Size() >= this->Capacity(item.depth)) {
     ++this->shedInPeriod;
     const std::optional<QueuedItem> victim = this->queue.PopVictimFor(item);
     if (!victim) {
@@ -205,11 +205,13 @@
   return this->meanTime > 0 ? width / this->meanTime : 1e9;
 }
 
-uint32_t AdmissionCore::Capacity() const {
+uint32_t AdmissionCore::Capacity(uint32_t aDepth) const {
   if (this->meanTime == 0) {
     return this->settings.maxQueued;
   }
-  const double items = this->DrainRate() * ToSeconds(this->settings.queueTime);
+  const Duration time = aDepth > 0 ? this->settings.callQueueTime
+                                   : this->settings.queueTime;
+  const double items = this->DrainRate() * ToSeconds(time);
   return static_cast<uint32_t>(
       std::clamp(items, static_cast<double>(this->settings.minQueued),
                  static_cast<double>(this->settings.maxQueued)));
--- a/src/Admission/AdmissionCore.h
+++ b/src/Admission/AdmissionCore.h
@@ -21,6 +21,9 @@
   uint32_t minQueued = 8;
   /// Length of the queue as expected time to serve it.
   Duration queueTime = std::chrono::milliseconds(50);
+  /// The same for calls of requests that are under way. Refusing one wastes
+  /// what has been done for its request, while new work can come back later.
+  Duration callQueueTime = std::chrono::milliseconds(50);
   /// Longest time in the queue.
   Duration maxWait = std::chrono::milliseconds(500);
   /// Bounds of the time after which a refused caller may try again, before
@@ -124,7 +127,8 @@
   void Drop(const QueuedItem& aItem, Cause aCause);
   /// Completions per second if the target stays busy.
   double DrainRate() const;
-  uint32_t Capacity() const;
+  /// Length of the queue from which an item of that depth is refused.
+  uint32_t Capacity(uint32_t aDepth) const;
   AdmissionRefusal Refusal(Cause aCause);
   /// Accounts time and adjusts the thresholds when a period has passed.
   void Advance(TimePoint aNow);
--- a/src/Mesh/EntryCall.cpp
+++ b/src/Mesh/EntryCall.cpp
@@ -21,7 +21,9 @@
 /// broken one can be repeated. Longer ones are streamed.
 constexpr size_t kMaxBuffered = size_t{128} * 1024;
 /// Taken off the deadline that targets get, for the way back.
-constexpr Duration kReturnTime = std::chrono::milliseconds(4);
+/// Longer than the period of the target's queue, so that the refusal of a
+/// request that expires there, which has not run, still arrives in time.
+constexpr Duration kReturnTime = std::chrono::milliseconds(15);
 /// Timeout of requests that state none.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(10);
 /// Least time that is worth another attempt.
@@ -39,6 +41,9 @@
 /// whose parent is not known.
 constexpr uint32_t kChainRetries = 4;
 constexpr uint32_t kOrphanRetries = 1;
+/// Share of the allowed repeats for requests that have run and make calls: each
+/// makes its calls again, which count as repeats at every service further down.
+constexpr double kRerunShare = 0.35;
 
 std::string HostOf(const HttpHeaders& aHeaders) {
   return std::string(FindHeader(aHeaders, "host").value_or(""));
@@ -413,6 +418,11 @@
   // Thresholds of a call belong to the path of the request that makes it.
   const std::string& path =
       this->parent ? this->parent->Context().route : this->route->name;
+  for (const ThresholdWire& wire : aThresholds) {
+    if (wire.service != this->chosenService) {
+      this->service.routesWithCalls.insert(this->route->name);
+    }
+  }
   this->context.thresholds.Learn(this->attempt->choice.node, path,
                                  FromWire(aThresholds), SteadyClock().Now());
 }
@@ -486,8 +496,12 @@
   if (aOutcome != Outcome::NotRun && !this->route->idempotent) {
     return false;
   }
+  const bool makesCalls =
+      this->service.routesWithCalls.contains(this->route->name);
+  const double share =
+      aOutcome == Outcome::NotRun || !makesCalls ? 1.0 : kRerunShare;
   return this->arrivals < this->route->maxTargets &&
-         this->service.RetriesOf(this->chosenService).TryRetry(now) &&
+         this->service.RetriesOf(this->chosenService).TryRetry(now, share) &&
          this->budget->SpendRetry();
 }
 
@@ -559,11 +573,13 @@
                                       .detail = {}});
   constexpr int kBadGateway = 502;
   constexpr int kUnavailable = 503;
+  constexpr int kTimedOut = 504;
   if (aOutcome != Outcome::NotRun) {
     if (response.status == kUnavailable) {
       response.status = kBadGateway;
     }
-  } else if (response.status == kBadGateway) {
+  } else if (response.status == kBadGateway || response.status == kTimedOut) {
+    // Only this status promises that the request has not run.
     response.status = kUnavailable;
   }
   const bool comeBack = aOutcome == Outcome::NotRun && this->route != nullptr &&
--- a/src/Mesh/EntryService.cpp
+++ b/src/Mesh/EntryService.cpp
@@ -9,7 +9,7 @@
 namespace {
 /// Part of the fleet's bound on repeats that nodes use, as their windows are
 /// not aligned and calls whose parent is not known may belong to repeats.
-constexpr double kRetryShare = 0.75;
+constexpr double kRetryShare = 0.65;
 }  // namespace
 
 EntryService::EntryService(Dependencies aDependencies)
--- a/src/Mesh/EntryService.h
+++ b/src/Mesh/EntryService.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "Limits/GrantHolder.h"
 #include "Mesh/MeshContext.h"
@@ -46,6 +47,8 @@
   std::unordered_map<std::string, std::unordered_map<std::string, int64_t>>
       credits;
   std::map<std::string, RetryRatio> retries;
+  /// Routes whose requests were seen to make calls of their own.
+  std::unordered_set<std::string> routesWithCalls;
   size_t open = 0;
 };
 
--- a/src/Mesh/IssuerLease.cpp
+++ b/src/Mesh/IssuerLease.cpp
@@ -42,31 +42,59 @@
   this->SetHeld(false);
 }
 
-void IssuerLease::Tick(bool aTableIsCurrent) {
+void IssuerLease::Tick(bool aWanted) {
   const BootTime now = BootClock::now();
   if (this->held && now >= this->heldUntil) {
     this->SetHeld(false);
   }
-  if (this->writing || this->released || now < this->nextWrite) {
+  if (this->calling || this->released) {
     return;
   }
   if (this->held) {
-    this->Write();
-    return;
-  }
-  if (!aTableIsCurrent) {
-    return;
+    if (now >= this->nextWrite) {
+      this->Write();
+    }
+  } else if (aWanted && now >= this->nextRead) {
+    this->Read();
   }
+}
+
+void IssuerLease::Read() {
+  this->calling = true;
+  this->settings.store.Read(
+      this->settings.table, "", [this](const StoreReply& aReply) {
+        this->calling = false;
+        const Duration jitter = FromSeconds(
+            ToSeconds(this->settings.lookEvery) * ThreadRandom().Unit() / 2);
+        this->nextRead = BootClock::now() + this->settings.lookEvery + jitter;
+        if (aReply.status != StoreStatus::Done || this->released) {
+          return;
+        }
+        bool found = false;
+        for (const StoredRow& row : aReply.rows) {
+          if (row.key == this->settings.key && !row.removed) {
+            found = true;
+            this->OnRow(row);
+          }
+        }
+        if (!found) {
+          this->OnAbsent();
+        }
+        this->TakeIfFree();
+      });
+}
+
+void IssuerLease::TakeIfFree() {
   // An earlier process of this node has ended, as its listeners are free.
   const bool own = this->holder == this->settings.node;
-  const bool lapsed = now - this->seenAt > this->settings.length;
-  if (this->version == 0 || own || lapsed) {
+  const bool lapsed = BootClock::now() - this->seenAt > this->settings.length;
+  if (!this->held && (this->version == 0 || own || lapsed)) {
     this->Write();
   }
 }
 
 void IssuerLease::Write() {
-  this->writing = true;
+  this->calling = true;
   const BootTime sentAt = BootClock::now();
   const uint64_t expected = this->version;
   this->settings.store.Write(
@@ -75,7 +103,7 @@
        .expected = expected,
        .value = this->settings.node + " " + this->settings.incarnation},
       [this, sentAt](const StoreReply& aReply) {
-        this->writing = false;
+        this->calling = false;
         const Duration jitter =
             FromSeconds(ToSeconds(kWritePause) * ThreadRandom().Unit());
         if (aReply.status != StoreStatus::Done) {
--- a/src/Mesh/IssuerLease.h
+++ b/src/Mesh/IssuerLease.h
@@ -26,20 +26,18 @@
     /// Time after its last renewal that a lease holds. Longer than usual
     /// outages of the store, in which nobody could take it over anyway.
     Duration length = std::chrono::seconds(12);
-    Duration renewEvery = std::chrono::seconds(3);
+    Duration renewEvery = std::chrono::seconds(4);
+    /// Time between two looks at the row while the lease is wanted.
+    Duration lookEvery = std::chrono::seconds(1);
     /// The lease was gained or lost.
     std::function<void(bool)> onChange;
   };
 
   explicit IssuerLease(Settings aSettings);
 
-  /// The row changed or was removed.
-  void OnRow(const StoredRow& aRow);
-  /// The table has no such row.
-  void OnAbsent();
-  /// Renews or takes the lease when due; call about every 300 ms while the
-  /// table is known to be current.
-  void Tick(bool aTableIsCurrent);
+  /// Renews the lease when due; takes it if aWanted, no issuer being heard, and
+  /// the row shows that nobody holds it. Call about every 300 ms.
+  void Tick(bool aWanted);
   /// Gives the lease up for a planned stop.
   void Release();
 
@@ -51,6 +49,11 @@
   const std::string& Holder() const { return this->holder; }
 
  private:
+  void Read();
+  void OnRow(const StoredRow& aRow);
+  void OnAbsent();
+  /// Takes the lease if the row that was just read allows it.
+  void TakeIfFree();
   void Write();
   void SetHeld(bool aHeld);
 
@@ -64,7 +67,8 @@
   bool held = false;
   BootTime heldUntil{};
   BootTime nextWrite{};
-  bool writing = false;
+  BootTime nextRead{};
+  bool calling = false;
   bool released = false;
 };
 
--- a/src/Mesh/MeshFleet.cpp
+++ b/src/Mesh/MeshFleet.cpp
@@ -228,6 +228,19 @@
   return before < aCount;
 }
 
+size_t MeshFleet::UsableTargets() const {
+  size_t count = 0;
+  for (const auto& [node, member] : this->members) {
+    const auto target = this->table.Find(node);
+    const auto* known = target ? this->table.Get(*target) : nullptr;
+    count += known != nullptr && known->state == TargetState::Ready &&
+                     known->lastHeard
+                 ? 1
+                 : 0;
+  }
+  return count;
+}
+
 MeshFleet::ClientPtr MeshFleet::ClientOf(const std::string& aNode) const {
   const auto found = this->members.find(aNode);
   if (found == this->members.end() || !found->second.client ||
--- a/src/Mesh/MeshFleet.h
+++ b/src/Mesh/MeshFleet.h
@@ -66,6 +66,8 @@
     this->table.OnFinish(aTicket, aResult, aNow);
   }
 
+  /// Targets that are in use.
+  size_t UsableTargets() const;
   /// Number of member rows.
   size_t Size() const { return this->members.size(); }
   /// Whether a node is among the first that are alive, by a hash of the names
--- a/src/Mesh/MeshMember.h
+++ b/src/Mesh/MeshMember.h
@@ -27,8 +27,11 @@
 inline constexpr std::string_view kMeshMemberPrefix = "node/";
 /// Key of the row that holds the lease of the issuer of tokens.
 inline constexpr std::string_view kIssuerKey = "issuer";
-/// Table with the member rows and the issuer's lease.
+/// Table with the member rows.
 inline constexpr std::string_view kFleetTable = "fleet";
+/// Table with the issuer's lease, which nobody follows: a renewal would wake
+/// every node.
+inline constexpr std::string_view kIssuerTable = "issuer";
 
 /// Text of the row, MessagePack.
 std::string EncodeMeshMember(const MeshMember& aRecord);
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -13,6 +13,9 @@
 /// Age of the configuration from which a node confirms it by itself. Pongs
 /// arrive every half second and are about a second old.
 constexpr Duration kUnconfirmedFor = std::chrono::milliseconds(2000);
+/// Changes of members are gathered for this long before the next call: when a
+/// fleet starts, each node's row would wake every other node.
+constexpr Duration kFleetGather = std::chrono::milliseconds(400);
 constexpr Duration kFleetPeriod = std::chrono::milliseconds(500);
 constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(300);
 constexpr Duration kGrantPeriod = std::chrono::milliseconds(10);
@@ -31,8 +34,13 @@
 /// this node is cut off as well: both ends of a connection give up after
 /// 1.5 s of silence, one after the other at the latest.
 constexpr Duration kIssuerSilence = std::chrono::milliseconds(3500);
-/// Time after which an issuer that has given up the lease says so itself.
-constexpr Duration kIssuerGivenUp = std::chrono::milliseconds(1000);
+/// Time without a word of the issuer after which candidates look at its lease.
+constexpr Duration kIssuerMissed = std::chrono::milliseconds(1200);
+/// Nodes that look at the lease when no issuer is heard. Each node looks once
+/// after its start, since it may have held the lease before.
+constexpr size_t kIssuerCandidates = 3;
+/// Time after the start in which every node looks.
+constexpr Duration kFirstLook = std::chrono::milliseconds(1500);
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -105,7 +113,7 @@
                             .peers = this->settings.listenPeers}}),
       lease({.io = this->io,
              .store = *this->ports.store,
-             .table = std::string(kFleetTable),
+             .table = std::string(kIssuerTable),
              .key = std::string(kIssuerKey),
              .node = this->settings.node,
              .incarnation = this->self.incarnation.ToString(),
@@ -142,7 +150,8 @@
                          [this](const std::vector<StoredRow>& aRows) {
                            this->OnFleetRows(aRows, false);
                          },
-                     .onConfirmed = [](BootTime) {}}),
+                     .onConfirmed = [](BootTime) {},
+                     .gather = kFleetGather}),
       grantTimer(this->io) {
   this->Listen();
 }
@@ -366,20 +375,13 @@
 void MeshNode::OnFleetRows(const std::vector<StoredRow>& aRows,
                            bool aSnapshot) {
   bool ownSeen = false;
-  bool issuerSeen = false;
   for (const StoredRow& row : aRows) {
-    if (row.key == kIssuerKey) {
-      issuerSeen = true;
-      this->lease.OnRow(row);
-    } else if (row.key == this->publisher.Key()) {
+    if (row.key == this->publisher.Key()) {
       ownSeen = true;
       this->publisher.OnRow(row);
     }
   }
   if (aSnapshot) {
-    if (!issuerSeen) {
-      this->lease.OnAbsent();
-    }
     if (!ownSeen) {
       this->publisher.OnAbsent();
     }
@@ -396,6 +398,10 @@
   if (aState.issuing) {
     this->issuerHeard = aNode;
     this->issuerHeardAt = SteadyClock().Now();
+  } else if (aNode == this->issuerHeard) {
+    // It has given the duty up and will grant nothing more.
+    this->issuerHeard.clear();
+    this->issuerHeardAt = TimePoint{};
   }
   const uint64_t own = this->config.Version();
   if (aState.configVersion == own) {
@@ -515,9 +521,8 @@
   if (silence > kIssuerSilence) {
     return true;
   }
-  // A process that has ended, or has given the lease up, issues nothing more.
-  return this->fleet.IsDown(this->issuerHeard) ||
-         (this->lease.Holder().empty() && silence > kIssuerGivenUp);
+  // A process that has ended issues nothing more.
+  return this->fleet.IsDown(this->issuerHeard);
 }
 
 TokenGrantFrame MeshNode::GrantTokens(const TokenRequestFrame& aRequest) {
@@ -539,7 +544,11 @@
   this->configFollower.Hurry();
   this->wasFresh = this->wasFresh || this->context.IsFresh();
   this->publisher.Tick();
-  this->lease.Tick(this->fleetFollower.IsUp());
+  const TimePoint now = SteadyClock().Now();
+  const bool candidate =
+      now - this->startedAt < kFirstLook ||
+      this->fleet.IsAmongFirst(this->self.nodeId, kIssuerCandidates);
+  this->lease.Tick(candidate && now - this->issuerHeardAt > kIssuerMissed);
   this->RemoveUnreachable();
   this->ApplyReach();
   this->grants.SetAlone(this->IsWithoutIssuer(), SteadyClock().Now());
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -35,6 +35,8 @@
   void Reload(const MeshSettings& aSettings);
   /// Whether callers should send requests here.
   bool IsReady() const;
+  /// Targets that requests could be sent to.
+  size_t KnownTargets() const { return this->fleet.UsableTargets(); }
 
  private:
   void Listen();
@@ -103,6 +105,7 @@
   bool lastReady = false;
   /// When knowledge was last sent to each node.
   std::unordered_map<std::string, TimePoint> knowledgeSent;
+  TimePoint startedAt = SteadyClock().Now();
   TimePoint stopSince{};
   /// Peer that last said that it issues tokens, and when.
   std::string issuerHeard;
--- a/src/Mesh/TableFollower.cpp
+++ b/src/Mesh/TableFollower.cpp
@@ -94,7 +94,11 @@
           this->settings.onChanges(aReply.rows);
         }
         this->settings.onConfirmed(this->MomentOf(aReply.storeTime, sentAt));
-        this->Follow();
+        if (!aReply.rows.empty() && this->settings.gather > Duration::zero()) {
+          this->ContinueAfter(this->settings.gather);
+        } else {
+          this->Follow();
+        }
       });
 }
 
@@ -130,8 +134,12 @@
   const uint32_t doublings = std::min<uint32_t>(this->failures, 4) - 1;
   const Duration pause =
       std::min(kLongestPause, kFirstPause * (1 << doublings));
-  this->timer.expires_after(
+  this->ContinueAfter(
       FromSeconds(ToSeconds(pause) * (0.5 + ThreadRandom().Unit())));
+}
+
+void TableFollower::ContinueAfter(Duration aPause) {
+  this->timer.expires_after(aPause);
   this->timer.async_wait([this](const asio::error_code& aError) {
     if (aError || this->stopped) {
       return;
--- a/src/Mesh/TableFollower.h
+++ b/src/Mesh/TableFollower.h
@@ -30,6 +30,8 @@
     std::function<void(const std::vector<StoredRow>&)> onChanges;
     /// The table was as known at that moment.
     std::function<void(BootTime)> onConfirmed;
+    /// Pause after changes, so that others are taken along by the next call.
+    Duration gather = Duration::zero();
   };
 
   explicit TableFollower(Settings aSettings);
@@ -46,6 +48,8 @@
   void ReadPage(const std::string& aAfter);
   void Follow();
   void Retry();
+  /// Goes on after a pause.
+  void ContinueAfter(Duration aPause);
   void SetUp(bool aUp, StoreStatus aStatus);
   /// The moment at which the store's clock showed aStoreTime, at the latest
   /// possible for an answer to a call sent at aSentAt.
--- a/src/Retry/RetryRatio.cpp
+++ b/src/Retry/RetryRatio.cpp
@@ -16,9 +16,10 @@
   ++this->total.firsts;
 }
 
-bool RetryRatio::TryRetry(TimePoint aNow) {
+bool RetryRatio::TryRetry(TimePoint aNow, double aShare) {
   this->Advance(aNow);
-  if (static_cast<double>(this->total.retries + 1) > this->Allowance()) {
+  if (static_cast<double>(this->total.retries + 1) >
+      this->Allowance() * aShare) {
     return false;
   }
   ++this->buckets[this->current].retries;
--- a/src/Retry/RetryRatio.h
+++ b/src/Retry/RetryRatio.h
@@ -28,9 +28,9 @@
   /// Counts a first attempt.
   void OnFirst(TimePoint aNow);
 
-  /// Counts a retry and returns true, or returns false if the limit is
-  /// reached.
-  bool TryRetry(TimePoint aNow);
+  /// Counts a retry and returns true, or returns false if the limit, or the
+  /// given share of it, is reached.
+  bool TryRetry(TimePoint aNow, double aShare = 1.0);
 
   /// Counts a retry that was decided elsewhere, such as a call that a repeated
   /// run makes again.
--- a/tests/Admission/AdmissionControllerTest.cpp
+++ b/tests/Admission/AdmissionControllerTest.cpp
@@ -125,3 +125,48 @@
   CHECK_FALSE(f.controller.Cancel(queued.handle).has_value());
   CHECK(f.FinishAndNext().empty());
 }
+
+// Pattern: a deep service is overloaded for a moment, before thresholds reach
+// the entries. Guards against refusing the calls of admitted requests, which
+// wastes the work above them.
+TEST_CASE("calls of requests under way wait where new work is refused") {
+  AdmissionSettings settings;
+  settings.minQueued = 2;
+  settings.queueTime = 50ms;
+  settings.callQueueTime = 280ms;
+  AdmissionController<int> controller(settings, 1);
+  controller.Core().SetStated(1, 10);
+  ManualClock clock;
+  uint64_t ids = 0;
+  const auto offer = [&](uint32_t aDepth) {
+    return controller
+        .Offer({.organisation = "a",
+                .importance = Importance::Low,
+                .rootId = {1, ++ids},
+                .depth = aDepth,
+                .rootStart = clock.Now(),
+                .deadline = clock.Now() + 1s},
+               0, clock.Now())
+        .enqueued;
+  };
+  // One request of 20 ms teaches the service time.
+  AdmissionController<int>::Batch batch;
+  offer(0);
+  controller.Next(clock.Now(), batch);
+  REQUIRE(batch.started.size() == 1);
+  clock.Advance(20ms);
+  controller.Finished(batch.started[0].handle, {}, clock.Now());
+  offer(0);
+  controller.Next(clock.Now(), batch);
+  int fresh = 0;
+  int calls = 0;
+  for (int i = 0; i < 30; ++i) {
+    fresh += offer(0) ? 1 : 0;
+  }
+  for (int i = 0; i < 30; ++i) {
+    calls += offer(1) ? 1 : 0;
+  }
+  CHECK(fresh <= 3);
+  CHECK(calls >= 10);
+  CHECK(calls <= 14);
+}
--- a/tests/Mesh/StoreDutiesTest.cpp
+++ b/tests/Mesh/StoreDutiesTest.cpp
@@ -21,28 +21,44 @@
           .node = aNode,
           .incarnation = aIncarnation,
           .length = 1500ms,
-          .renewEvery = 100ms};
+          .renewEvery = 100ms,
+          .lookEvery = 1ms};
 }
 
 }  // namespace
 
+/// Lets the oldest calls be answered until none is left.
+void AnswerAll(FakeRowStore& aStore) {
+  while (!aStore.calls.empty()) {
+    aStore.Answer();
+  }
+}
+
 // Guards against two issuers at once.
 TEST_CASE("one node holds the issuer's lease") {
   asio::io_context io{1};
   FakeRowStore store;
   IssuerLease first(Lease(io, store, "n1", "i1"));
   IssuerLease second(Lease(io, store, "n2", "i2"));
-  first.OnAbsent();
-  second.OnAbsent();
   first.Tick(true);
   second.Tick(true);
-  REQUIRE(store.calls.size() == 2);
+  // Both read that nobody holds it, and both write.
   store.Answer();
   store.Answer();
+  REQUIRE(store.calls.size() == 2);
+  AnswerAll(store);
   CHECK(first.IsHeld(BootClock::now()));
   CHECK_FALSE(second.IsHeld(BootClock::now()));
   CHECK(second.Holder() == "n1");
+  RunUntil(
+      io, [] { return false; }, 20ms);
   second.Tick(true);
+  AnswerAll(store);
+  CHECK_FALSE(second.IsHeld(BootClock::now()));
+  // Nobody looks while an issuer is heard.
+  RunUntil(
+      io, [] { return false; }, 20ms);
+  second.Tick(false);
   CHECK(store.calls.empty());
 }
 
@@ -52,28 +68,23 @@
   asio::io_context io{1};
   FakeRowStore store;
   IssuerLease holder(Lease(io, store, "n1", "i1"));
-  holder.OnAbsent();
   holder.Tick(true);
-  store.Answer();
+  AnswerAll(store);
+  REQUIRE(holder.IsHeld(BootClock::now()));
   IssuerLease other(Lease(io, store, "n2", "i2"));
-  other.OnRow(store.rows.at("issuer"));
+  other.Tick(true);
+  AnswerAll(store);
   RunUntil(
       io, [] { return false; }, 700ms);
   CHECK_FALSE(holder.IsHeld(BootClock::now()));
   other.Tick(true);
-  CHECK(store.calls.empty());
+  AnswerAll(store);
+  CHECK_FALSE(other.IsHeld(BootClock::now()));
   RunUntil(
       io, [] { return false; }, 900ms);
-  SUBCASE("a node that does not see the table waits") {
-    other.Tick(false);
-    CHECK(store.calls.empty());
-  }
-  SUBCASE("a node that sees it takes over") {
-    other.Tick(true);
-    REQUIRE(store.calls.size() == 1);
-    store.Answer();
-    CHECK(other.IsHeld(BootClock::now()));
-  }
+  other.Tick(true);
+  AnswerAll(store);
+  CHECK(other.IsHeld(BootClock::now()));
 }
 
 // Guards against waiting out the lease of a process that is known to be dead.
@@ -82,11 +93,9 @@
   FakeRowStore store;
   store.Put("issuer", "n1 old");
   IssuerLease lease(Lease(io, store, "n1", "new"));
-  lease.OnRow(store.rows.at("issuer"));
   CHECK_FALSE(lease.IsHeld(BootClock::now()));
   lease.Tick(true);
-  REQUIRE(store.calls.size() == 1);
-  store.Answer();
+  AnswerAll(store);
   CHECK(lease.IsHeld(BootClock::now()));
 }
 
@@ -95,12 +104,12 @@
   asio::io_context io{1};
   FakeRowStore store;
   IssuerLease lease(Lease(io, store, "n1", "i1"));
-  lease.OnAbsent();
   lease.Tick(true);
-  store.Answer();
+  AnswerAll(store);
+  REQUIRE(lease.IsHeld(BootClock::now()));
   lease.Release();
   CHECK_FALSE(lease.IsHeld(BootClock::now()));
-  store.Answer();
+  AnswerAll(store);
   CHECK(store.rows.at("issuer").removed);
   lease.Tick(true);
   CHECK(store.calls.empty());
--- a/tests/Mesh/TableFollowerTest.cpp
+++ b/tests/Mesh/TableFollowerTest.cpp
@@ -86,6 +86,39 @@
   CHECK(fixture.follower.IsUp());
 }
 
+// Pattern: a fleet starts, and every node's row wakes every other node. Guards
+// against calls that grow with the square of the fleet.
+TEST_CASE("changes are gathered before the next call") {
+  Fixture fixture;
+  size_t changes = 0;
+  TableFollower follower({.io = fixture.io,
+                          .store = fixture.store,
+                          .table = "t",
+                          .onSnapshot = [](const std::vector<StoredRow>&) {},
+                          .onChanges =
+                              [&changes](const std::vector<StoredRow>& aRows) {
+                                changes += aRows.size();
+                              },
+                          .onConfirmed = [](BootTime) {},
+                          .gather = 100ms});
+  follower.Start();
+  fixture.store.Answer();
+  size_t calls = 0;
+  for (int i = 0; i < 50; ++i) {
+    fixture.store.Put("k" + std::to_string(i), "v");
+    RunUntil(
+        fixture.io, [] { return false; }, 4ms);
+    while (!fixture.store.calls.empty()) {
+      fixture.store.Answer();
+      ++calls;
+    }
+  }
+  CHECK(calls <= 8);
+  RunUntil(fixture.io, [&] { return !fixture.store.calls.empty(); });
+  fixture.store.Answer();
+  CHECK(changes >= 50);
+}
+
 // Guards against calls that nobody needs, and against a table that stays
 // unconfirmed because a long call was made before.
 TEST_CASE("a call that waits long gives way to an urgent one") {
--- /dev/null
+++ b/tests/PlatformAdapter/MeshFleetTest.cpp
@@ -0,0 +1,211 @@
+#include <doctest/doctest.h>
+
+#include "PlatformAdapter/MeshWorld.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+using namespace std::chrono_literals;
+
+// Guards against a path that does not serve, and against keys at a target.
+TEST_CASE("a request is served through two nodes and a call of its target") {
+  MeshWorld world({});
+  const MeshAnswer answer = world.Call(0, "GET", "/lookup/x");
+  CHECK(answer.status == 200);
+  CHECK(answer.whole);
+  CHECK(answer.body == "answer to r1");
+  CHECK(answer.Header("X-Server-Signature") == "s-r1");
+  REQUIRE(world.runs.size() == 2);
+  CHECK(world.runs[0].service == "front");
+  CHECK(world.runs[0].organisation == "acme");
+  CHECK(world.runs[1].service == "deep");
+  CHECK(world.runs[1].organisation.empty());
+  for (const PlatformTarget::Run& run : world.runs) {
+    CHECK_FALSE(run.sawKey);
+  }
+}
+
+struct RefusedCase {
+  const char* path;
+  const char* key;
+  int status;
+};
+
+// Guards against requests that run without authority.
+TEST_CASE("unknown routes and keys are refused and nothing runs") {
+  MeshWorld world({});
+  for (const RefusedCase& row :
+       std::vector<RefusedCase>{{"/none/", "acme-key", 404},
+                                {"/lookup/", "", 401},
+                                {"/lookup/", "other", 401},
+                                {"/deep/", "", 200}}) {
+    CAPTURE(row.path);
+    CHECK(world.Call(0, "GET", row.path, row.key).status == row.status);
+  }
+  CHECK(world.runs.size() == 1);
+}
+
+// Guards against a withdrawn key that works on, and a new route that does not.
+TEST_CASE("a new configuration is in force on every node at once") {
+  MeshWorld world({});
+  CHECK(world.Call(0, "GET", "/lookup/").status == 200);
+  world.PutConfig(5, {"new-key"});
+  world.Pass(300ms);
+  for (size_t node = 0; node < world.Size(); ++node) {
+    CHECK(world.Call(node, "GET", "/lookup/").status == 401);
+    CHECK(world.Call(node, "GET", "/lookup/", "new-key").status == 200);
+  }
+  // An older version that arrives late changes nothing.
+  world.PutConfig(3, {"acme-key"});
+  world.Pass(300ms);
+  CHECK(world.Call(0, "GET", "/lookup/").status == 401);
+}
+
+// Guards against keys that work on while nobody can tell whether they were
+// withdrawn, and against open routes that end with the store.
+TEST_CASE("without the store closed routes end when knowledge is too old") {
+  for (const bool silent : {false, true}) {
+    CAPTURE(silent);
+    MeshWorld world({});
+    (silent ? world.store.Fault().silent : world.store.Fault().down) = true;
+    world.Pass(1000ms);
+    CHECK(world.Call(0, "GET", "/lookup/").status == 200);
+    world.Pass(3500ms);
+    const size_t before = world.runs.size();
+    CHECK(world.Call(0, "GET", "/lookup/").status == 503);
+    CHECK(world.runs.size() == before);
+    CHECK(world.Call(0, "GET", "/deep/", "").status == 200);
+    world.store.Fault() = {};
+    CHECK(RunUntil(world.io, [&] {
+      return world.Call(0, "GET", "/lookup/").status == 200;
+    }));
+  }
+}
+
+// Guards against work for a target that has said it leaves, and against cut
+// requests when it does.
+TEST_CASE("a draining target gets nothing new and finishes what it has") {
+  MeshWorld world({.fronts = 1, .deeps = 3, .deepWork = 100ms});
+  for (int i = 0; i < 12; ++i) {
+    world.Send(0, fmt::format("a{}", i), "GET", "/deep/", "");
+  }
+  world.Pass(40ms);
+  world.Target(1).Drain();
+  REQUIRE(RunUntil(world.io,
+                   [&] { return world.Target(1).DrainedAt().has_value(); }));
+  world.Pass(200ms);
+  const uint64_t before = world.Target(1).Runs();
+  for (int i = 0; i < 30; ++i) {
+    world.Send(0, fmt::format("b{}", i), "GET", "/deep/", "");
+    world.Pass(5ms);
+  }
+  REQUIRE(world.WaitAnswers(42));
+  CHECK(world.Target(1).Runs() == before);
+  for (const auto& [id, answer] : world.answers) {
+    CAPTURE(id);
+    CHECK(answer.status == 200);
+  }
+}
+
+// Guards against a payment that runs twice or is called "not run" although it
+// ran: targets lose answers, shed, and connections break.
+TEST_CASE("a request that may run once runs at most once") {
+  MeshWorld world({.fronts = 2, .deeps = 2, .frontCalls = false});
+  world.Target(0).SetLose(0.3);
+  world.Target(1).SetShed(0.3);
+  constexpr int kRequests = 150;
+  for (int i = 0; i < kRequests; ++i) {
+    world.Send(i % world.Size(), fmt::format("p{}", i), "POST", "/filing/");
+    world.Pass(3ms);
+  }
+  REQUIRE(world.WaitAnswers(kRequests));
+  size_t unknown = 0;
+  for (const auto& [id, answer] : world.answers) {
+    CAPTURE(id);
+    CAPTURE(answer.status);
+    CHECK(world.RunsOf(id) <= 1);
+    if (answer.status == 200) {
+      CHECK(world.RunsOf(id) == 1);
+      CHECK(answer.body == "answer to " + id);
+    } else if (answer.status == 503 || answer.status == 429) {
+      CHECK(world.RunsOf(id) == 0);
+    } else {
+      CHECK(answer.status == 502);
+      ++unknown;
+    }
+  }
+  CHECK(unknown > 0);
+}
+
+// Guards against a planned stop that cuts requests or lets others wait.
+TEST_CASE("a node that stops is not ready at once and cuts nothing") {
+  MeshWorld world({.fronts = 2, .deeps = 3, .deepWork = 150ms});
+  for (int i = 0; i < 20; ++i) {
+    world.Send(i % 2, fmt::format("s{}", i), "GET", "/lookup/");
+  }
+  world.Pass(60ms);
+  world.Node(2).Stop();
+  CHECK_FALSE(world.Node(2).IsReady());
+  for (int i = 20; i < 60; ++i) {
+    world.Send(i % 2, fmt::format("s{}", i), "GET", "/lookup/");
+    world.Pass(10ms);
+  }
+  REQUIRE(world.WaitAnswers(60));
+  for (const auto& [id, answer] : world.answers) {
+    CAPTURE(id);
+    CHECK(answer.status == 200);
+  }
+}
+
+// Guards against a fleet-wide rate that each node grants again.
+TEST_CASE("an organisation gets its rate once, not once a node") {
+  MeshWorld world({.frontCalls = false});
+  world.PutConfig(2, {"acme-key"}, 40);
+  world.Pass(1500ms);
+  int sent = 0;
+  for (int step = 0; step < 200; ++step) {
+    for (size_t node = 0; node < world.Size(); ++node) {
+      world.Send(node, fmt::format("q{}", sent++), "GET", "/direct/");
+    }
+    world.Pass(10ms);
+  }
+  REQUIRE(world.WaitAnswers(sent));
+  size_t served = 0;
+  for (const auto& [id, answer] : world.answers) {
+    CHECK((answer.status == 200 || answer.status == 429));
+    served += answer.status == 200 ? 1 : 0;
+  }
+  // 40 a second and a burst of 40, over at least 2 s, and what users tolerate.
+  CHECK(served >= 60);
+  CHECK(served <= (40 * 8 + 40) * 1.1 + 20);
+}
+
+// Pattern: the deep service is at three times its capacity. Guards against
+// chains that fail half way: what is admitted at the entry completes, and
+// filings go before lookups.
+TEST_CASE("an overloaded deep service sheds at the entry, filings last") {
+  MeshWorld world({.fronts = 2, .deeps = 2, .deepSlots = 4, .deepWork = 20ms});
+  // 8 slots of 20 ms serve 400 calls a second; 1,200 are offered.
+  constexpr int kSteps = 200;
+  for (int step = 0; step < kSteps; ++step) {
+    const size_t node = step % world.Size();
+    world.Send(node, fmt::format("f{}", step), "POST", "/filing/");
+    for (int i = 0; i < 5; ++i) {
+      world.Send(node, fmt::format("l{}-{}", step, i), "GET", "/lookup/");
+    }
+    world.Pass(5ms);
+  }
+  REQUIRE(world.WaitAnswers(kSteps * 6));
+  std::map<char, std::map<int, int>> byStatus;
+  for (const auto& [id, answer] : world.answers) {
+    // The first quarter is the time in which thresholds form.
+    const int step = std::stoi(id.substr(1));
+    if (step >= kSteps / 4) {
+      ++byStatus[id[0]][answer.status];
+    }
+  }
+  const int filings = kSteps * 3 / 4;
+  CHECK(byStatus['f'][200] >= filings * 9 / 10);
+  // Runs that fail further down are rare against refusals at the entry.
+  CHECK(byStatus['l'][503] > 10 * byStatus['l'][500]);
+  CHECK(byStatus['l'][200] > 0);
+}
--- /dev/null
+++ b/tests/PlatformAdapter/MeshWorld.h
@@ -0,0 +1,235 @@
+#pragma once
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "Http1/HttpWriter.h"
+#include "Http1/LoopPeer.h"
+#include "Log/Log.h"
+#include "Mesh/MeshNode.h"
+#include "PlatformPorts.h"
+#include "PlatformTarget.h"
+#include "StoreStandIn.h"
+
+namespace fescueline::test {
+
+/// Answer to a caller.
+struct MeshAnswer {
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+  bool whole = false;
+
+  std::string Header(std::string_view aName) const {
+    return std::string(FindHeader(this->headers, aName).value_or(""));
+  }
+};
+
+/// A fleet of mesh nodes with targets and the store on one loop: services
+/// `front`, whose runs call `deep`, and `deep`.
+class MeshWorld {
+ public:
+  struct Settings {
+    size_t fronts = 2;
+    size_t deeps = 2;
+    uint32_t deepSlots = 10;
+    Duration deepWork = std::chrono::milliseconds(10);
+    bool frontCalls = true;
+  };
+
+  explicit MeshWorld(const Settings& aSettings) : store(this->io) {
+    DisableLog();
+    this->PutConfig(1);
+    for (size_t i = 0; i < aSettings.fronts; ++i) {
+      this->Add("front", 50, std::chrono::milliseconds(5),
+                aSettings.frontCalls ? "/deep/" : "");
+    }
+    for (size_t i = 0; i < aSettings.deeps; ++i) {
+      this->Add("deep", aSettings.deepSlots, aSettings.deepWork, "");
+    }
+    REQUIRE(RunUntil(
+        this->io, [this] { return this->AllServe(); },
+        std::chrono::seconds(20)));
+  }
+
+  /// Operator's configuration. aKeys are the keys of organisation `acme`.
+  void PutConfig(uint64_t aVersion,
+                 const std::vector<std::string>& aKeys = {"acme-key"},
+                 double aRate = 100'000) {
+    nlohmann::json resources = nlohmann::json::array();
+    const auto route = [&resources](const std::string& aName, bool aSafe,
+                                    int aRank, const std::string& aService,
+                                    bool aOpen) {
+      resources.push_back({{"resource-type", "routes"},
+                           {"metadata", {{"name", aName}}},
+                           {"spec",
+                            {{"host", "h"},
+                             {"prefix", "/" + aName + "/"},
+                             {"route-type", aSafe ? "safe" : "unsafe"},
+                             {"timeout-ms", 2000},
+                             {"priority", aRank},
+                             {"service", aService},
+                             {"max-attempts", 2},
+                             {"public", aOpen}}}});
+    };
+    route("lookup", true, 2, "front", false);
+    route("filing", false, 0, "front", false);
+    route("direct", true, 2, "deep", false);
+    route("deep", true, 1, "deep", true);
+    resources.push_back({{"resource-type", "tenants"},
+                         {"metadata", {{"name", "acme"}}},
+                         {"spec",
+                          {{"api-keys", aKeys},
+                           {"priority", 1},
+                           {"rate-per-s", aRate},
+                           {"burst", aRate}}}});
+    this->store.Put(
+        "op", "config",
+        nlohmann::json{{"version", aVersion}, {"resources", resources}}.dump());
+  }
+
+  /// Sends a request; the answer appears in `answers` under its id.
+  void Send(size_t aNode, const std::string& aId, const std::string& aMethod,
+            const std::string& aPath, const std::string& aKey = "acme-key") {
+    const auto connection = std::make_shared<HttpClientConnection>(this->io);
+    const auto answer = std::make_shared<MeshAnswer>();
+    connection->Connect(
+        {asio::ip::make_address("127.0.0.1"),
+         this->members[aNode].settings.listenCallers.port},
+        std::chrono::seconds(1),
+        [this, connection, answer, aId, aMethod, aPath,
+         aKey](const std::string& aError) {
+          if (!aError.empty()) {
+            this->answers[aId] = *answer;
+            return;
+          }
+          HttpHeaders headers = {{"Host", "h"}, {"X-Request-Id", aId}};
+          if (!aKey.empty()) {
+            headers.push_back({"Api-Key", aKey});
+          }
+          connection->Send(
+              WriteRequestHead(aMethod, aPath, headers, {.length = 0}), false,
+              {.onHead =
+                   [answer](HttpHead aHead) {
+                     answer->status = aHead.status;
+                     answer->headers = std::move(aHead.headers);
+                     return true;
+                   },
+               .onBody =
+                   [answer](std::string_view aPart) { answer->body += aPart; },
+               .onDone =
+                   [this, connection, answer,
+                    aId](const ClientExchangeResult& aResult) {
+                     answer->whole = aResult.whole;
+                     this->answers[aId] = *answer;
+                   }});
+        });
+  }
+  /// Sends a request and waits for its answer.
+  MeshAnswer Call(size_t aNode, const std::string& aMethod,
+                  const std::string& aPath,
+                  const std::string& aKey = "acme-key") {
+    const std::string id = fmt::format("r{}", ++this->lastId);
+    this->Send(aNode, id, aMethod, aPath, aKey);
+    RunUntil(this->io, [&] { return this->answers.contains(id); });
+    return this->answers[id];
+  }
+  bool WaitAnswers(size_t aCount) {
+    return RunUntil(
+        this->io, [&] { return this->answers.size() >= aCount; },
+        std::chrono::seconds(20));
+  }
+  /// Lets time pass.
+  void Pass(std::chrono::milliseconds aTime) {
+    RunUntil(
+        this->io, [] { return false; }, aTime);
+  }
+  PlatformTarget& Target(size_t aNode) { return *this->members[aNode].target; }
+  MeshNode& Node(size_t aNode) { return *this->members[aNode].node; }
+  size_t Size() const { return this->members.size(); }
+  /// Runs of a request identifier at all targets.
+  size_t RunsOf(const std::string& aId) const {
+    size_t count = 0;
+    for (const PlatformTarget::Run& run : this->runs) {
+      count += run.requestId == aId ? 1 : 0;
+    }
+    return count;
+  }
+
+  asio::io_context io{1};
+  StoreStandIn store;
+  std::map<std::string, MeshAnswer> answers;
+  std::vector<PlatformTarget::Run> runs;
+
+ private:
+  struct Member {
+    MeshSettings settings;
+    std::unique_ptr<MeshNode> node;
+    std::unique_ptr<PlatformTarget> target;
+  };
+
+  uint16_t FreePort() {
+    asio::ip::tcp::acceptor probe(this->io,
+                                  {asio::ip::make_address("127.0.0.1"), 0});
+    return probe.local_endpoint().port();
+  }
+
+  void Add(const std::string& aService, uint32_t aSlots, Duration aWork,
+           const std::string& aCallPath) {
+    Member member;
+    MeshSettings& settings = member.settings;
+    settings.node = fmt::format("n{}", this->members.size());
+    settings.dataCentre = "d1";
+    settings.region = "r1";
+    settings.service = aService;
+    settings.fleetSecret = "secret";
+    settings.store = {"127.0.0.1", this->store.Port()};
+    for (SocketAddress* address :
+         {&settings.target, &settings.listenCallers, &settings.listenPeers,
+          &settings.listenReady, &settings.listenReports}) {
+      *address = {"127.0.0.1", this->FreePort()};
+    }
+    settings.freshnessLimit = std::chrono::seconds(3);
+    settings.stopLimit = std::chrono::seconds(4);
+    member.node = std::make_unique<MeshNode>(
+        this->io, settings, platform::MakePorts(this->io, settings));
+    member.node->Start();
+    member.target = std::make_unique<PlatformTarget>(PlatformTarget::Settings{
+        .io = this->io,
+        .port = settings.target.port,
+        .service = aService,
+        .slots = aSlots,
+        .work = aWork,
+        .reportPort = settings.listenReports.port,
+        .callPort = settings.listenCallers.port,
+        .callHost = "h",
+        .callPath = aCallPath,
+        .onRun = [this](const PlatformTarget::Run& aRun) {
+          this->runs.push_back(aRun);
+        }});
+    member.target->SetKeys({"acme-key"});
+    this->members.push_back(std::move(member));
+  }
+
+  /// Whether every node has found every target.
+  bool AllServe() {
+    for (Member& member : this->members) {
+      if (!member.node->IsReady() ||
+          member.node->KnownTargets() < this->members.size()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  std::vector<Member> members;
+  uint64_t lastId = 0;
+};
+
+}  // namespace fescueline::test
--- a/tests/Retry/RetryRatioTest.cpp
+++ b/tests/Retry/RetryRatioTest.cpp
@@ -84,3 +84,34 @@
     }
   }
 }
+
+// Pattern: all targets of one service fail part of their runs, and every level
+// of a chain repeats them. Guards against repeats that multiply down the chain
+// beyond the bound at the last service.
+TEST_CASE("reruns use a share of the bound, their calls count against it") {
+  constexpr double kRatio = 0.15;
+  constexpr double kShare = 0.3;
+  RetryRatio upper({.ratio = kRatio, .floor = 0});
+  RetryRatio lower({.ratio = kRatio, .floor = 0});
+  const TimePoint now = ManualClock().Now();
+  int firsts = 0;
+  int repeats = 0;
+  for (int i = 0; i < 2000; ++i) {
+    // Every request of the upper service makes one call, and all fail.
+    upper.OnFirst(now);
+    const int runs = upper.TryRetry(now, kShare) ? 2 : 1;
+    for (int run = 0; run < runs; ++run) {
+      lower.OnFirst(now);
+      ++firsts;
+      if (run > 0) {
+        lower.OnRepeat(now);
+        ++repeats;
+      }
+      if (lower.TryRetry(now)) {
+        ++repeats;
+      }
+    }
+  }
+  CHECK(repeats <= firsts * kRatio + 1);
+  CHECK(repeats >= firsts * kRatio - 2);
+}
