--- a/apps/Fescueline.cpp
+++ b/apps/Fescueline.cpp
@@ -6,9 +6,9 @@
 
 #include "Core/Error.h"
 #include "Ctl/RunCtl.h"
+#include "Log/Log.h"
 #include "Mesh/MeshNode.h"
 #include "Mesh/MeshReloader.h"
-#include "Log/Log.h"
 #include "Node/Node.h"
 #include "PlatformPorts.h"
 #include "Settings/SettingsLoader.h"
--- a/src/Admission/AdmissionCore.cpp
+++ b/src/Admission/AdmissionCore.cpp
@@ -209,8 +209,8 @@
   if (this->meanTime == 0) {
     return this->settings.maxQueued;
   }
-  const Duration time = aDepth > 0 ? this->settings.callQueueTime
-                                   : this->settings.queueTime;
+  const Duration time =
+      aDepth > 0 ? this->settings.callQueueTime : this->settings.queueTime;
   const double items = this->DrainRate() * ToSeconds(time);
   return static_cast<uint32_t>(
       std::clamp(items, static_cast<double>(this->settings.minQueued),
--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -186,7 +186,7 @@
   }
 }
 
-void HttpClientConnection::Finish(ClientExchangeResult aResult) {
+void HttpClientConnection::Finish(const ClientExchangeResult& aResult) {
   if (!this->busy) {
     return;
   }
--- a/src/Http1/HttpClientConnection.h
+++ b/src/Http1/HttpClientConnection.h
@@ -65,7 +65,7 @@
   void OnEnd();
   void Read();
   void OnRead(const asio::error_code& aError, std::string_view aBytes);
-  void Finish(ClientExchangeResult aResult);
+  void Finish(const ClientExchangeResult& aResult);
 
   asio::ip::tcp::socket socket;
   asio::steady_timer connectTimer;
--- a/src/Http1/LoopHttpConnection.cpp
+++ b/src/Http1/LoopHttpConnection.cpp
@@ -41,13 +41,12 @@
   }
   void Respond(HttpResponse aResponse, std::function<void()> aOnSent) override {
     this->answered = true;
-    this->connection->Respond(this->number, std::move(aResponse),
-                              std::move(aOnSent));
+    this->connection->Respond(this->number, aResponse, std::move(aOnSent));
   }
   void StartStream(int aStatus, HttpHeaders aHeaders,
                    std::optional<uint64_t> aContentLength) override {
     this->answered = true;
-    this->connection->StartStream(this->number, aStatus, std::move(aHeaders),
+    this->connection->StartStream(this->number, aStatus, aHeaders,
                                   aContentLength);
   }
   void Write(std::string aData, std::function<void()> aOnWritten) override {
@@ -203,7 +202,8 @@
   }
 }
 
-void LoopHttpConnection::Respond(uint64_t aExchange, HttpResponse aResponse,
+void LoopHttpConnection::Respond(uint64_t aExchange,
+                                 const HttpResponse& aResponse,
                                  std::function<void()> aOnSent) {
   if (!this->IsCurrent(aExchange)) {
     if (aOnSent) {
@@ -231,7 +231,7 @@
 }
 
 void LoopHttpConnection::StartStream(uint64_t aExchange, int aStatus,
-                                     HttpHeaders aHeaders,
+                                     const HttpHeaders& aHeaders,
                                      std::optional<uint64_t> aLength) {
   if (!this->IsCurrent(aExchange)) {
     return;
--- a/src/Http1/LoopHttpConnection.h
+++ b/src/Http1/LoopHttpConnection.h
@@ -30,9 +30,9 @@
 
   /// Used by the exchange with the given number; calls of exchanges that have
   /// ended do nothing.
-  void Respond(uint64_t aExchange, HttpResponse aResponse,
+  void Respond(uint64_t aExchange, const HttpResponse& aResponse,
                std::function<void()> aOnSent);
-  void StartStream(uint64_t aExchange, int aStatus, HttpHeaders aHeaders,
+  void StartStream(uint64_t aExchange, int aStatus, const HttpHeaders& aHeaders,
                    std::optional<uint64_t> aLength);
   void Write(uint64_t aExchange, const std::string& aData,
              std::function<void()> aOnWritten);
--- a/src/Mesh/IssuerLease.cpp
+++ b/src/Mesh/IssuerLease.cpp
@@ -1,5 +1,9 @@
 #include "Mesh/IssuerLease.h"
 
+#include <fmt/format.h>
+
+#include <sstream>
+
 #include "Core/RandomSource.h"
 #include "Log/Log.h"
 
@@ -13,8 +17,7 @@
 constexpr Duration kWritePause = std::chrono::milliseconds(500);
 }  // namespace
 
-IssuerLease::IssuerLease(Settings aSettings)
-    : settings(std::move(aSettings)), seenAt(BootClock::now()) {}
+IssuerLease::IssuerLease(Settings aSettings) : settings(std::move(aSettings)) {}
 
 void IssuerLease::OnRow(const StoredRow& aRow) {
   if (aRow.removed) {
@@ -25,11 +28,10 @@
     return;
   }
   this->version = aRow.version;
-  this->seenAt = BootClock::now();
-  const size_t space = aRow.value.find(' ');
-  this->holder = aRow.value.substr(0, space);
-  this->holderIncarnation =
-      space == std::string::npos ? std::string() : aRow.value.substr(space + 1);
+  std::istringstream text(aRow.value);
+  int64_t milliseconds = 0;
+  text >> this->holder >> this->holderIncarnation >> milliseconds;
+  this->renewedAt = std::chrono::milliseconds(milliseconds);
   if (this->held && this->holderIncarnation != this->settings.incarnation) {
     this->SetHeld(false);
   }
@@ -61,8 +63,9 @@
 
 void IssuerLease::Read() {
   this->calling = true;
+  const BootTime sentAt = BootClock::now();
   this->settings.store.Read(
-      this->settings.table, "", [this](const StoreReply& aReply) {
+      this->settings.table, "", [this, sentAt](const StoreReply& aReply) {
         this->calling = false;
         const Duration jitter = FromSeconds(
             ToSeconds(this->settings.lookEvery) * ThreadRandom().Unit() / 2);
@@ -70,6 +73,8 @@
         if (aReply.status != StoreStatus::Done || this->released) {
           return;
         }
+        this->storeTime = aReply.storeTime;
+        this->askedAt = sentAt;
         bool found = false;
         for (const StoredRow& row : aReply.rows) {
           if (row.key == this->settings.key && !row.removed) {
@@ -87,7 +92,7 @@
 void IssuerLease::TakeIfFree() {
   // An earlier process of this node has ended, as its listeners are free.
   const bool own = this->holder == this->settings.node;
-  const bool lapsed = BootClock::now() - this->seenAt > this->settings.length;
+  const bool lapsed = this->storeTime - this->renewedAt > this->settings.length;
   if (!this->held && (this->version == 0 || own || lapsed)) {
     this->Write();
   }
@@ -97,11 +102,15 @@
   this->calling = true;
   const BootTime sentAt = BootClock::now();
   const uint64_t expected = this->version;
+  // Rounded up: an early time would let others take the lease too soon.
+  const auto renewed = std::chrono::ceil<std::chrono::milliseconds>(
+      this->storeTime + (sentAt - this->askedAt));
   this->settings.store.Write(
       {.table = this->settings.table,
        .key = this->settings.key,
        .expected = expected,
-       .value = this->settings.node + " " + this->settings.incarnation},
+       .value = fmt::format("{} {} {}", this->settings.node,
+                            this->settings.incarnation, renewed.count())},
       [this, sentAt](const StoreReply& aReply) {
         this->calling = false;
         const Duration jitter =
@@ -115,6 +124,8 @@
         }
         this->nextWrite = sentAt + this->settings.renewEvery + jitter;
         this->version = aReply.version;
+        this->storeTime = aReply.storeTime;
+        this->askedAt = sentAt;
         this->holder = this->settings.node;
         this->holderIncarnation = this->settings.incarnation;
         this->heldUntil = sentAt + this->settings.length - kHolderMargin;
--- a/src/Mesh/IssuerLease.h
+++ b/src/Mesh/IssuerLease.h
@@ -11,7 +11,7 @@
 
 /// Lease on the duty of issuing tokens, kept as one row of the store and
 /// renewed by conditional writes. A holder stops by its own clock before
-/// another node may take the lease by the row's age. Runs on the loop.
+/// another node may take the lease by the store's clock. Runs on the loop.
 class IssuerLease {
  public:
   /// Construction parameters.
@@ -62,8 +62,13 @@
   std::string holderIncarnation;
   /// Version of the row, 0 if it does not exist.
   uint64_t version = 0;
-  /// When this node saw the row's present version.
-  BootTime seenAt{};
+  /// When the lease was renewed by the store's clock, as its holder wrote it:
+  /// never before the renewal was sent.
+  Duration renewedAt{};
+  /// The store's clock in its last answer, and when the question was sent. The
+  /// clock shows at most that much plus the time since then.
+  Duration storeTime{};
+  BootTime askedAt{};
   bool held = false;
   BootTime heldUntil{};
   BootTime nextWrite{};
--- a/src/Mesh/TargetService.cpp
+++ b/src/Mesh/TargetService.cpp
@@ -22,9 +22,9 @@
   settings.limit.tolerance = 1e9;
   settings.limit.maximum = 100'000;
   settings.limit.initial = 64;
-  // Two fifths of the shortest timeout of calls that was seen, so that a call
+  // A seventh of the shortest timeout of calls that was seen, so that a call
   // that waited still has time to run.
-  settings.callQueueTime = std::chrono::milliseconds(280);
+  settings.callQueueTime = std::chrono::milliseconds(100);
   return settings;
 }
 }  // namespace
