--- a/src/Http1/LoopHttpConnection.h
+++ b/src/Http1/LoopHttpConnection.h
@@ -23,8 +23,7 @@
   void Start();
   /// Closes the connection and aborts its request.
   void Close();
-  /// Whether no request has begun.
-  bool IsIdle() const { return !this->busy && !this->reader.InMessage(); }
+
   /// When the connection is to be closed for lack of progress.
   std::optional<TimePoint> Deadline() const;
 
--- a/src/Http1/LoopHttpServer.cpp
+++ b/src/Http1/LoopHttpServer.cpp
@@ -92,14 +92,4 @@
   this->acceptor.close(ignored);
 }
 
-void LoopHttpServer::CloseIdle() {
-  const std::vector<ConnectionPtr> all(this->connections.begin(),
-                                       this->connections.end());
-  for (const ConnectionPtr& connection : all) {
-    if (connection->IsIdle()) {
-      connection->Close();
-    }
-  }
-}
-
 }  // namespace fescueline
--- a/src/Http1/LoopHttpServer.h
+++ b/src/Http1/LoopHttpServer.h
@@ -63,8 +63,7 @@
   bool IsClosing() const { return this->closing; }
   /// Stops accepting; connections stay.
   void StopAccepting();
-  /// Closes connections without a request in progress.
-  void CloseIdle();
+
   /// Connections that are open.
   size_t Connections() const { return this->connections.size(); }
 
--- a/src/Mesh/EntryCall.cpp
+++ b/src/Mesh/EntryCall.cpp
@@ -275,8 +275,7 @@
   this->attempt = Attempt{.choice = std::move(aChoice),
                           .ticket = this->service.dependencies.fleet.OnStart(
                               this->tried.back(), now),
-                          .stream = 0,
-                          .startedAt = now};
+                          .stream = 0};
   this->context.metrics.CountAttempt(number > 1);
   RequestContext sent;
   sent.organisation = this->shareOf;
--- a/src/Mesh/EntryCall.h
+++ b/src/Mesh/EntryCall.h
@@ -32,7 +32,6 @@
     MeshFleet::Choice choice;
     CallTicket ticket;
     uint64_t stream = 0;
-    TimePoint startedAt;
     /// Retries that were passed on.
     uint32_t granted = 0;
     /// Those of them that came back unspent.
--- a/src/Mesh/HeaderVocabulary.h
+++ b/src/Mesh/HeaderVocabulary.h
@@ -20,10 +20,6 @@
   std::string expectedTarget;
   /// From the target: it did not run the request.
   std::string notRun;
-  /// From the target: running and waiting requests and slots.
-  std::string load;
-  /// From the target: mark of an answer of the target's own.
-  std::string signature;
 };
 
 }  // namespace fescueline
--- a/src/Mesh/LocalTargetState.cpp
+++ b/src/Mesh/LocalTargetState.cpp
@@ -32,7 +32,7 @@
   this->sequence = aReport.sequence;
   this->slots = aReport.slots;
   this->lastReport = aNow;
-  this->warmAt = aNow + aReport.coldFor;
+
   const TargetState before = this->state;
   this->draining = this->draining || aReport.draining;
   if (this->draining) {
--- a/src/Mesh/LocalTargetState.h
+++ b/src/Mesh/LocalTargetState.h
@@ -22,7 +22,8 @@
   /// Requests that it handles at once.
   uint32_t slots = 0;
   bool draining = false;
-  /// How much longer it is slow after its start.
+  /// How much longer it is slow after its start. Not used yet: peers raise the
+  /// traffic of a new target step by step in any case.
   Duration coldFor{};
 };
 
@@ -66,8 +67,7 @@
   const std::string& Id() const { return this->id; }
   const std::string& Service() const { return this->settings.service; }
   uint32_t Slots() const { return this->slots; }
-  /// When the target's process began to be slow no more; nothing if unknown.
-  TimePoint WarmAt() const { return this->warmAt; }
+
   /// Whether a request may be passed to the target now.
   bool MayPass(TimePoint aNow) const;
 
@@ -81,7 +81,7 @@
   uint32_t slots = 0;
   TargetState state = TargetState::Starting;
   TimePoint lastReport{};
-  TimePoint warmAt{};
+
   /// When it said that it leaves.
   TimePoint leavingSince{};
   /// Whether the present process has said that it drains; never taken back.
--- a/src/Mesh/MeshFleet.cpp
+++ b/src/Mesh/MeshFleet.cpp
@@ -133,7 +133,7 @@
           [this, node](const DecodedFrame& aFrame) {
             this->settings.onMessage(node, aFrame);
           },
-      .onReady = [] {},
+
       .onClosed =
           [this, node, holder](const std::string& aReason) {
             this->OnClosed(node, holder->lock(), aReason);
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -25,7 +25,9 @@
 /// Callers learn from two questions, a second apart, that a node is not ready.
 constexpr Duration kCallersLeave = std::chrono::milliseconds(2600);
 /// Part of the stop limit that is left for the end itself.
-constexpr Duration kEndMargin = std::chrono::milliseconds(500);
+constexpr Duration kEndMargin = std::chrono::milliseconds(800);
+/// Longest wait for the store's answer to the removal of the node's row.
+constexpr Duration kLeaveLimit = std::chrono::milliseconds(250);
 /// Rows of nodes that were silent for this long are removed. Longer than the
 /// outages that a node comes back from, since a removed node has to write
 /// its row again.
@@ -152,7 +154,8 @@
                          },
                      .onConfirmed = [](BootTime) {},
                      .gather = kFleetGather}),
-      grantTimer(this->io) {
+      grantTimer(this->io),
+      endTimer(this->io) {
   this->Listen();
 }
 
@@ -599,6 +602,9 @@
 }
 
 void MeshNode::TryEnd(TimePoint aStopSince) {
+  if (this->ended) {
+    return;
+  }
   const Duration since = SteadyClock().Now() - aStopSince;
   const bool idle =
       this->entryService.Open() == 0 && this->targetService.Open() == 0;
@@ -609,11 +615,19 @@
 }
 
 void MeshNode::End() {
+  this->ended = true;
   Log(LogLevel::Info, "node stopped",
       {{"entry_open", std::to_string(this->entryService.Open())},
        {"target_open", std::to_string(this->targetService.Open())}});
   FlushLog();
-  this->io.stop();
+  // The row goes at last, so that peers reach the node until then.
+  this->publisher.Leave([this] { this->io.stop(); });
+  this->endTimer.expires_after(kLeaveLimit);
+  this->endTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      this->io.stop();
+    }
+  });
 }
 
 }  // namespace fescueline
--- a/src/Mesh/MeshSettings.cpp
+++ b/src/Mesh/MeshSettings.cpp
@@ -79,8 +79,7 @@
       {"report_interval", Time(&MeshSettings::reportInterval)},
       {"retry.ratio", Number(&MeshSettings::retryRatio)},
       {"retry.floor", Number(&MeshSettings::retryFloor)},
-      {"retry.window", Time(&MeshSettings::retryWindow)},
-      {"rate.window", Time(&MeshSettings::rateWindow)}};
+      {"retry.window", Time(&MeshSettings::retryWindow)}};
   return sRules;
 }
 
--- a/src/Mesh/MeshSettings.h
+++ b/src/Mesh/MeshSettings.h
@@ -46,8 +46,6 @@
   double retryRatio = 0.2;
   double retryFloor = 50;
   Duration retryWindow = std::chrono::seconds(10);
-  /// `rate.window`: window in which organisations' rates are judged.
-  Duration rateWindow = std::chrono::seconds(5);
 };
 
 /// Loads a file; throws Error that names file, line and key of each mistake.
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 
 #include "Http1/HttpWriter.h"
 #include "Log/Log.h"
@@ -152,7 +151,6 @@
          {"target", this->service.dependencies.target.Id()}});
     return false;
   }
-  this->NoteLoad(aHead.headers);
   this->status = aHead.status;
   this->declaredNotRun = FindHeader(aHead.headers, names.notRun).has_value() ||
                          aHead.status == kMisdirected;
@@ -174,25 +172,6 @@
   return true;
 }
 
-void TargetAttempt::NoteLoad(const HttpHeaders& aHeaders) {
-  const auto value =
-      FindHeader(aHeaders, this->service.dependencies.context.headers.load);
-  if (!value) {
-    return;
-  }
-  std::array<uint32_t, 3> counts{};
-  const char* at = value->data();
-  const char* const end = at + value->size();
-  for (uint32_t& count : counts) {
-    const auto result = std::from_chars(at, end, count);
-    if (result.ec != std::errc()) {
-      return;
-    }
-    at = result.ptr == end ? end : result.ptr + 1;
-  }
-  this->service.SetReportedLoad(counts[0], counts[1], counts[2]);
-}
-
 void TargetAttempt::OnBody(std::string_view aPart) {
   if (!this->headSent || this->abandoned) {
     return;
--- a/src/Mesh/TargetAttempt.h
+++ b/src/Mesh/TargetAttempt.h
@@ -24,10 +24,6 @@
   const RequestContext& Context() const { return this->context; }
   const PeerServer::SessionPtr& Session() const { return this->session; }
   uint64_t Stream() const { return this->frame.stream; }
-  TimePoint Deadline() const { return this->deadline; }
-
-  /// What the target's calls for this request inherit.
-  const RunningAttemptPtr& Running() const { return this->running; }
 
   void SetQueued(AdmissionHandle aHandle) { this->handle = aHandle; }
   /// Admitted: sends the request to the target.
@@ -46,7 +42,7 @@
   bool OnHead(HttpHead aHead);
   void OnBody(std::string_view aPart);
   void OnDone(const ClientExchangeResult& aResult);
-  void NoteLoad(const HttpHeaders& aHeaders);
+
   /// Ends the attempt with a refusal of the given outcome.
   void Fail(Outcome aOutcome, Cause aCause, Duration aRetryAfter,
             const std::string& aDetail);
--- a/src/Mesh/TargetService.cpp
+++ b/src/Mesh/TargetService.cpp
@@ -89,12 +89,6 @@
                         .count()};
 }
 
-void TargetService::SetReportedLoad(uint32_t aRunning, uint32_t aWaiting,
-                                    uint32_t aSlots) {
-  this->reportedLoad = aRunning + aWaiting;
-  static_cast<void>(aSlots);
-}
-
 Cause TargetService::Check(const RequestContext& aContext,
                            TimePoint aNow) const {
   const MeshContext& context = this->dependencies.context;
--- a/src/Mesh/TargetService.h
+++ b/src/Mesh/TargetService.h
@@ -46,14 +46,11 @@
   void OnConfigChanged() { this->ApplyBounds(); }
   /// The node is stopping: takes nothing new.
   void Stop();
-  bool IsStopping() const { return this->stopping; }
 
   /// State of the target for peers.
   StateWire State() const;
   /// Attempts queued or running.
   size_t Open() const { return this->open; }
-  /// Requests of which the target says that it holds them.
-  void SetReportedLoad(uint32_t aRunning, uint32_t aWaiting, uint32_t aSlots);
 
  private:
   friend class TargetAttempt;
@@ -87,8 +84,6 @@
   std::unordered_map<uint64_t, std::unordered_map<uint64_t, AttemptPtr>>
       attempts;
   size_t open = 0;
-  /// Requests that the target last said it holds.
-  uint32_t reportedLoad = 0;
 };
 
 }  // namespace fescueline
--- a/src/Transport/PeerClient.cpp
+++ b/src/Transport/PeerClient.cpp
@@ -125,9 +125,7 @@
                               this->settings.self.incarnation.ToString())});
   this->ready = true;
   this->connectTimer.cancel();
-  if (this->settings.onReady) {
-    this->settings.onReady();
-  }
+
   std::vector<std::function<void()>> sends;
   sends.swap(this->waiting);
   for (const auto& send : sends) {
--- a/src/Transport/PeerClient.h
+++ b/src/Transport/PeerClient.h
@@ -54,8 +54,7 @@
     std::function<void(const StateWire&, TimePoint aPingSentAt)> onPong;
     /// Any other frame that belongs to no stream.
     std::function<void(const DecodedFrame&)> onMessage;
-    /// The handshake is done.
-    std::function<void()> onReady;
+
     /// The connection ended.
     std::function<void(const std::string& aReason)> onClosed;
   };
