Look for open requests after a stopping node's row is gone

Change: the row goes first; the node ends when it is gone and nothing is open.

Conclusion: the failure has no test of its own yet.

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -26,8 +26,6 @@
 constexpr Duration kCallersLeave = std::chrono::milliseconds(2600);
 /// Part of the stop limit that is left for the end itself.
 constexpr Duration kEndMargin = std::chrono::milliseconds(800);
-/// Longest wait for the store's answer to the removal of the node's row.
-constexpr Duration kLeaveLimit = std::chrono::milliseconds(250);
 /// Rows of nodes that were silent for this long are removed. Longer than the
 /// outages that a node comes back from, since a removed node has to write
 /// its row again.
@@ -154,8 +152,7 @@
                          },
                      .onConfirmed = [](BootTime) {},
                      .gather = kFleetGather}),
-      grantTimer(this->io),
-      endTimer(this->io) {
+      grantTimer(this->io) {
   this->Listen();
 }
 
@@ -602,32 +599,26 @@
 }
 
 void MeshNode::TryEnd(TimePoint aStopSince) {
-  if (this->ended) {
-    return;
-  }
   const Duration since = SteadyClock().Now() - aStopSince;
+  if (since >= kCallersLeave && !this->leaving) {
+    this->leaving = true;
+    this->publisher.Leave([this] { this->left = true; });
+  }
+  // Looked at after the row is gone: requests may arrive until the very end.
   const bool idle =
       this->entryService.Open() == 0 && this->targetService.Open() == 0;
   const bool late = since >= this->settings.stopLimit - kEndMargin;
-  if (late || (idle && since >= kCallersLeave)) {
+  if (late || (idle && this->left)) {
     this->End();
   }
 }
 
 void MeshNode::End() {
-  this->ended = true;
   Log(LogLevel::Info, "node stopped",
       {{"entry_open", std::to_string(this->entryService.Open())},
        {"target_open", std::to_string(this->targetService.Open())}});
   FlushLog();
-  // The row goes at last, so that peers reach the node until then.
-  this->publisher.Leave([this] { this->io.stop(); });
-  this->endTimer.expires_after(kLeaveLimit);
-  this->endTimer.async_wait([this](const asio::error_code& aError) {
-    if (!aError) {
-      this->io.stop();
-    }
-  });
+  this->io.stop();
 }
 
 }  // namespace fescueline
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -99,10 +99,10 @@
   std::unique_ptr<LoopHttpServer> reports;
   asio::steady_timer grantTimer;
   bool grantTimerRunning = false;
-  /// Ends the loop if the store does not answer at the end.
-  asio::steady_timer endTimer;
   bool stopping = false;
-  bool ended = false;
+  /// Whether the removal of this node's row was sent, and has ended.
+  bool leaving = false;
+  bool left = false;
   /// Whether the configuration was ever fresh in this process.
   bool wasFresh = false;
   bool lastReady = false;
