--- a/src/Mesh/TargetService.cpp
+++ b/src/Mesh/TargetService.cpp
@@ -1,5 +1,7 @@
 #include "Mesh/TargetService.h"
 
+#include <utility>
+
 #include "Core/RandomSource.h"
 #include "Log/Log.h"
 #include "Mesh/TargetAttempt.h"
@@ -30,7 +32,7 @@
 }  // namespace
 
 TargetService::TargetService(Dependencies aDependencies)
-    : dependencies(aDependencies),
+    : dependencies(std::move(aDependencies)),
       controller(Settings(), ThreadRandom().Next()),
       pool(std::make_unique<ConnectionPool>(ConnectionPool::Settings{
           .io = this->dependencies.context.io,
