Let the handler of BrokenResponseTest keep its own row

Cause: the test failed 7 of 320 runs on a machine with a load of 11 to 13, always in "length, broken", with curl's second send (status 0). The handler read the current row once more after Write; by then the client had its whole response and the test had gone on to the next row, so the first response ended as broken and the second request met a closing connection.

Ruled out: the server losing bytes that it was given (RESTinio closes only after the last group of a response was written); a reset by unread bytes.

Change: the handler copies its row before it writes. The checks are the same.

Conclusion: a fault of the test, not of the server.

--- a/tests/BrokenResponse/BrokenResponseTest.cpp
+++ b/tests/Transport/BrokenResponseTest.cpp
@@ -10,7 +10,7 @@
 // Guards against a broken response that reaches the caller as a whole one.
 TEST_CASE("a response that breaks off is seen as broken") {
   struct Row {
-    const char* name;
+    std::string name;
     std::optional<uint64_t> length;
     bool whole;
   };
@@ -24,15 +24,19 @@
       {.io = pool.io,
        .host = "127.0.0.1",
        .onRequest = [&current](HttpExchangePtr aExchange) {
-         aExchange->StartStream(200, {{"x-a", "b"}}, current.length);
+         // The client has a whole response after Write, and the next row may
+         // begin before EndStream.
+         const Row row = current;
+         aExchange->StartStream(200, {{"x-a", "b"}}, row.length);
          aExchange->Write("0123456789", {});
-         aExchange->EndStream(current.whole);
+         aExchange->EndStream(row.whole);
        }});
   HttpClient client;
   for (const Row& row : rows) {
     CAPTURE(row.name);
     current = row;
     const Answer answer = Fetch(client, {.url = Url(server, "/")});
+    CAPTURE(answer.result.error);
     CHECK(answer.status == 200);
     CHECK(answer.body == "0123456789");
     CHECK(answer.result.whole == row.whole);
