Let the followers of members wait long for a change; log rates that change

Ruled out: renewals of the issuer's lease and reads of the configuration (three nodes each second, the others every 10 s).

Change: without isUrgent a call waits long. A line tells each rate that a configuration changes.

The test fails without the change.

--- a/src/Mesh/MeshFleet.h
+++ b/src/Mesh/MeshFleet.h
@@ -70,6 +70,9 @@
   size_t UsableTargets() const;
   /// Number of member rows.
   size_t Size() const { return this->members.size(); }
+  bool Knows(const std::string& aNode) const {
+    return this->members.contains(aNode);
+  }
   /// Whether a node is among the first that are alive, by a hash of the names
   /// so that each data centre has some.
   bool IsAmongFirst(const std::string& aNode, size_t aCount) const;
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -1,5 +1,7 @@
 #include "Mesh/MeshNode.h"
 
+#include <fmt/format.h>
+
 #include <set>
 
 #include "Log/Log.h"
@@ -53,6 +55,23 @@
   table.rampTime = std::chrono::seconds(4);
   return table;
 }
+
+/// Logs the rates that a configuration changes.
+void LogRates(const MeshConfig* aBefore, const MeshConfig& aNow) {
+  for (const MeshOrganisation& organisation : aNow.All().organisations) {
+    const MeshOrganisation* known =
+        aBefore == nullptr ? nullptr
+                           : aBefore->FindOrganisation(organisation.name);
+    if (known != nullptr && known->rate == organisation.rate) {
+      continue;
+    }
+    Log(LogLevel::Info, "rate limit in force",
+        {{"organisation", organisation.name},
+         {"per_second", fmt::format("{}", organisation.rate.perSecond)},
+         {"burst", fmt::format("{}", organisation.rate.burst)},
+         {"version", std::to_string(aNow.Version())}});
+  }
+}
 }  // namespace
 
 MeshNode::MeshNode(asio::io_context& aIo, MeshSettings aSettings,
@@ -142,6 +161,7 @@
       fleetFollower({.io = this->io,
                      .store = *this->ports.store,
                      .table = std::string(kFleetTable),
+                     .isUrgent = [this] { return this->DoubtsMembers(); },
                      .onSnapshot =
                          [this](const std::vector<StoredRow>& aRows) {
                            this->OnFleetRows(aRows, true);
@@ -327,6 +347,7 @@
 
 void MeshNode::ApplyConfig(const std::string& aStored,
                            std::string_view aSource) {
+  const MeshConfigPtr before = this->config.Current();
   if (!this->config.Apply(aStored)) {
     return;
   }
@@ -336,6 +357,7 @@
        {"source", std::string(aSource)},
        {"routes", std::to_string(now.All().routes.size())},
        {"organisations", std::to_string(now.All().organisations.size())}});
+  LogRates(before.get(), now);
   this->callers->SetLimits(now.All().limits);
   this->ApplyLimits();
   this->targetService.OnConfigChanged();
@@ -540,8 +562,21 @@
          this->fleet.IsAmongFirst(this->self.nodeId, kConfirmers);
 }
 
+bool MeshNode::DoubtsMembers() {
+  if (this->context.config.Age(BootClock::now()) > kUnconfirmedFor) {
+    return true;
+  }
+  for (const std::string& node : this->peerServer->ConnectedNodes()) {
+    if (!this->fleet.Knows(node)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void MeshNode::Maintain() {
   this->configFollower.Hurry();
+  this->fleetFollower.Hurry();
   this->wasFresh = this->wasFresh || this->context.IsFresh();
   this->publisher.Tick();
   const TimePoint now = SteadyClock().Now();
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -69,6 +69,10 @@
   void Maintain();
   /// Whether this node confirms the configuration for others or itself.
   bool NeedsConfirmation() const;
+  /// Whether members may have changed unseen: the store does not answer, or a
+  /// node connects whose row is not known, as after a connection to the store
+  /// went silent.
+  bool DoubtsMembers();
   void RemoveUnreachable();
   void TryEnd(TimePoint aStopSince);
   void End();
--- a/src/Mesh/TableFollower.cpp
+++ b/src/Mesh/TableFollower.cpp
@@ -64,8 +64,7 @@
     return;
   }
   const BootTime sentAt = BootClock::now();
-  const bool urgent =
-      !this->settings.isUrgent || !this->up || this->settings.isUrgent();
+  const bool urgent = !this->up || this->IsUrgent();
   this->waitsLong = !urgent;
   const uint64_t number = ++this->call;
   this->settings.store.Follow(
@@ -103,7 +102,7 @@
 }
 
 void TableFollower::Hurry() {
-  if (this->waitsLong && this->settings.isUrgent()) {
+  if (this->waitsLong && this->IsUrgent()) {
     this->waitsLong = false;
     this->Follow();
   }
--- a/src/Mesh/TableFollower.h
+++ b/src/Mesh/TableFollower.h
@@ -22,7 +22,8 @@
     /// matter and while it does.
     Duration wait = std::chrono::seconds(10);
     Duration urgentWait = std::chrono::seconds(1);
-    /// Whether an answer is needed soon to confirm what is known.
+    /// Whether an answer is needed soon to confirm what is known; never if
+    /// empty.
     std::function<bool()> isUrgent;
     /// All rows of the table, after a whole read.
     std::function<void(const std::vector<StoredRow>&)> onSnapshot;
@@ -45,6 +46,9 @@
   void Hurry();
 
  private:
+  bool IsUrgent() const {
+    return this->settings.isUrgent && this->settings.isUrgent();
+  }
   void ReadPage(const std::string& aAfter);
   void Follow();
   void Retry();
--- a/tests/Mesh/FakeRowStore.h
+++ b/tests/Mesh/FakeRowStore.h
@@ -20,15 +20,19 @@
     RowWrite write;
     Done done;
     uint64_t after = 0;
+    /// Longest wait for a change.
+    Duration wait{};
   };
 
   void Read(const std::string&, const std::string&, Done aDone) override {
     this->calls.push_back({.what = "read", .done = std::move(aDone)});
   }
-  void Follow(const std::string&, uint64_t aAfter, Duration,
+  void Follow(const std::string&, uint64_t aAfter, Duration aWait,
               Done aDone) override {
-    this->calls.push_back(
-        {.what = "follow", .done = std::move(aDone), .after = aAfter});
+    this->calls.push_back({.what = "follow",
+                           .done = std::move(aDone),
+                           .after = aAfter,
+                           .wait = aWait});
   }
   void Write(const RowWrite& aWrite, Done aDone) override {
     this->calls.push_back(
--- a/tests/Mesh/TableFollowerTest.cpp
+++ b/tests/Mesh/TableFollowerTest.cpp
@@ -175,3 +175,42 @@
   CHECK(fixture.confirmed[2] >= fixture.confirmed[1] + 100ms);
   CHECK(fixture.confirmed[2] <= BootClock::now());
 }
+
+// Guards against a node that asks for members every second although nothing
+// suggests a change: calls to the store grow with the fleet.
+TEST_CASE("a call waits long unless an answer is needed soon") {
+  struct Row {
+    bool asksForUrgency;
+    bool urgent;
+    Duration wait;
+  };
+  for (const Row& row : std::vector<Row>{
+           {false, false, 10s}, {true, false, 10s}, {true, true, 1s}}) {
+    CAPTURE(row.asksForUrgency);
+    CAPTURE(row.urgent);
+    asio::io_context io{1};
+    FakeRowStore store;
+    bool urgent = row.urgent;
+    TableFollower::Settings settings{
+        .io = io,
+        .store = store,
+        .table = "t",
+        .onSnapshot = [](const std::vector<StoredRow>&) {},
+        .onChanges = [](const std::vector<StoredRow>&) {},
+        .onConfirmed = [](BootTime) {}};
+    if (row.asksForUrgency) {
+      settings.isUrgent = [&urgent] { return urgent; };
+    }
+    TableFollower follower(std::move(settings));
+    follower.Start();
+    store.Answer();
+    REQUIRE(store.calls.size() == 1);
+    CHECK(store.calls.front().wait == row.wait);
+    urgent = row.asksForUrgency;
+    follower.Hurry();
+    // A call that waits long is replaced as soon as an answer is needed.
+    const bool replaced = row.asksForUrgency && !row.urgent;
+    CHECK(store.calls.size() == (replaced ? 2 : 1));
+    CHECK(store.calls.back().wait == (row.asksForUrgency ? 1s : 10s));
+  }
+}
