Ask a running target for its health when a node starts beside it

Ruled out: the store (configuration and rows were there 20 ms after the start), the issuer's lease (regained after 0.1 s).

Change: a node asks its target's health path, three times at most, until something is heard of it. Only an answer 200 that names the target and its slots counts, and only until the first report; a target that leaves answers 503.

Tests: a fleet whose targets never report serves (fails without the probe). The tests' ports are taken from below the range of outgoing connections: one run failed with "Address already in use".

--- a/src/Mesh/HeaderVocabulary.h
+++ b/src/Mesh/HeaderVocabulary.h
@@ -20,6 +20,10 @@
   std::string expectedTarget;
   /// From the target: it did not run the request.
   std::string notRun;
+  /// From the target, when asked for its health: its identifier.
+  std::string targetId;
+  /// From the target: running and waiting requests, and slots.
+  std::string load;
 };
 
 }  // namespace fescueline
--- a/src/Mesh/LocalTargetState.cpp
+++ b/src/Mesh/LocalTargetState.cpp
@@ -75,6 +75,20 @@
   this->state = aState;
 }
 
+bool LocalTargetState::OnProbe(const std::string& aId, uint32_t aSlots,
+                               TimePoint aNow) {
+  if (!this->id.empty()) {
+    return false;
+  }
+  // Any report is of a later start than this one.
+  this->id = aId;
+  this->startedAt = 0;
+  this->slots = aSlots;
+  this->lastReport = aNow;
+  this->state = TargetState::Ready;
+  return true;
+}
+
 bool LocalTargetState::Expire(TimePoint aNow) {
   const bool silent = aNow - this->lastReport > this->settings.silentAfter;
   if (!silent || this->id.empty() || this->state == TargetState::Gone) {
--- a/src/Mesh/LocalTargetState.h
+++ b/src/Mesh/LocalTargetState.h
@@ -60,6 +60,12 @@
   /// process in place is meant.
   ReportResult OnLeave(const std::string& aId,
                        std::optional<uint64_t> aStartedAt, TimePoint aNow);
+  /// The target says that it is ready, though nothing was heard of it yet.
+  /// Holds until its first report or for as long as a report would. False if
+  /// something was heard of it.
+  bool OnProbe(const std::string& aId, uint32_t aSlots, TimePoint aNow);
+  /// Whether nothing was heard of the target.
+  bool IsUnheard() const { return this->id.empty(); }
   /// Whether the state changed for lack of reports.
   bool Expire(TimePoint aNow);
 
--- a/src/Mesh/MeshConfig.h
+++ b/src/Mesh/MeshConfig.h
@@ -50,6 +50,8 @@
   std::string name;
   /// Connections that one target accepts from all callers; 0 if not stated.
   uint32_t maxConnections = 0;
+  /// Where a target answers whether it is healthy; empty if nowhere.
+  std::string healthPath;
 };
 
 /// An organisation, its keys and its limit.
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -117,6 +117,20 @@
       targetService({.context = this->context,
                      .target = this->target,
                      .fleetSecret = this->self.fleetSecret}),
+      probe({.pool = this->targetService.Pool(),
+             .headers = this->ports.headers,
+             .host = this->settings.target.ToString(),
+             .onReady =
+                 [this](const ProbeAnswer& aAnswer) {
+                   if (this->target.OnProbe(aAnswer.id, aAnswer.slots,
+                                            SteadyClock().Now())) {
+                     Log(LogLevel::Info, "target ready by a probe",
+                         {{"target", aAnswer.id},
+                          {"slots", std::to_string(aAnswer.slots)}});
+                     this->targetService.OnTargetChanged();
+                     this->peerServer->PushState();
+                   }
+                 }}),
       entryService({.context = this->context,
                     .fleet = this->fleet,
                     .grants = this->grants,
@@ -361,6 +375,7 @@
   this->callers->SetLimits(now.All().limits);
   this->ApplyLimits();
   this->targetService.OnConfigChanged();
+  this->ProbeTarget();
 }
 
 void MeshNode::ApplyLimits() {
@@ -574,7 +589,18 @@
   return false;
 }
 
+void MeshNode::ProbeTarget() {
+  const MeshConfigPtr& now = this->config.Current();
+  if (!now || this->stopping || !this->target.IsUnheard()) {
+    return;
+  }
+  if (const MeshService* service = now->FindService(this->settings.service)) {
+    this->probe.Ask(service->healthPath);
+  }
+}
+
 void MeshNode::Maintain() {
+  this->ProbeTarget();
   this->configFollower.Hurry();
   this->fleetFollower.Hurry();
   this->wasFresh = this->wasFresh || this->context.IsFresh();
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -14,6 +14,7 @@
 #include "Mesh/MeshFleet.h"
 #include "Mesh/MeshPorts.h"
 #include "Mesh/TableFollower.h"
+#include "Mesh/TargetProbe.h"
 #include "Mesh/TargetService.h"
 
 namespace fescueline {
@@ -66,6 +67,8 @@
   /// Whether no issuer counts on this node to ask it.
   bool IsWithoutIssuer() const;
   TokenGrantFrame GrantTokens(const TokenRequestFrame& aRequest);
+  /// Asks a target that was not heard of yet for its health.
+  void ProbeTarget();
   void Maintain();
   /// Whether this node confirms the configuration for others or itself.
   bool NeedsConfirmation() const;
@@ -92,6 +95,7 @@
   GrantIssuer issuer;
   GrantHolder grants;
   TargetService targetService;
+  TargetProbe probe;
   EntryService entryService;
   MemberPublisher publisher;
   IssuerLease lease;
--- /dev/null
+++ b/src/Mesh/TargetProbe.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "Http1/ConnectionPool.h"
+#include "Mesh/HeaderVocabulary.h"
+
+namespace fescueline {
+
+/// What a target answers when asked for its health.
+struct ProbeAnswer {
+  /// Identifier of the target.
+  std::string id;
+  /// Requests that it handles at once.
+  uint32_t slots = 0;
+};
+
+/// Asks the local target for its health, so that a node that starts beside a
+/// running target need not wait for its next report. Runs on the loop.
+class TargetProbe {
+ public:
+  /// Construction parameters.
+  struct Settings {
+    ConnectionPool& pool;
+    const HeaderVocabulary& headers;
+    /// Host header of the question.
+    std::string host;
+    /// The target is ready. Not called for any other answer.
+    std::function<void(const ProbeAnswer&)> onReady;
+  };
+
+  explicit TargetProbe(Settings aSettings) : settings(std::move(aSettings)) {}
+
+  /// Sends one question unless there have been enough already.
+  void Ask(const std::string& aPath);
+
+ private:
+  Settings settings;
+  uint32_t asked = 0;
+};
+
+/// Slots in a target's statement of its load: running and waiting requests,
+/// and slots, separated by commas. Nothing if it is malformed.
+std::optional<uint32_t> SlotsOfLoad(std::string_view aText);
+
+}  // namespace fescueline
--- a/tests/Mesh/LocalTargetStateTest.cpp
+++ b/tests/Mesh/LocalTargetStateTest.cpp
@@ -127,3 +127,29 @@
   Fixture fixture;
   CHECK_FALSE(fixture.state.MayPass(fixture.clock.Now()));
 }
+
+// Guards against a probe that brings back a target that has said that it
+// leaves, or hides the target's own reports.
+TEST_CASE("a probe counts only while nothing was heard of the target") {
+  Fixture fixture;
+  CHECK(fixture.state.IsUnheard());
+  CHECK(fixture.state.OnProbe("a", 7, fixture.clock.Now()));
+  CHECK(fixture.state.State() == TargetState::Ready);
+  CHECK(fixture.state.Slots() == 7);
+  CHECK_FALSE(fixture.state.OnProbe("b", 9, fixture.clock.Now()));
+  CHECK(fixture.Take(Report("a", 100, 1, true)) == ReportResult::Changed);
+  CHECK(fixture.state.State() == TargetState::Draining);
+  CHECK_FALSE(fixture.state.OnProbe("a", 7, fixture.clock.Now()));
+  CHECK(fixture.state.State() == TargetState::Draining);
+}
+
+// Guards against a target that is used for ever on the word of one probe.
+TEST_CASE("a probe holds no longer than a report") {
+  Fixture fixture;
+  REQUIRE(fixture.state.OnProbe("a", 7, fixture.clock.Now()));
+  fixture.clock.Advance(7s);
+  CHECK(fixture.state.Expire(fixture.clock.Now()));
+  CHECK(fixture.state.State() == TargetState::Gone);
+  CHECK(fixture.Take(Report("a", 100, 1)) == ReportResult::Changed);
+  CHECK(fixture.state.State() == TargetState::Ready);
+}
--- a/tests/PlatformAdapter/MeshFleetTest.cpp
+++ b/tests/PlatformAdapter/MeshFleetTest.cpp
@@ -24,6 +24,35 @@
   }
 }
 
+// Pattern: every node restarts beside targets that run on. Guards against a
+// fleet that serves nothing until each target's next report.
+TEST_CASE("a node finds a running target before its first report") {
+  MeshWorld world({.targetsReport = false});
+  CHECK(world.Call(0, "GET", "/lookup/x").status == 200);
+}
+
+// Pattern: a request arrives at a stopping node while the store is slow to
+// remove the node's row. Guards against an end of the process that cuts it.
+TEST_CASE("a node ends after the last request that arrived before its end") {
+  MeshWorld world({.deepWork = 300ms});
+  world.Node(0).Stop();
+  // The row is removed once callers have left, 2.6 s after the stop.
+  world.Pass(2500ms);
+  world.store.Fault().slow = 400ms;
+  world.Pass(250ms);
+  world.Send(0, "late", "GET", "/lookup/late");
+  const auto limit = std::chrono::steady_clock::now() + 3s;
+  do {
+    // The end of the node stops the loop.
+    world.io.restart();
+    world.io.run_for(5ms);
+  } while (!world.io.stopped() && std::chrono::steady_clock::now() < limit);
+  REQUIRE(world.io.stopped());
+  REQUIRE(world.answers.contains("late"));
+  CHECK(world.answers["late"].status == 200);
+  CHECK(world.answers["late"].whole);
+}
+
 struct RefusedCase {
   const char* path;
   const char* key;
--- a/tests/PlatformAdapter/MeshWorld.h
+++ b/tests/PlatformAdapter/MeshWorld.h
@@ -6,9 +6,11 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "Core/RandomSource.h"
 #include "Http1/HttpWriter.h"
 #include "Http1/LoopPeer.h"
 #include "Log/Log.h"
@@ -41,9 +43,12 @@
     uint32_t deepSlots = 10;
     Duration deepWork = std::chrono::milliseconds(10);
     bool frontCalls = true;
+    /// Whether targets report to their nodes.
+    bool targetsReport = true;
   };
 
-  explicit MeshWorld(const Settings& aSettings) : store(this->io) {
+  explicit MeshWorld(const Settings& aSettings)
+      : store(this->io), targetsReport(aSettings.targetsReport) {
     DisableLog();
     this->PutConfig(1);
     for (size_t i = 0; i < aSettings.fronts; ++i) {
@@ -82,6 +87,11 @@
     route("filing", false, 0, "front", false);
     route("direct", true, 2, "deep", false);
     route("deep", true, 1, "deep", true);
+    for (const char* service : {"front", "deep"}) {
+      resources.push_back({{"resource-type", "services"},
+                           {"metadata", {{"name", service}}},
+                           {"spec", {{"health-path", "/healthz"}}}});
+    }
     resources.push_back({{"resource-type", "tenants"},
                          {"metadata", {{"name", "acme"}}},
                          {"spec",
@@ -174,10 +184,22 @@
     std::unique_ptr<PlatformTarget> target;
   };
 
+  /// Below the range from which connections get their ports, so that none
+  /// takes the port before its listener does.
   uint16_t FreePort() {
-    asio::ip::tcp::acceptor probe(this->io,
-                                  {asio::ip::make_address("127.0.0.1"), 0});
-    return probe.local_endpoint().port();
+    constexpr uint16_t kFirst = 10'000;
+    constexpr uint16_t kCount = 20'000;
+    while (true) {
+      const auto port =
+          static_cast<uint16_t>(kFirst + ThreadRandom().Below(kCount));
+      asio::ip::tcp::acceptor probe(this->io);
+      probe.open(asio::ip::tcp::v4());
+      asio::error_code error;
+      probe.bind({asio::ip::make_address("127.0.0.1"), port}, error);
+      if (!error && this->ports.insert(port).second) {
+        return port;
+      }
+    }
   }
 
   void Add(const std::string& aService, uint32_t aSlots, Duration aWork,
@@ -210,6 +232,7 @@
         .callPort = settings.listenCallers.port,
         .callHost = "h",
         .callPath = aCallPath,
+        .reports = this->targetsReport,
         .onRun = [this](const PlatformTarget::Run& aRun) {
           this->runs.push_back(aRun);
         }});
@@ -228,6 +251,9 @@
     return true;
   }
 
+  bool targetsReport;
+  /// Ports that were handed out.
+  std::set<uint16_t> ports;
   std::vector<Member> members;
   uint64_t lastId = 0;
 };
--- a/tools/PlatformStandIn/PlatformTarget.cpp
+++ b/tools/PlatformStandIn/PlatformTarget.cpp
@@ -14,6 +14,7 @@
 namespace {
 constexpr int kOk = 200;
 constexpr int kFailed = 500;
+constexpr std::string_view kHealthPath = "/healthz";
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 
@@ -76,7 +77,9 @@
       reportTimer(this->settings.io) {
   this->Restart();
   this->server.Start();
-  this->Report();
+  if (this->settings.reports) {
+    this->Report();
+  }
 }
 
 void PlatformTarget::Restart() {
@@ -130,6 +133,16 @@
 
 void PlatformTarget::OnRequest(const HttpExchangePtr& aExchange) {
   const HttpRequest& request = aExchange->Request();
+  if (request.target == kHealthPath) {
+    aExchange->Respond(
+        {.status = this->draining ? kUnavailable : kOk,
+         .headers = {
+             {"X-Instance-Id", this->id},
+             {"X-Server-Load", fmt::format("{},{},{}", this->running,
+                                           this->waiting.size(),
+                                           this->settings.slots)}}});
+    return;
+  }
   const std::string requestId = Header(request, "X-Request-Id");
   const std::string expected = Header(request, "X-Target-Instance");
   if (!expected.empty() && expected != this->id) {
--- a/tools/PlatformStandIn/PlatformTarget.h
+++ b/tools/PlatformStandIn/PlatformTarget.h
@@ -44,6 +44,8 @@
     std::string callHost;
     std::string callPath;
     Duration reportEvery = std::chrono::milliseconds(200);
+    /// Whether it reports at all.
+    bool reports = true;
     /// Told of each run.
     std::function<void(const Run&)> onRun;
   };
