Let the node beside a target tell peers how many requests the target fails

Ruled out: the health answer (good all the while), the paths between nodes (no peer was lost).

Change: the node beside a target counts lost and broken answers, rejections although it is within its slots, and errors of runs that made no calls. Pongs carry the share; a target gets less traffic in proportion to the excess over the median of its service. A near target of low weight is no longer taken for being the only near one.

Tests: targets that fail requests get less in proportion; the share follows the last requests.

--- a/src/Mesh/MeshFleet.cpp
+++ b/src/Mesh/MeshFleet.cpp
@@ -164,11 +164,13 @@
                           .dataCentre = member.record.dataCentre,
                           .region = member.record.region,
                           .capacity = std::max(1U, aState.limit)});
-  this->table.OnPong(target,
-                     {.state = static_cast<TargetState>(aState.state),
-                      .load = aState.load,
-                      .capacity = aState.limit},
-                     now);
+  this->table.OnPong(
+      target,
+      {.state = static_cast<TargetState>(aState.state),
+       .load = aState.load,
+       .capacity = aState.limit,
+       .failing = std::min(1.0, aState.failing / StateWire::kFailingUnits)},
+      now);
 }
 
 void MeshFleet::OnClosed(const std::string& aNode, const ClientPtr& aClient,
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -21,6 +21,7 @@
 /// comes first.
 constexpr Duration kTimeoutMargin = std::chrono::milliseconds(2);
 constexpr int kMisdirected = 421;
+constexpr int kFirstServerError = 500;
 }  // namespace
 
 TargetAttempt::TargetAttempt(TargetService& aService,
@@ -94,6 +95,7 @@
   this->connection = std::move(aConnection);
   this->running->SetCallObserver([this](bool aBegins) {
     auto& core = this->service.controller.Core();
+    this->madeCalls = true;
     if (aBegins) {
       core.ChildStarted(this->handle);
       this->service.SchedulePumpNow();
@@ -195,10 +197,24 @@
   }
 }
 
+void TargetAttempt::JudgeTarget(const ClientExchangeResult& aResult) {
+  const bool ownEnd = this->abandoned || SteadyClock().Now() >= this->deadline;
+  if (!aResult.whole) {
+    // A connection that this node closed says nothing about the target.
+    if (!ownEnd) {
+      this->service.failures.Count(true);
+    }
+    return;
+  }
+  const bool ownFailure = this->status >= kFirstServerError && !this->madeCalls;
+  this->service.failures.Count(this->declaredNotRun || ownFailure);
+}
+
 void TargetAttempt::OnDone(const ClientExchangeResult& aResult) {
   if (this->state != State::Running) {
     return;
   }
+  this->JudgeTarget(aResult);
   if (aResult.reusable) {
     this->service.pool->Release(this->connection);
   }
--- a/src/Mesh/TargetAttempt.h
+++ b/src/Mesh/TargetAttempt.h
@@ -43,6 +43,9 @@
   void OnBody(std::string_view aPart);
   void OnDone(const ClientExchangeResult& aResult);
 
+  /// Counts whether the target itself failed the request.
+  void JudgeTarget(const ClientExchangeResult& aResult);
+
   /// Ends the attempt with a refusal of the given outcome.
   void Fail(Outcome aOutcome, Cause aCause, Duration aRetryAfter,
             const std::string& aDetail);
@@ -64,6 +67,8 @@
   /// Whether the target says that it did not run the request.
   bool declaredNotRun = false;
   bool headSent = false;
+  /// Whether the run made calls, so that a failure may come from them.
+  bool madeCalls = false;
   int status = 0;
   /// Body bytes that the sender still takes.
   int64_t credit = kInitialCredit;
--- a/src/Mesh/TargetProbe.cpp
+++ b/src/Mesh/TargetProbe.cpp
@@ -36,43 +36,41 @@
     return;
   }
   ++this->asked;
-  this->settings.pool.Acquire(
-      Duration::zero(),
-      [this, aPath](const ConnectionPool::ConnectionPtr& aConnection,
-                    const std::string& aError) {
-        if (!aConnection) {
-          Log(LogLevel::Info, "target not reached by a probe",
-              {{"error", aError}});
-          return;
-        }
-        const auto answer = std::make_shared<std::optional<ProbeAnswer>>();
-        aConnection->Send(
-            WriteRequestHead("GET", aPath, {{"Host", this->settings.host}}, {}),
-            false,
-            {.onHead =
-                 [this, answer](const HttpHead& aHead) {
-                   const HeaderVocabulary& names = this->settings.headers;
-                   const auto id = FindHeader(aHead.headers, names.targetId);
-                   const auto load = FindHeader(aHead.headers, names.load);
-                   const auto slots =
-                       load ? SlotsOfLoad(*load) : std::nullopt;
-                   if (aHead.status == kOk && id && slots) {
-                     *answer = {.id = std::string(*id), .slots = *slots};
-                   }
-                   return true;
-                 },
-             .onBody = [](std::string_view) {},
-             .onDone =
-                 [this, aConnection,
-                  answer](const ClientExchangeResult& aResult) {
-                   if (aResult.reusable) {
-                     this->settings.pool.Release(aConnection);
-                   }
-                   if (aResult.whole && *answer) {
-                     this->settings.onReady(**answer);
-                   }
-                 }});
-      });
+  this->settings.pool.Acquire(Duration::zero(), [this, aPath](
+                                                    const ConnectionPool::
+                                                        ConnectionPtr&
+                                                            aConnection,
+                                                    const std::string& aError) {
+    if (!aConnection) {
+      Log(LogLevel::Info, "target not reached by a probe", {{"error", aError}});
+      return;
+    }
+    const auto answer = std::make_shared<std::optional<ProbeAnswer>>();
+    aConnection->Send(
+        WriteRequestHead("GET", aPath, {{"Host", this->settings.host}}, {}),
+        false,
+        {.onHead =
+             [this, answer](const HttpHead& aHead) {
+               const HeaderVocabulary& names = this->settings.headers;
+               const auto id = FindHeader(aHead.headers, names.targetId);
+               const auto load = FindHeader(aHead.headers, names.load);
+               const auto slots = load ? SlotsOfLoad(*load) : std::nullopt;
+               if (aHead.status == kOk && id && slots) {
+                 *answer = {.id = std::string(*id), .slots = *slots};
+               }
+               return true;
+             },
+         .onBody = [](std::string_view) {},
+         .onDone =
+             [this, aConnection, answer](const ClientExchangeResult& aResult) {
+               if (aResult.reusable) {
+                 this->settings.pool.Release(aConnection);
+               }
+               if (aResult.whole && *answer) {
+                 this->settings.onReady(**answer);
+               }
+             }});
+  });
 }
 
 }  // namespace fescueline
--- a/src/Mesh/TargetService.cpp
+++ b/src/Mesh/TargetService.cpp
@@ -1,5 +1,6 @@
 #include "Mesh/TargetService.h"
 
+#include <cmath>
 #include <utility>
 
 #include "Core/RandomSource.h"
@@ -46,6 +47,7 @@
   if (id != this->poolOf) {
     this->pool->Clear();
     this->poolOf = id;
+    this->failures = {};
   }
   this->ApplyBounds();
 }
@@ -88,7 +90,9 @@
               age == Duration::max()
                   ? -1
                   : std::chrono::duration_cast<std::chrono::microseconds>(age)
-                        .count()};
+                        .count(),
+          .failing = static_cast<uint32_t>(
+              std::lround(this->failures.Value() * StateWire::kFailingUnits))};
 }
 
 Cause TargetService::Check(const RequestContext& aContext,
--- a/src/Mesh/TargetService.h
+++ b/src/Mesh/TargetService.h
@@ -9,6 +9,7 @@
 #include "Http1/ConnectionPool.h"
 #include "Mesh/LocalTargetState.h"
 #include "Mesh/MeshContext.h"
+#include "Routing/FailureShare.h"
 #include "Transport/PeerServer.h"
 #include "Transport/RequestContext.h"
 
@@ -77,6 +78,8 @@
   std::unique_ptr<ConnectionPool> pool;
   /// Target that the resting connections lead to.
   std::string poolOf;
+  /// Requests that the target failed by itself.
+  FailureShare failures;
   asio::steady_timer pumpTimer;
   bool pumpScheduled = false;
   /// Guards against a pump within a pump.
--- a/src/Routing/TargetInfo.h
+++ b/src/Routing/TargetInfo.h
@@ -51,6 +51,8 @@
   /// How long the target has been ready, if the report says so; otherwise it
   /// counts from the first report with state Ready.
   std::optional<Duration> readyFor = std::nullopt;
+  /// Share of the target's recent requests that it failed by itself.
+  double failing = 0.0;
 };
 
 /// How a call to a target ended, as far as routing is concerned.
--- a/src/Routing/TargetPicker.cpp
+++ b/src/Routing/TargetPicker.cpp
@@ -25,6 +25,7 @@
   if (best) {
     return this->table.RefAt(*best);
   }
+  std::optional<uint32_t> unweighted;
   double utilisation = 0.0;
   for (const TargetList list : kTargetsInUse) {
     if (best && utilisation < this->settings.spillFrom) {
@@ -34,12 +35,19 @@
     if (!found) {
       continue;
     }
-    const double candidate = this->table.Utilisation(this->table.At(*found));
+    if (!found->byWeight) {
+      // A nearer target of low weight gets its share, not all that is near.
+      unweighted = unweighted ? unweighted : found->index;
+      continue;
+    }
+    const double candidate =
+        this->table.Utilisation(this->table.At(found->index));
     if (!best || candidate + this->settings.spillMargin < utilisation) {
-      best = found;
+      best = found->index;
       utilisation = candidate;
     }
   }
+  best = best ? best : unweighted;
   // A bad target is better than none, and a target that was not heard from
   // yet can be tried: a connect failure is "not run".
   if (!best) {
@@ -73,31 +81,36 @@
   return index;
 }
 
-std::optional<uint32_t> TargetPicker::BetterOfTwo(const Choice& aChoice,
-                                                  const Indexes& aList) const {
+std::optional<TargetPicker::Drawn> TargetPicker::BetterOfTwo(
+    const Choice& aChoice, const Indexes& aList) const {
   const auto first = this->Draw(aChoice, aList, std::nullopt);
   if (!first || aList.size() == 1) {
     return first;
   }
-  const auto second = this->Draw(aChoice, aList, first);
-  if (!second) {
+  const auto second = this->Draw(aChoice, aList, first->index);
+  if (!second || (first->byWeight && !second->byWeight)) {
     return first;
   }
-  return this->table.Score(this->table.At(*second)) <
-                 this->table.Score(this->table.At(*first))
+  if (second->byWeight && !first->byWeight) {
+    return second;
+  }
+  return this->table.Score(this->table.At(second->index)) <
+                 this->table.Score(this->table.At(first->index))
              ? second
              : first;
 }
 
-std::optional<uint32_t> TargetPicker::Draw(
+std::optional<TargetPicker::Drawn> TargetPicker::Draw(
     const Choice& aChoice, const Indexes& aList,
     std::optional<uint32_t> aOther) const {
   if (aList.empty()) {
     return std::nullopt;
   }
+  // Further draws of the only target would undo its weight.
+  const int draws = aList.size() == 1 ? 1 : kDraws;
   std::optional<uint32_t> heaviest;
   double heaviestWeight = 0.0;
-  for (int draw = 0; draw < kDraws; ++draw) {
+  for (int draw = 0; draw < draws; ++draw) {
     const uint32_t index = aList[aChoice.random.Below(aList.size())];
     if (index == aOther || this->Excluded(aChoice, index)) {
       continue;
@@ -105,7 +118,7 @@
     const double weight =
         this->table.Weight(this->table.At(index), aChoice.now);
     if (weight >= 1.0 || aChoice.random.Unit() < weight) {
-      return index;
+      return Drawn{.index = index};
     }
     if (weight > heaviestWeight) {
       heaviest = index;
@@ -114,10 +127,15 @@
   }
   // The second choice may be missing; the first must be found if there is
   // one, however many targets are excluded.
-  if (heaviest || aOther) {
-    return heaviest;
+  if (heaviest) {
+    return Drawn{.index = *heaviest, .byWeight = false};
+  }
+  if (aOther) {
+    return std::nullopt;
   }
-  return this->Any(aChoice, aList);
+  const auto any = this->Any(aChoice, aList);
+  return any ? std::optional(Drawn{.index = *any, .byWeight = false})
+             : std::nullopt;
 }
 
 std::optional<uint32_t> TargetPicker::Any(const Choice& aChoice,
--- a/src/Routing/TargetTable.cpp
+++ b/src/Routing/TargetTable.cpp
@@ -90,6 +90,7 @@
   target->othersLoad =
       before + this->settings.hintSmoothing * (others - before);
   target->busy = false;
+  target->failing = aReport.failing;
   this->SetState(*target, aReport.state, aNow);
   if (aReport.readyFor && target->readySince) {
     target->readySince = aNow - *aReport.readyFor;
@@ -210,7 +211,16 @@
                                           ToSeconds(ready) /
                                           ToSeconds(this->settings.rampTime);
   }
-  return std::max(ramp, this->settings.rampFloor) * aTarget.health.Weight();
+  return std::max(ramp, this->settings.rampFloor) * aTarget.health.Weight() *
+         this->FailingWeight(aTarget);
+}
+
+double TargetTable::FailingWeight(const Target& aTarget) const {
+  // A fault that all targets share moves no traffic.
+  const double excess =
+      aTarget.failing - this->services[aTarget.service].failing;
+  return std::clamp(1.0 - excess / this->settings.failingMargin,
+                    this->settings.failingFloor, 1.0);
 }
 
 TargetTable::Target* TargetTable::Mutable(TargetRef aTarget) {
@@ -338,6 +348,11 @@
 void TargetTable::UpdateNorm(Service& aService) {
   this->latencies.clear();
   this->failures.clear();
+  for (const uint32_t index : this->live) {
+    this->failures.push_back(this->targets[index].failing);
+  }
+  aService.failing = LowerMedian(this->failures);
+  this->failures.clear();
   for (const uint32_t index : this->live) {
     const TargetHealth& health = this->targets[index].health;
     if (!health.Ejected() && health.Latency() > 0.0) {
--- a/src/Routing/TargetTable.h
+++ b/src/Routing/TargetTable.h
@@ -60,6 +60,12 @@
   double hintSmoothing = 0.1;
   /// Rules of ejection.
   HealthSettings health = {};
+  /// Share of failed requests over the median of the service's targets at
+  /// which a target gets failingFloor of its usual traffic. One failure in
+  /// seven cannot be hidden by the repeats that a service may have.
+  double failingMargin = 0.15;
+  /// Enough to see that the target has recovered.
+  double failingFloor = 0.1;
 };
 
 /// A call in progress at a target.
@@ -103,6 +109,8 @@
     std::optional<double> othersLoad;
     /// Refused a call since the last report.
     bool busy = false;
+    /// Reported share of requests that the target failed.
+    double failing = 0.0;
     /// Judgement of latency and failures.
     TargetHealth health;
   };
@@ -113,6 +121,8 @@
     std::array<std::vector<uint32_t>, kTargetLists> lists;
     /// Medians over the targets in use.
     HealthNorm norm;
+    /// Median of the reported shares of failed requests.
+    double failing = 0.0;
 
     const std::vector<uint32_t>& List(TargetList aList) const {
       return this->lists[static_cast<size_t>(aList)];
@@ -164,8 +174,9 @@
   double Utilisation(const Target& aTarget) const;
   /// The same with the report at hintWeight. For the choice between targets.
   double Score(const Target& aTarget) const;
-  /// Share of its usual traffic that a target should get, from its ramp and
-  /// its health; 0 if it was not heard from in time.
+  /// Share of its usual traffic that a target should get, from its ramp, its
+  /// health and the failures that its node counts; 0 if it was not heard from
+  /// in time.
   double Weight(const Target& aTarget, TimePoint aNow) const;
   /// Number of targets.
   size_t Size() const { return this->byNode.size(); }
@@ -194,6 +205,8 @@
   /// Compares the targets of a service with each other.
   void Judge(Service& aService, TimePoint aNow);
   void UpdateNorm(Service& aService);
+  /// Share of its usual traffic that the reported failures leave a target.
+  double FailingWeight(const Target& aTarget) const;
   /// Impairs the worst targets, at most up to the limit.
   void ImpairWorst(size_t aImpaired, size_t aLimit, TimePoint aNow);
 
--- a/tests/Mesh/TargetProbeTest.cpp
+++ b/tests/Mesh/TargetProbeTest.cpp
@@ -1,5 +1,3 @@
-#include "Mesh/TargetProbe.h"
-
 #include <doctest/doctest.h>
 
 #include <optional>
@@ -8,6 +6,7 @@
 
 #include "Http1/LoopHttpServer.h"
 #include "Http1/LoopPeer.h"
+#include "Mesh/TargetProbe.h"
 
 using namespace fescueline;
 using namespace fescueline::test;
--- a/tests/Routing/TargetPickerTest.cpp
+++ b/tests/Routing/TargetPickerTest.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "Routing/FailureShare.h"
 #include "Routing/TargetPicker.h"
 
 using namespace fescueline;
@@ -321,3 +322,81 @@
   fixture.Pong();
   CHECK(fixture.Count(300)[fixture.refs[0].index] > 50);
 }
+
+namespace {
+struct FailingCase {
+  const char* name;
+  /// Data centre of each target; the node is in dc1.
+  std::vector<std::string> centres;
+  /// Share of its requests that each target fails.
+  std::vector<double> failing;
+  /// Bounds of the first target's share of the traffic over an even share.
+  double least;
+  double most;
+};
+}  // namespace
+
+// Pattern: some targets lose a part of the answers of requests that may run
+// only once, while their health says that they are well. Guards against
+// callers that each see too few of their requests to notice, and against
+// traffic that moves when all targets are equally bad.
+TEST_CASE("targets that fail requests get less in proportion") {
+  for (const FailingCase& row :
+       std::vector<FailingCase>{{"one of four loses a third",
+                                 {"dc1", "dc1", "dc1", "dc1"},
+                                 {0.33, 0, 0, 0},
+                                 0.02,
+                                 0.3},
+                                {"one of four loses one in forty",
+                                 {"dc1", "dc1", "dc1", "dc1"},
+                                 {0.025, 0, 0, 0},
+                                 0.7,
+                                 1.0},
+                                {"the only near one loses a third",
+                                 {"dc1", "dc2", "dc3", "dc4"},
+                                 {0.33, 0, 0, 0},
+                                 0.2,
+                                 0.6},
+                                {"all lose a third",
+                                 {"dc1", "dc1", "dc1", "dc1"},
+                                 {0.33, 0.33, 0.33, 0.33},
+                                 0.85,
+                                 1.15},
+                                {"the only near one is as bad as the others",
+                                 {"dc1", "dc2", "dc3", "dc4"},
+                                 {0.33, 0.33, 0.33, 0.33},
+                                 3.9,
+                                 4.0}}) {
+    CAPTURE(std::string(row.name));
+    Fixture fixture;
+    for (size_t i = 0; i < row.centres.size(); ++i) {
+      const TargetRef ref =
+          fixture.Add(Info(static_cast<int>(i), row.centres[i]));
+      TargetReport report = Ready();
+      report.failing = row.failing[i];
+      fixture.table.OnPong(ref, report, fixture.clock.Now());
+    }
+    fixture.table.Tick(fixture.clock.Now());
+    constexpr int kChoices = 8000;
+    const double even = kChoices / 4.0;
+    const double share = fixture.Count(kChoices)[fixture.refs[0].index] / even;
+    CHECK(share >= row.least);
+    CHECK(share <= row.most);
+  }
+}
+
+// Guards against a share of failures that outlives their cause, or that jumps
+// at a single failure.
+TEST_CASE("the share of failures follows the last requests") {
+  FailureShare share;
+  share.Count(true);
+  CHECK(share.Value() < 0.05);
+  for (int i = 0; i < 300; ++i) {
+    share.Count(i % 3 == 0);
+  }
+  CHECK(share.Value() == doctest::Approx(1.0 / 3).epsilon(0.1));
+  for (int i = 0; i < 200; ++i) {
+    share.Count(false);
+  }
+  CHECK(share.Value() < 0.01);
+}
--- a/tests/Transport/BrokenResponseTest.cpp
+++ b/tests/Transport/BrokenResponseTest.cpp
@@ -20,17 +20,16 @@
                                  {"chunked, broken", std::nullopt, false}};
   Pool pool;
   Row current{};
-  HttpServer server(
-      {.io = pool.io,
-       .host = "127.0.0.1",
-       .onRequest = [&current](HttpExchangePtr aExchange) {
-         // The client has a whole response after Write, and the next row may
-         // begin before EndStream.
-         const Row row = current;
-         aExchange->StartStream(200, {{"x-a", "b"}}, row.length);
-         aExchange->Write("0123456789", {});
-         aExchange->EndStream(row.whole);
-       }});
+  HttpServer server({.io = pool.io,
+                     .host = "127.0.0.1",
+                     .onRequest = [&current](HttpExchangePtr aExchange) {
+                       // The client has a whole response after Write, and the
+                       // next row may begin before EndStream.
+                       const Row row = current;
+                       aExchange->StartStream(200, {{"x-a", "b"}}, row.length);
+                       aExchange->Write("0123456789", {});
+                       aExchange->EndStream(row.whole);
+                     }});
   HttpClient client;
   for (const Row& row : rows) {
     CAPTURE(row.name);
--- a/tools/PlatformStandIn/PlatformTarget.cpp
+++ b/tools/PlatformStandIn/PlatformTarget.cpp
@@ -136,11 +136,10 @@
   if (request.target == kHealthPath) {
     aExchange->Respond(
         {.status = this->draining ? kUnavailable : kOk,
-         .headers = {
-             {"X-Instance-Id", this->id},
-             {"X-Server-Load", fmt::format("{},{},{}", this->running,
-                                           this->waiting.size(),
-                                           this->settings.slots)}}});
+         .headers = {{"X-Instance-Id", this->id},
+                     {"X-Server-Load", fmt::format("{},{},{}", this->running,
+                                                   this->waiting.size(),
+                                                   this->settings.slots)}}});
     return;
   }
   const std::string requestId = Header(request, "X-Request-Id");
