Let only distrust, not the ramp, move traffic from the only near target

A near target that ramps up after a restart was passed over like one that fails requests, although all targets ramp up then.

--- a/src/Routing/TargetPicker.cpp
+++ b/src/Routing/TargetPicker.cpp
@@ -25,7 +25,7 @@
   if (best) {
     return this->table.RefAt(*best);
   }
-  std::optional<uint32_t> unweighted;
+  std::optional<uint32_t> distrusted;
   double utilisation = 0.0;
   for (const TargetList list : kTargetsInUse) {
     if (best && utilisation < this->settings.spillFrom) {
@@ -35,19 +35,20 @@
     if (!found) {
       continue;
     }
-    if (!found->byWeight) {
-      // A nearer target of low weight gets its share, not all that is near.
-      unweighted = unweighted ? unweighted : found->index;
+    // Drawing from a list of one ignores its weight. A near target that fails
+    // requests must not get all of them for being the only near one.
+    const double trust = this->table.Trust(this->table.At(*found));
+    if (service->List(list).size() == 1 && aRandom.Unit() >= trust) {
+      distrusted = distrusted ? distrusted : found;
       continue;
     }
-    const double candidate =
-        this->table.Utilisation(this->table.At(found->index));
+    const double candidate = this->table.Utilisation(this->table.At(*found));
     if (!best || candidate + this->settings.spillMargin < utilisation) {
-      best = found->index;
+      best = found;
       utilisation = candidate;
     }
   }
-  best = best ? best : unweighted;
+  best = best ? best : distrusted;
   // A bad target is better than none, and a target that was not heard from
   // yet can be tried: a connect failure is "not run".
   if (!best) {
@@ -81,36 +82,31 @@
   return index;
 }
 
-std::optional<TargetPicker::Drawn> TargetPicker::BetterOfTwo(
-    const Choice& aChoice, const Indexes& aList) const {
+std::optional<uint32_t> TargetPicker::BetterOfTwo(const Choice& aChoice,
+                                                  const Indexes& aList) const {
   const auto first = this->Draw(aChoice, aList, std::nullopt);
   if (!first || aList.size() == 1) {
     return first;
   }
-  const auto second = this->Draw(aChoice, aList, first->index);
-  if (!second || (first->byWeight && !second->byWeight)) {
+  const auto second = this->Draw(aChoice, aList, first);
+  if (!second) {
     return first;
   }
-  if (second->byWeight && !first->byWeight) {
-    return second;
-  }
-  return this->table.Score(this->table.At(second->index)) <
-                 this->table.Score(this->table.At(first->index))
+  return this->table.Score(this->table.At(*second)) <
+                 this->table.Score(this->table.At(*first))
              ? second
              : first;
 }
 
-std::optional<TargetPicker::Drawn> TargetPicker::Draw(
+std::optional<uint32_t> TargetPicker::Draw(
     const Choice& aChoice, const Indexes& aList,
     std::optional<uint32_t> aOther) const {
   if (aList.empty()) {
     return std::nullopt;
   }
-  // Further draws of the only target would undo its weight.
-  const int draws = aList.size() == 1 ? 1 : kDraws;
   std::optional<uint32_t> heaviest;
   double heaviestWeight = 0.0;
-  for (int draw = 0; draw < draws; ++draw) {
+  for (int draw = 0; draw < kDraws; ++draw) {
     const uint32_t index = aList[aChoice.random.Below(aList.size())];
     if (index == aOther || this->Excluded(aChoice, index)) {
       continue;
@@ -118,7 +114,7 @@
     const double weight =
         this->table.Weight(this->table.At(index), aChoice.now);
     if (weight >= 1.0 || aChoice.random.Unit() < weight) {
-      return Drawn{.index = index};
+      return index;
     }
     if (weight > heaviestWeight) {
       heaviest = index;
@@ -127,15 +123,10 @@
   }
   // The second choice may be missing; the first must be found if there is
   // one, however many targets are excluded.
-  if (heaviest) {
-    return Drawn{.index = *heaviest, .byWeight = false};
-  }
-  if (aOther) {
-    return std::nullopt;
+  if (heaviest || aOther) {
+    return heaviest;
   }
-  const auto any = this->Any(aChoice, aList);
-  return any ? std::optional(Drawn{.index = *any, .byWeight = false})
-             : std::nullopt;
+  return this->Any(aChoice, aList);
 }
 
 std::optional<uint32_t> TargetPicker::Any(const Choice& aChoice,
--- a/src/Routing/TargetPicker.h
+++ b/src/Routing/TargetPicker.h
@@ -53,18 +53,12 @@
   /// An ejected target that is due for a probe, for few of the calls.
   std::optional<uint32_t> Probe(const Choice& aChoice,
                                 const Indexes& aEjected) const;
-  /// A target that was drawn.
-  struct Drawn {
-    uint32_t index = 0;
-    /// False for one that its weight spoke against, drawn for lack of others.
-    bool byWeight = true;
-  };
   /// The less utilised of two targets, each drawn in proportion to weight.
-  std::optional<Drawn> BetterOfTwo(const Choice& aChoice,
-                                   const Indexes& aList) const;
+  std::optional<uint32_t> BetterOfTwo(const Choice& aChoice,
+                                      const Indexes& aList) const;
   /// One target other than aOther, drawn in proportion to weight.
-  std::optional<Drawn> Draw(const Choice& aChoice, const Indexes& aList,
-                            std::optional<uint32_t> aOther) const;
+  std::optional<uint32_t> Draw(const Choice& aChoice, const Indexes& aList,
+                               std::optional<uint32_t> aOther) const;
   /// Any target that is not excluded.
   std::optional<uint32_t> Any(const Choice& aChoice,
                               const Indexes& aList) const;
--- a/src/Routing/TargetTable.cpp
+++ b/src/Routing/TargetTable.cpp
@@ -211,8 +211,7 @@
                                           ToSeconds(ready) /
                                           ToSeconds(this->settings.rampTime);
   }
-  return std::max(ramp, this->settings.rampFloor) * aTarget.health.Weight() *
-         this->FailingWeight(aTarget);
+  return std::max(ramp, this->settings.rampFloor) * this->Trust(aTarget);
 }
 
 double TargetTable::FailingWeight(const Target& aTarget) const {
--- a/src/Routing/TargetTable.h
+++ b/src/Routing/TargetTable.h
@@ -178,6 +178,11 @@
   /// health and the failures that its node counts; 0 if it was not heard from
   /// in time.
   double Weight(const Target& aTarget, TimePoint aNow) const;
+  /// The part of the weight that comes from health and failures. The ramp is
+  /// left out: after a restart of the whole fleet all targets ramp up.
+  double Trust(const Target& aTarget) const {
+    return aTarget.health.Weight() * this->FailingWeight(aTarget);
+  }
   /// Number of targets.
   size_t Size() const { return this->byNode.size(); }
 
