Tell peers at once who issues tokens, and let requests wait for that

Requests of seven organisations within their rates got 429 after 120 ms without a token; the same happened after the end of all nodes at 33.6 s.

Ruled out: the rates themselves (only the hot organisation was over its own), the store (regained before the lease).

Change: a node that gains or loses the lease pushes its state; peers take the issuer from any state, not from pongs only.

--- a/src/Mesh/EntryCall.cpp
+++ b/src/Mesh/EntryCall.cpp
@@ -14,9 +14,10 @@
 /// Nodes that a request is offered to while none has run it. Each offer costs
 /// a round trip, and after three full targets a fourth is rarely free.
 constexpr size_t kMaxOffers = 4;
-/// Time that a request waits for a token of its organisation's rate; several
-/// round trips to the issuer.
-constexpr Duration kRateWait = std::chrono::milliseconds(120);
+/// Time that a request waits for a token of its organisation's rate while no
+/// issuer answers: an eighth of the usual latency objective, and as long as a
+/// fleet that restarts takes to have an issuer again.
+constexpr Duration kRateWait = std::chrono::milliseconds(250);
 /// Responses up to this size are passed on only when they are whole, so that a
 /// broken one can be repeated. Longer ones are streamed.
 constexpr size_t kMaxBuffered = size_t{128} * 1024;
--- a/src/Mesh/MeshFleet.cpp
+++ b/src/Mesh/MeshFleet.cpp
@@ -124,6 +124,7 @@
           [this, node](const StateWire& aState,
                        const std::string& aIncarnation) {
             this->OnState(node, aState, aIncarnation);
+            this->settings.onState(node, aState);
           },
       .onPong =
           [this, node](const StateWire& aState, TimePoint aPingSentAt) {
--- a/src/Mesh/MeshFleet.h
+++ b/src/Mesh/MeshFleet.h
@@ -36,6 +36,8 @@
     PeerIdentity self;
     TargetTableSettings table;
     TargetPickerSettings picker;
+    /// A peer told its state, with a pong or because it changed.
+    std::function<void(const std::string& aNode, const StateWire&)> onState;
     /// A peer answered a ping that left at that time.
     std::function<void(const std::string& aNode, const StateWire&,
                        TimePoint aPingSentAt)>
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -98,6 +98,10 @@
              .self = this->self,
              .table = TableSettings(this->settings),
              .picker = {},
+             .onState =
+                 [this](const std::string& aNode, const StateWire& aState) {
+                   this->OnIssuerState(aNode, aState.issuing);
+                 },
              .onPong =
                  [this](const std::string& aNode, const StateWire& aState,
                         TimePoint aPingSentAt) {
@@ -156,6 +160,9 @@
                    if (aHeld) {
                      this->ApplyLimits();
                    }
+                   // Peers would learn it from the next pong, and refuse
+                   // requests for want of tokens until then.
+                   this->peerServer->PushState();
                  }}),
       configFollower(
           {.io = this->io,
@@ -430,9 +437,8 @@
   this->Maintain();
 }
 
-void MeshNode::OnPong(const std::string& aNode, const StateWire& aState,
-                      TimePoint aPingSentAt) {
-  if (aState.issuing) {
+void MeshNode::OnIssuerState(const std::string& aNode, bool aIssuing) {
+  if (aIssuing) {
     this->issuerHeard = aNode;
     this->issuerHeardAt = SteadyClock().Now();
   } else if (aNode == this->issuerHeard) {
@@ -440,6 +446,10 @@
     this->issuerHeard.clear();
     this->issuerHeardAt = TimePoint{};
   }
+}
+
+void MeshNode::OnPong(const std::string& aNode, const StateWire& aState,
+                      TimePoint aPingSentAt) {
   const uint64_t own = this->config.Version();
   if (aState.configVersion == own) {
     if (aState.configAge >= 0) {
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -52,6 +52,8 @@
   void ApplyLimits();
   /// Tells the issuer, if this node is one, how many nodes reach it.
   void ApplyReach();
+  /// Remembers which peer issues tokens.
+  void OnIssuerState(const std::string& aNode, bool aIssuing);
   void OnPong(const std::string& aNode, const StateWire& aState,
               TimePoint aPingSentAt);
   void OnPeerMessage(const std::string& aNode, const DecodedFrame& aFrame);
