--- a/tests/Mesh/MeshFleetStateTest.cpp
+++ b/tests/Mesh/MeshFleetStateTest.cpp
@@ -32,10 +32,10 @@
        .self = {"n0", Id128::Generate(), "secret"},
        .table = {.dataCentre = "d1", .region = "r1"},
        .picker = {},
-       .onState = [&issuing](const std::string& aNode,
-                             const StateWire& aState) {
-         issuing = aNode == "n1" && aState.issuing;
-       },
+       .onState =
+           [&issuing](const std::string& aNode, const StateWire& aState) {
+             issuing = aNode == "n1" && aState.issuing;
+           },
        .onPong = [&pongs](const std::string&, const StateWire&,
                           TimePoint) { ++pongs; },
        .onMessage = [](const std::string&, const DecodedFrame&) {}});
