--- a/src/Limits/GrantHolder.cpp
+++ b/src/Limits/GrantHolder.cpp
@@ -157,7 +157,7 @@
 }
 
 void GrantHolder::OnGrant(const std::string& aOrganisation, uint32_t aTokens,
-                          bool aIssuing, TimePoint aNow) {
+                          bool aMayRefuse, TimePoint aNow) {
   const auto found = this->shares.find(aOrganisation);
   if (found == this->shares.end()) {
     return;
@@ -183,7 +183,7 @@
     share.grantedUntil = until;
     share.nextAskAt = aNow;
   }
-  this->Serve(share, aNow, aIssuing && aTokens == 0);
+  this->Serve(share, aNow, aMayRefuse && aTokens == 0);
   if (!share.waiters.empty()) {
     this->MaybeAsk(aOrganisation, share, aNow);
   }
--- a/src/Limits/GrantHolder.h
+++ b/src/Limits/GrantHolder.h
@@ -44,9 +44,9 @@
              TimePoint aWaitUntil, Decided aDecided);
   /// Gives back the token of a request that was not sent to any target.
   void Return(const std::string& aOrganisation, TimePoint aNow);
-  /// The issuer answered; aIssuing is false if it is none.
+  /// The issuer answered; aMayRefuse is false if it is none.
   void OnGrant(const std::string& aOrganisation, uint32_t aTokens,
-               bool aIssuing, TimePoint aNow);
+               bool aMayRefuse, TimePoint aNow);
   /// Ends waits and repeats lost requests; call every 10 ms while HasWaiters.
   void Tick(TimePoint aNow);
   bool HasWaiters() const { return this->waiting > 0; }
--- a/src/Limits/GrantIssuer.h
+++ b/src/Limits/GrantIssuer.h
@@ -15,7 +15,9 @@
 /// No locking.
 class GrantIssuer {
  public:
-  explicit GrantIssuer(const GrantSettings& aSettings) : settings(aSettings) {}
+  /// An issuer that begins its duty at that time.
+  GrantIssuer(const GrantSettings& aSettings, TimePoint aBegan)
+      : settings(aSettings), began(aBegan) {}
 
   /// Sets an organisation's limit, the number of nodes, and how many of them
   /// reach this issuer: the others use their part by themselves. Tokens that a
@@ -25,9 +27,15 @@
   /// Takes up to aWanted tokens out of the organisation's bucket.
   uint32_t Grant(const std::string& aOrganisation, uint32_t aWanted,
                  TimePoint aNow);
+  /// Whether a grant of nothing means that the organisation is over its rate.
+  /// While the buckets fill from empty it says nothing.
+  bool MayRefuse(TimePoint aNow) const {
+    return aNow - this->began >= this->settings.issuerWarmUp;
+  }
 
  private:
   GrantSettings settings;
+  TimePoint began;
   std::unordered_map<std::string, TokenBucket> buckets;
 };
 
--- a/src/Limits/GrantSettings.h
+++ b/src/Limits/GrantSettings.h
@@ -44,6 +44,10 @@
   /// Time after which a request for tokens counts as lost.
   Duration answerTimeout = std::chrono::milliseconds(150);
 
+  /// Time in which a new issuer refuses nothing; requests wait instead. Longer
+  /// than they wait, so that those from before its start are not refused.
+  Duration issuerWarmUp = std::chrono::milliseconds(300);
+
   /// Share that each of that many nodes may use by itself.
   double FixedPart(size_t aNodes, bool aAlone) const {
     const double share =
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -111,7 +111,7 @@
                  [this](const std::string& aNode, const DecodedFrame& aFrame) {
                    this->OnPeerMessage(aNode, aFrame);
                  }}),
-      issuer(GrantSettings{}),
+      issuer(GrantSettings{}, SteadyClock().Now()),
       grants(
           GrantSettings{},
           [this](const std::string& aOrganisation, uint32_t aWanted) {
@@ -156,7 +156,8 @@
              .incarnation = this->self.incarnation.ToString(),
              .onChange =
                  [this](bool aHeld) {
-                   this->issuer = GrantIssuer(GrantSettings{});
+                   this->issuer =
+                       GrantIssuer(GrantSettings{}, SteadyClock().Now());
                    if (aHeld) {
                      this->ApplyLimits();
                    }
@@ -498,7 +499,7 @@
                              const DecodedFrame& aFrame) {
   if (aFrame.type == FrameType::TokenGrant) {
     const auto grant = aFrame.As<TokenGrantFrame>();
-    this->grants.OnGrant(grant.organisation, grant.tokens, grant.issuing,
+    this->grants.OnGrant(grant.organisation, grant.tokens, grant.mayRefuse,
                          SteadyClock().Now());
   } else if (aFrame.type == FrameType::Knowledge) {
     this->ApplyKnowledge(aFrame.As<KnowledgeFrame>(), aNode);
@@ -542,7 +543,7 @@
   if (this->lease.IsHeld(BootClock::now())) {
     asio::post(this->io, [this, request] {
       const TokenGrantFrame grant = this->GrantTokens(request);
-      this->grants.OnGrant(grant.organisation, grant.tokens, grant.issuing,
+      this->grants.OnGrant(grant.organisation, grant.tokens, grant.mayRefuse,
                            SteadyClock().Now());
     });
     return true;
@@ -575,9 +576,10 @@
 TokenGrantFrame MeshNode::GrantTokens(const TokenRequestFrame& aRequest) {
   TokenGrantFrame grant{.organisation = aRequest.organisation};
   if (this->lease.IsHeld(BootClock::now())) {
-    grant.issuing = true;
-    grant.tokens = this->issuer.Grant(aRequest.organisation, aRequest.wanted,
-                                      SteadyClock().Now());
+    const TimePoint now = SteadyClock().Now();
+    grant.mayRefuse = this->issuer.MayRefuse(now);
+    grant.tokens =
+        this->issuer.Grant(aRequest.organisation, aRequest.wanted, now);
   }
   return grant;
 }
--- a/src/Transport/Frames.h
+++ b/src/Transport/Frames.h
@@ -277,9 +277,9 @@
   static constexpr FrameType kType = FrameType::TokenGrant;
   std::string organisation;
   uint32_t tokens = 0;
-  /// Whether the sender issues tokens at all.
-  bool issuing = false;
-  MSGPACK_DEFINE_ARRAY(organisation, tokens, issuing)
+  /// Whether a grant of nothing means that the organisation is over its rate.
+  bool mayRefuse = false;
+  MSGPACK_DEFINE_ARRAY(organisation, tokens, mayRefuse)
 };
 
 }  // namespace fescueline
--- a/tests/Limits/GrantTest.cpp
+++ b/tests/Limits/GrantTest.cpp
@@ -38,7 +38,8 @@
   }
 
   void NewIssuer() {
-    this->issuer = std::make_unique<GrantIssuer>(GrantSettings{});
+    this->issuer =
+        std::make_unique<GrantIssuer>(GrantSettings{}, this->clock.Now());
     this->ApplyReach();
   }
   /// Tells the issuer and the holders who reaches whom.
@@ -66,7 +67,7 @@
     const TimePoint now = this->clock.Now();
     ++this->offered;
     this->holders[aNode]->Admit(
-        kOrganisation, now, now + 120ms, [this](bool aAdmitted) {
+        kOrganisation, now, now + this->wait, [this](bool aAdmitted) {
           ++(aAdmitted ? this->admitted : this->refused);
           if (aAdmitted) {
             this->times.push_back(this->clock.Now());
@@ -80,8 +81,9 @@
     for (const auto& [node, wanted] : asked) {
       const uint32_t tokens =
           this->issuer ? this->issuer->Grant(kOrganisation, wanted, now) : 0;
-      this->holders[node]->OnGrant(kOrganisation, tokens,
-                                   this->issuer != nullptr, now);
+      this->holders[node]->OnGrant(
+          kOrganisation, tokens,
+          this->issuer != nullptr && this->issuer->MayRefuse(now), now);
     }
     for (auto& holder : this->holders) {
       holder->Tick(now);
@@ -101,6 +103,8 @@
   }
 
   OrganisationRate rate;
+  /// Longest wait of a request for a token.
+  Duration wait = 120ms;
   ManualClock clock;
   std::vector<std::unique_ptr<GrantHolder>> holders;
   std::unique_ptr<GrantIssuer> issuer;
@@ -193,6 +197,27 @@
   }
 }
 
+// Pattern: all nodes restart, and the new issuer has no tokens yet while
+// requests wait for some. Guards against refusals within the rate.
+TEST_CASE("a new issuer refuses nothing while its buckets fill") {
+  GrantWorld world(kNodes, {.perSecond = 100, .burst = 100});
+  world.wait = 250ms;
+  const auto anywhere = [](RandomSource& aRandom) {
+    return aRandom.Below(kNodes);
+  };
+  Run(world, 62, 3s, anywhere);
+  world.refused = 0;
+  for (int round = 0; round < 10; ++round) {
+    world.NewIssuer();
+    Run(world, 62, 2s, anywhere);
+  }
+  CHECK(world.refused == 0);
+  // An issuer whose buckets had time to fill refuses what is over the rate.
+  Run(world, 750, 5s, anywhere);
+  CHECK(world.refused > 0);
+  CHECK(world.MostIn(kWindow) <= Allowed({100, 100}));
+}
+
 // Pattern: a third of the nodes is cut off while one organisation sends many
 // times its rate. Guards against both sides using the same part of the rate.
 TEST_CASE("nodes that are cut off add nothing to an organisation's rate") {
