End a probe that is not answered

Cause: read as a newcomer would, the probe of a silent target kept its connection until the target closed it.

Change: a probe ends after 1 s. Its parts are split: ask, send, read.

Test: a probe that is not answered ends.

--- a/src/Mesh/TargetProbe.cpp
+++ b/src/Mesh/TargetProbe.cpp
@@ -12,6 +12,8 @@
 /// Questions of one process. A target that answers none of them is found by
 /// its next report.
 constexpr uint32_t kMaxQuestions = 3;
+/// Below the shortest time between two reports: later the target is known.
+constexpr Duration kAnswerTimeout = std::chrono::seconds(1);
 constexpr int kOk = 200;
 }  // namespace
 
@@ -36,41 +38,60 @@
     return;
   }
   ++this->asked;
-  this->settings.pool.Acquire(Duration::zero(), [this, aPath](
-                                                    const ConnectionPool::
-                                                        ConnectionPtr&
-                                                            aConnection,
-                                                    const std::string& aError) {
-    if (!aConnection) {
+  const auto onConnection = [this, aPath](const ConnectionPtr& aConnection,
+                                          const std::string& aError) {
+    if (aConnection) {
+      this->Send(aConnection, aPath);
+    } else {
       Log(LogLevel::Info, "target not reached by a probe", {{"error", aError}});
-      return;
     }
-    const auto answer = std::make_shared<std::optional<ProbeAnswer>>();
-    aConnection->Send(
-        WriteRequestHead("GET", aPath, {{"Host", this->settings.host}}, {}),
-        false,
-        {.onHead =
-             [this, answer](const HttpHead& aHead) {
-               const HeaderVocabulary& names = this->settings.headers;
-               const auto id = FindHeader(aHead.headers, names.targetId);
-               const auto load = FindHeader(aHead.headers, names.load);
-               const auto slots = load ? SlotsOfLoad(*load) : std::nullopt;
-               if (aHead.status == kOk && id && slots) {
-                 *answer = {.id = std::string(*id), .slots = *slots};
-               }
-               return true;
-             },
-         .onBody = [](std::string_view) {},
-         .onDone =
-             [this, aConnection, answer](const ClientExchangeResult& aResult) {
-               if (aResult.reusable) {
-                 this->settings.pool.Release(aConnection);
-               }
-               if (aResult.whole && *answer) {
-                 this->settings.onReady(**answer);
-               }
-             }});
+  };
+  this->settings.pool.Acquire(Duration::zero(), onConnection);
+}
+
+void TargetProbe::Send(const ConnectionPtr& aConnection,
+                       const std::string& aPath) {
+  const auto timer =
+      std::make_shared<asio::steady_timer>(this->settings.io, kAnswerTimeout);
+  timer->async_wait([connection = std::weak_ptr(aConnection)](
+                        const asio::error_code& aError) {
+    const auto open = connection.lock();
+    if (!aError && open) {
+      open->Close("no answer to a probe");
+    }
   });
+  const auto answer = std::make_shared<std::optional<ProbeAnswer>>();
+  aConnection->Send(
+      WriteRequestHead("GET", aPath, {{"Host", this->settings.host}}, {}),
+      false,
+      {.onHead =
+           [this, answer](const HttpHead& aHead) {
+             *answer = this->Read(aHead);
+             return true;
+           },
+       .onBody = [](std::string_view) {},
+       .onDone =
+           [this, timer, aConnection,
+            answer](const ClientExchangeResult& aResult) {
+             timer->cancel();
+             if (aResult.reusable) {
+               this->settings.pool.Release(aConnection);
+             }
+             if (aResult.whole && *answer) {
+               this->settings.onReady(**answer);
+             }
+           }});
+}
+
+std::optional<ProbeAnswer> TargetProbe::Read(const HttpHead& aHead) const {
+  const HeaderVocabulary& names = this->settings.headers;
+  const auto id = FindHeader(aHead.headers, names.targetId);
+  const auto load = FindHeader(aHead.headers, names.load);
+  const auto slots = load ? SlotsOfLoad(*load) : std::nullopt;
+  if (aHead.status != kOk || !id || !slots) {
+    return std::nullopt;
+  }
+  return ProbeAnswer{.id = std::string(*id), .slots = *slots};
 }
 
 }  // namespace fescueline
--- a/src/Mesh/TargetProbe.h
+++ b/src/Mesh/TargetProbe.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <asio.hpp>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -25,6 +26,7 @@
  public:
   /// Construction parameters.
   struct Settings {
+    asio::io_context& io;
     ConnectionPool& pool;
     const HeaderVocabulary& headers;
     /// Host header of the question.
@@ -39,6 +41,12 @@
   void Ask(const std::string& aPath);
 
  private:
+  using ConnectionPtr = ConnectionPool::ConnectionPtr;
+
+  void Send(const ConnectionPtr& aConnection, const std::string& aPath);
+  /// The answer of a target that is ready; nothing for any other answer.
+  std::optional<ProbeAnswer> Read(const HttpHead& aHead) const;
+
   Settings settings;
   uint32_t asked = 0;
 };
--- a/tests/Mesh/TargetProbeTest.cpp
+++ b/tests/Mesh/TargetProbeTest.cpp
@@ -61,7 +61,8 @@
         {.io = io,
          .peer = {asio::ip::make_address("127.0.0.1"), server.Port()}});
     std::optional<ProbeAnswer> answer;
-    TargetProbe probe({.pool = pool,
+    TargetProbe probe({.io = io,
+                       .pool = pool,
                        .headers = names,
                        .host = "t",
                        .onReady = [&answer](const ProbeAnswer& aAnswer) {
@@ -80,3 +81,23 @@
     }
   }
 }
+
+// Guards against connections that a silent target holds for ever.
+TEST_CASE("a probe that is not answered ends") {
+  asio::io_context io{1};
+  asio::ip::tcp::acceptor acceptor(io,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  RawPeer silent(io);
+  silent.Accept(acceptor);
+  ConnectionPool pool({.io = io, .peer = acceptor.local_endpoint()});
+  const HeaderVocabulary names{.targetId = "x-id", .load = "x-load"};
+  TargetProbe probe({.io = io,
+                     .pool = pool,
+                     .headers = names,
+                     .host = "t",
+                     .onReady = [](const ProbeAnswer&) { CHECK(false); }});
+  probe.Ask("/health");
+  REQUIRE(RunUntil(io, [&silent] { return !silent.received.empty(); }));
+  CHECK(RunUntil(
+      io, [&silent] { return silent.closed; }, std::chrono::seconds(3)));
+}
