Reach restarted nodes without waiting for ticks, pings and rows

A node knew a peer's target only from the first pong, half a second after the connection; a refused connection was tried again at the next tick of half a second; a connection that was begun while the machine was dark hung for half a second; and one made by the address of an earlier row was closed when the new row arrived.

Ruled out: the targets' reports, the store (20 ms after each start), the issuer.

Tests: a peer tells its state as soon as it is connected; a refused connection is tried again at once; a node that connects is dialled anew; the row of a process that is connected changes nothing.

--- a/src/Mesh/MeshFleet.cpp
+++ b/src/Mesh/MeshFleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "Log/Log.h"
 
@@ -11,6 +12,10 @@
 /// Pauses between connection attempts to one node.
 constexpr Duration kFirstDialPause = std::chrono::milliseconds(100);
 constexpr Duration kLongestDialPause = std::chrono::seconds(2);
+/// Age of an attempt to connect from which it is begun anew when the other node
+/// shows that it runs: the packets of an earlier one may have been lost while
+/// its machine was dark, and would be sent again only after a second.
+constexpr Duration kStaleDial = std::chrono::milliseconds(50);
 
 std::string NodeOf(const std::string& aKey) {
   return aKey.starts_with(kMeshMemberPrefix)
@@ -22,7 +27,8 @@
 MeshFleet::MeshFleet(Settings aSettings)
     : settings(std::move(aSettings)),
       table(this->settings.table),
-      picker(this->table, this->settings.picker) {}
+      picker(this->table, this->settings.picker),
+      dialTimer(this->settings.io) {}
 
 void MeshFleet::OnSnapshot(const std::vector<StoredRow>& aRows) {
   std::set<std::string> present;
@@ -84,6 +90,11 @@
        {"incarnation", record->incarnation.ToString()},
        {"service", record->service},
        {"row_version", std::to_string(aRow.version)}});
+  if (member.client &&
+      member.client->RemoteIncarnation() == record->incarnation.ToString()) {
+    // The row of a process that was reached by the address of an earlier one.
+    return;
+  }
   if (member.client) {
     member.client->Close("node has a new incarnation");
     member.client = nullptr;
@@ -110,6 +121,7 @@
 
 void MeshFleet::Dial(Member& aMember, TimePoint aNow) {
   const std::string node = aMember.record.node;
+  aMember.dialledAt = aNow;
   aMember.nextDial = aNow + aMember.pause;
   aMember.pause = std::min(kLongestDialPause, aMember.pause * 2);
   const auto holder = std::make_shared<std::weak_ptr<PeerClient>>();
@@ -190,17 +202,54 @@
     }
     this->table.OnSilent(*target);
   }
+  this->DialDue();
+}
+
+void MeshFleet::OnPeerUp(const std::string& aNode) {
+  const auto found = this->members.find(aNode);
+  if (found == this->members.end()) {
+    return;
+  }
+  Member& member = found->second;
+  const TimePoint now = SteadyClock().Now();
+  const bool connected = member.client && member.client->IsReady();
+  if (connected || now - member.dialledAt < kStaleDial) {
+    return;
+  }
+  if (member.client) {
+    const ClientPtr stale = std::exchange(member.client, nullptr);
+    stale->Close("begun before the node was up");
+  }
+  member.pause = kFirstDialPause;
+  this->Dial(member, now);
 }
 
-void MeshFleet::Tick(TimePoint aNow) {
-  this->table.Tick(aNow);
+void MeshFleet::DialDue() {
+  const TimePoint now = SteadyClock().Now();
+  TimePoint next = TimePoint::max();
   for (auto& [node, member] : this->members) {
-    if (!member.client && aNow >= member.nextDial) {
-      this->Dial(member, aNow);
+    if (member.client) {
+      continue;
     }
+    if (now >= member.nextDial) {
+      this->Dial(member, now);
+    } else {
+      next = std::min(next, member.nextDial);
+    }
+  }
+  if (next == TimePoint::max()) {
+    return;
   }
+  this->dialTimer.expires_at(next);
+  this->dialTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      this->DialDue();
+    }
+  });
 }
 
+void MeshFleet::Tick(TimePoint aNow) { this->table.Tick(aNow); }
+
 std::optional<MeshFleet::Choice> MeshFleet::Pick(
     const std::string& aService, const std::vector<TargetRef>& aTried,
     TimePoint aNow) {
--- a/src/Mesh/MeshFleet.h
+++ b/src/Mesh/MeshFleet.h
@@ -55,7 +55,11 @@
   /// Rows learned from a peer: newer ones are applied, none is removed.
   void OnPeerRows(const std::vector<FleetRowWire>& aRows);
 
-  /// Judges targets and reconnects; call every 500 ms.
+  /// A node has connected to this one, so its process runs: connects to it now
+  /// unless a connection is there or has just been begun.
+  void OnPeerUp(const std::string& aNode);
+
+  /// Judges targets; call every 500 ms.
   void Tick(TimePoint aNow);
   /// A target of the service outside aTried; nothing if there is none.
   std::optional<Choice> Pick(const std::string& aService,
@@ -97,6 +101,8 @@
     std::string value;
     uint64_t version = 0;
     ClientPtr client;
+    /// When the last connection was begun.
+    TimePoint dialledAt{};
     /// Next time to connect, and the pause before it.
     TimePoint nextDial{};
     Duration pause{};
@@ -118,6 +124,8 @@
   void Apply(const StoredRow& aRow);
   void Remove(const std::string& aNode);
   void Dial(Member& aMember, TimePoint aNow);
+  /// Connects to the members that are due, and sets the timer for the next.
+  void DialDue();
   void OnState(const std::string& aNode, const StateWire& aState,
                const std::string& aIncarnation);
   void OnClosed(const std::string& aNode, const ClientPtr& aClient,
@@ -127,6 +135,7 @@
   std::map<std::string, Member> members;
   TargetTable table;
   TargetPicker picker;
+  asio::steady_timer dialTimer;
 };
 
 }  // namespace fescueline
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -253,6 +253,10 @@
               [this](const Session& aSession) {
                 this->targetService.OnClosed(aSession);
               },
+          .onReady =
+              [this](const Session& aSession) {
+                this->fleet.OnPeerUp(aSession->RemoteNode());
+              },
           .onMessage =
               [this](const Session& aSession, const DecodedFrame& aFrame) {
                 this->OnSessionMessage(aSession, aFrame);
--- a/src/Transport/PeerClient.h
+++ b/src/Transport/PeerClient.h
@@ -85,6 +85,8 @@
   }
   /// Closes the connection.
   void Close(const std::string& aReason);
+  /// Whether the handshake is done. On the strand or from stream events.
+  bool IsReady() const { return this->ready; }
   /// Whether the connection has ended or failed. Any thread.
   bool IsClosed() const { return this->closed.load(); }
   /// Whether the other side's host answered that nobody listens: no process of
--- a/src/Transport/PeerServer.h
+++ b/src/Transport/PeerServer.h
@@ -80,6 +80,8 @@
     std::function<void(const SessionPtr&, uint64_t aStream)> onCancel;
     std::function<void(const SessionPtr&, const AttemptQueryFrame&)> onQuery;
     std::function<void(const SessionPtr&)> onClosed;
+    /// The other side has proved the fleet secret.
+    std::function<void(const SessionPtr&)> onReady;
     /// Any other frame that belongs to no stream.
     std::function<void(const SessionPtr&, const DecodedFrame&)> onMessage;
     /// State of the local target for a pong.
--- a/tests/Mesh/MeshFleetStateTest.cpp
+++ b/tests/Mesh/MeshFleetStateTest.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <vector>
 
 #include "Http1/LoopPeer.h"
@@ -18,14 +19,19 @@
   StateWire state{.service = "fees",
                   .state = static_cast<uint8_t>(TargetState::Ready),
                   .limit = 5};
+  /// Process of n1. Its first row names another, as after a restart.
+  Id128 incarnation = Id128::Generate();
   PeerServer server{
       {.io = this->io,
-       .self = {"n1", Id128::Generate(), "secret"},
+       .self = {"n1", this->incarnation, "secret"},
        .host = "127.0.0.1",
        .handlers = {.onClosed = [](const PeerServer::SessionPtr&) {},
                     .state = [this] { return this->state; }}}};
+  /// A second node, if a test starts one.
+  std::unique_ptr<PeerServer> second;
   bool issuing = false;
   size_t pongs = 0;
+  size_t statesBeforePong = 0;
   MeshFleet fleet{
       {.io = this->io,
        .self = {"n0", Id128::Generate(), "secret"},
@@ -34,6 +40,7 @@
        .onState =
            [this](const std::string& aNode, const StateWire& aState) {
              this->issuing = aNode == "n1" && aState.issuing;
+             this->statesBeforePong += this->pongs == 0 ? 1 : 0;
            },
        .onPong = [this](const std::string&, const StateWire&,
                         TimePoint) { ++this->pongs; },
@@ -75,6 +82,14 @@
   CHECK(fixture.pongs == before);
 }
 
+// Guards against targets that are unknown until the first ping, half a second
+// after the connection.
+TEST_CASE("a peer tells its state as soon as it is connected") {
+  Fixture fixture;
+  // One with the connection, and one with the pong itself.
+  CHECK(fixture.statesBeforePong == 2);
+}
+
 // Pattern: the issuer's machine is lost while a target is being taken away.
 // Guards against a lease that goes to the node beside that target, which ends
 // soon after.
@@ -92,3 +107,86 @@
                    [&] { return fixture.fleet.IsAmongFirstReady(later, 1); }));
   CHECK_FALSE(fixture.fleet.IsAmongFirst(later, 1));
 }
+
+// Pattern: all nodes restart, at slightly different times. Guards against
+// targets that stay unknown until the next tick after a refused connection.
+TEST_CASE("a refused connection is tried again at once") {
+  Fixture fixture;
+  asio::ip::tcp::acceptor reserved(fixture.io,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  const uint16_t port = reserved.local_endpoint().port();
+  reserved.close();
+  const MeshMember member{.node = "n2",
+                          .incarnation = Id128::Generate(),
+                          .service = "fees",
+                          .peers = {"127.0.0.1", port}};
+  fixture.fleet.OnChanges({{.key = std::string(kMeshMemberPrefix) + "n2",
+                            .value = EncodeMeshMember(member),
+                            .version = 2}});
+  RunUntil(
+      fixture.io, [] { return false; }, 30ms);
+  fixture.second = std::make_unique<PeerServer>(PeerServer::Settings{
+      .io = fixture.io,
+      .self = {"n2", Id128::Generate(), "secret"},
+      .host = "127.0.0.1",
+      .port = port,
+      .handlers = {.onClosed = [](const PeerServer::SessionPtr&) {},
+                   .state = [&fixture] { return fixture.state; }}});
+  fixture.second->Start();
+  CHECK(RunUntil(
+      fixture.io, [&fixture] { return fixture.fleet.UsableTargets() == 2; },
+      400ms));
+}
+
+// Pattern: a node reaches a restarted one by the address of its earlier row.
+// Guards against a connection that is closed when the new row arrives, with
+// the requests on it.
+TEST_CASE("the row of a process that is connected changes nothing") {
+  Fixture fixture;
+  const auto client = fixture.fleet.ClientOf("n1");
+  REQUIRE(client);
+  MeshMember member{.node = "n1",
+                    .incarnation = fixture.incarnation,
+                    .dataCentre = "d1",
+                    .region = "r1",
+                    .service = "fees",
+                    .peers = {"127.0.0.1", fixture.server.Port()}};
+  const auto apply = [&](uint64_t aVersion) {
+    fixture.fleet.OnChanges({{.key = std::string(kMeshMemberPrefix) + "n1",
+                              .value = EncodeMeshMember(member),
+                              .version = aVersion}});
+  };
+  apply(2);
+  CHECK(fixture.fleet.ClientOf("n1") == client);
+  // Another process at that address takes a connection of its own.
+  member.incarnation = Id128::Generate();
+  apply(3);
+  CHECK(fixture.fleet.ClientOf("n1") != client);
+}
+
+// Pattern: a machine was dark when this node began to connect to it. Guards
+// against waiting for the first packet to be sent again.
+TEST_CASE("a node that connects is dialled anew") {
+  Fixture fixture;
+  // A listener whose queue nobody serves stands for a dark machine.
+  asio::ip::tcp::acceptor dark(fixture.io,
+                               {asio::ip::make_address("127.0.0.1"), 0});
+  const MeshMember member{.node = "n2",
+                          .incarnation = Id128::Generate(),
+                          .service = "fees",
+                          .peers = {"127.0.0.1", dark.local_endpoint().port()}};
+  fixture.fleet.OnChanges({{.key = std::string(kMeshMemberPrefix) + "n2",
+                            .value = EncodeMeshMember(member),
+                            .version = 2}});
+  const auto first = fixture.fleet.ClientOf("n2");
+  fixture.fleet.OnPeerUp("n2");
+  CHECK(fixture.fleet.ClientOf("n2") == first);
+  RunUntil(
+      fixture.io, [] { return false; }, 80ms);
+  fixture.fleet.OnPeerUp("n2");
+  CHECK(fixture.fleet.ClientOf("n2") != first);
+  // One that is connected is left alone.
+  const auto connected = fixture.fleet.ClientOf("n1");
+  fixture.fleet.OnPeerUp("n1");
+  CHECK(fixture.fleet.ClientOf("n1") == connected);
+}
