Log why a response could not be ended; name the calls of a run

Cause: the destructor of an exchange swallowed every exception without a line. Change: it logs the error; only what RESTinio and Asio throw (std::exception) is caught. madeCalls is hasChildCalls, as the admission names them.

--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -95,7 +95,7 @@
   this->connection = std::move(aConnection);
   this->running->SetCallObserver([this](bool aBegins) {
     auto& core = this->service.controller.Core();
-    this->madeCalls = true;
+    this->hasChildCalls = true;
     if (aBegins) {
       core.ChildStarted(this->handle);
       this->service.SchedulePumpNow();
@@ -206,7 +206,8 @@
     }
     return;
   }
-  const bool ownFailure = this->status >= kFirstServerError && !this->madeCalls;
+  const bool ownFailure =
+      this->status >= kFirstServerError && !this->hasChildCalls;
   this->service.failures.Count(this->declaredNotRun || ownFailure);
 }
 
--- a/src/Mesh/TargetAttempt.h
+++ b/src/Mesh/TargetAttempt.h
@@ -68,7 +68,7 @@
   bool declaredNotRun = false;
   bool headSent = false;
   /// Whether the run made calls, so that a failure may come from them.
-  bool madeCalls = false;
+  bool hasChildCalls = false;
   int status = 0;
   /// Body bytes that the sender still takes.
   int64_t credit = kInitialCredit;
--- a/src/Transport/HttpServer.cpp
+++ b/src/Transport/HttpServer.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Core/Error.h"
+#include "Log/Log.h"
 
 namespace fescueline {
 /// Tag of a response builder that leaves the framing of the body to its user.
@@ -183,8 +184,10 @@
       } else if (!this->finished) {
         this->Respond({.status = 500, .headers = {}, .body = {}}, {});
       }
-    } catch (...) {
-      // The connection is gone; nothing is left to tell.
+    } catch (const std::exception& failure) {
+      // The caller sees its connection end; a destructor must not throw.
+      Log(LogLevel::Warning, "response not ended",
+          {{"target", this->request.target}, {"error", failure.what()}});
     }
   }
 
