Move the tokens of rates out of MeshNode

Cause: MeshNode had grown to 704 lines; the holder, the issuer, its lease and who is heard to issue belong together and were spread over its members. Change: TokenExchange has them. A move: the lease is looked after before unreachable rows are removed instead of around it, which share nothing.

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -2,8 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <set>
-
 #include "Log/Log.h"
 
 namespace fescueline {
@@ -20,7 +18,6 @@
 constexpr Duration kFleetGather = std::chrono::milliseconds(400);
 constexpr Duration kFleetPeriod = std::chrono::milliseconds(500);
 constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(300);
-constexpr Duration kGrantPeriod = std::chrono::milliseconds(10);
 constexpr Duration kStopPeriod = std::chrono::milliseconds(50);
 /// Time between two transfers of knowledge to one node.
 constexpr Duration kKnowledgeSpacing = std::chrono::seconds(1);
@@ -32,17 +29,6 @@
 /// outages that a node comes back from, since a removed node has to write
 /// its row again.
 constexpr Duration kUnreachableFor = std::chrono::seconds(20);
-/// Without a word of the issuer for this long, the issuer has noticed that
-/// this node is cut off as well: both ends of a connection give up after
-/// 1.5 s of silence, one after the other at the latest.
-constexpr Duration kIssuerSilence = std::chrono::milliseconds(3500);
-/// Time without a word of the issuer after which candidates look at its lease.
-constexpr Duration kIssuerMissed = std::chrono::milliseconds(1200);
-/// Nodes that look at the lease when no issuer is heard. Each node looks once
-/// after its start, since it may have held the lease before.
-constexpr size_t kIssuerCandidates = 3;
-/// Time after the start in which every node looks.
-constexpr Duration kFirstLook = std::chrono::milliseconds(1500);
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -100,7 +86,7 @@
              .picker = {},
              .onState =
                  [this](const std::string& aNode, const StateWire& aState) {
-                   this->OnIssuerState(aNode, aState.issuing);
+                   this->tokens.OnPeerState(aNode, aState.issuing);
                  },
              .onPong =
                  [this](const std::string& aNode, const StateWire& aState,
@@ -111,13 +97,16 @@
                  [this](const std::string& aNode, const DecodedFrame& aFrame) {
                    this->OnPeerMessage(aNode, aFrame);
                  }}),
-      issuer(GrantSettings{}, SteadyClock().Now()),
-      grants(
-          GrantSettings{},
-          [this](const std::string& aOrganisation, uint32_t aWanted) {
-            return this->AskForTokens(aOrganisation, aWanted);
-          },
-          [this] { this->ScheduleGrantTick(); }),
+      tokens({.io = this->io,
+              .config = this->config,
+              .fleet = this->fleet,
+              .target = this->target,
+              .store = *this->ports.store,
+              .node = this->self.nodeId,
+              .incarnation = this->self.incarnation,
+              .connectedNodes =
+                  [this] { return this->peerServer->ConnectedNodes(); },
+              .onIssuing = [this] { this->peerServer->PushState(); }}),
       targetService({.context = this->context,
                      .target = this->target,
                      .fleetSecret = this->self.fleetSecret}),
@@ -138,7 +127,7 @@
                  }}),
       entryService({.context = this->context,
                     .fleet = this->fleet,
-                    .grants = this->grants,
+                    .grants = this->tokens.Grants(),
                     .fleetSecret = this->self.fleetSecret}),
       publisher({.io = this->io,
                  .store = *this->ports.store,
@@ -149,23 +138,6 @@
                             .region = this->settings.region,
                             .service = this->settings.service,
                             .peers = this->settings.listenPeers}}),
-      lease({.io = this->io,
-             .store = *this->ports.store,
-             .table = std::string(kIssuerTable),
-             .key = std::string(kIssuerKey),
-             .node = this->settings.node,
-             .incarnation = this->self.incarnation.ToString(),
-             .onChange =
-                 [this](bool aHeld) {
-                   this->issuer =
-                       GrantIssuer(GrantSettings{}, SteadyClock().Now());
-                   if (aHeld) {
-                     this->ApplyLimits();
-                   }
-                   // Peers would learn it from the next pong, and refuse
-                   // requests for want of tokens until then.
-                   this->peerServer->PushState();
-                 }}),
       configFollower(
           {.io = this->io,
            .store = *this->ports.store,
@@ -194,8 +166,7 @@
                            this->OnFleetRows(aRows, false);
                          },
                      .onConfirmed = [](BootTime) {},
-                     .gather = kFleetGather}),
-      grantTimer(this->io) {
+                     .gather = kFleetGather}) {
   this->Listen();
 }
 
@@ -264,7 +235,7 @@
           .state =
               [this] {
                 StateWire state = this->targetService.State();
-                state.issuing = this->lease.IsHeld(BootClock::now());
+                state.issuing = this->tokens.IsIssuing();
                 return state;
               }};
 }
@@ -386,42 +357,11 @@
        {"organisations", std::to_string(now.All().organisations.size())}});
   LogRates(before.get(), now);
   this->callers->SetLimits(now.All().limits);
-  this->ApplyLimits();
+  this->tokens.ApplyLimits();
   this->targetService.OnConfigChanged();
   this->ProbeTarget();
 }
 
-void MeshNode::ApplyLimits() {
-  const MeshConfigPtr& now = this->config.Current();
-  if (!now) {
-    return;
-  }
-  const TimePoint at = SteadyClock().Now();
-  for (const MeshOrganisation& organisation : now->All().organisations) {
-    this->grants.SetLimit(organisation.name, organisation.rate,
-                          this->fleet.Size(), at);
-  }
-  this->ApplyReach();
-  this->grants.Retain([&now](const std::string& aName) {
-    return now->FindOrganisation(aName) != nullptr;
-  });
-}
-
-void MeshNode::ApplyReach() {
-  const MeshConfigPtr& now = this->config.Current();
-  if (!now || !this->lease.IsHeld(BootClock::now())) {
-    return;
-  }
-  const size_t nodes = std::max<size_t>(1, this->fleet.Size());
-  std::set<std::string> reached = this->peerServer->ConnectedNodes();
-  reached.insert(this->self.nodeId);
-  const TimePoint at = SteadyClock().Now();
-  for (const MeshOrganisation& organisation : now->All().organisations) {
-    this->issuer.SetLimit(organisation.name, organisation.rate, nodes,
-                          reached.size(), at);
-  }
-}
-
 void MeshNode::OnFleetRows(const std::vector<StoredRow>& aRows,
                            bool aSnapshot) {
   bool ownSeen = false;
@@ -439,21 +379,10 @@
   } else {
     this->fleet.OnChanges(aRows);
   }
-  this->ApplyLimits();
+  this->tokens.ApplyLimits();
   this->Maintain();
 }
 
-void MeshNode::OnIssuerState(const std::string& aNode, bool aIssuing) {
-  if (aIssuing) {
-    this->issuerHeard = aNode;
-    this->issuerHeardAt = SteadyClock().Now();
-  } else if (aNode == this->issuerHeard) {
-    // It has given the duty up and will grant nothing more.
-    this->issuerHeard.clear();
-    this->issuerHeardAt = TimePoint{};
-  }
-}
-
 void MeshNode::OnPong(const std::string& aNode, const StateWire& aState,
                       TimePoint aPingSentAt) {
   const uint64_t own = this->config.Version();
@@ -496,16 +425,14 @@
   }
   if (!aFrame.rows.empty() && !this->fleetFollower.IsUp()) {
     this->fleet.OnPeerRows(aFrame.rows);
-    this->ApplyLimits();
+    this->tokens.ApplyLimits();
   }
 }
 
 void MeshNode::OnPeerMessage(const std::string& aNode,
                              const DecodedFrame& aFrame) {
   if (aFrame.type == FrameType::TokenGrant) {
-    const auto grant = aFrame.As<TokenGrantFrame>();
-    this->grants.OnGrant(grant.organisation, grant.tokens, grant.mayRefuse,
-                         SteadyClock().Now());
+    this->tokens.OnGrant(aFrame.As<TokenGrantFrame>());
   } else if (aFrame.type == FrameType::Knowledge) {
     this->ApplyKnowledge(aFrame.As<KnowledgeFrame>(), aNode);
   }
@@ -514,7 +441,7 @@
 void MeshNode::OnSessionMessage(const PeerServer::SessionPtr& aSession,
                                 const DecodedFrame& aFrame) {
   if (aFrame.type == FrameType::TokenRequest) {
-    aSession->Send(this->GrantTokens(aFrame.As<TokenRequestFrame>()));
+    aSession->Send(this->tokens.Grant(aFrame.As<TokenRequestFrame>()));
   } else if (aFrame.type == FrameType::Knowledge) {
     const auto frame = aFrame.As<KnowledgeFrame>();
     this->ApplyKnowledge(frame, aSession->RemoteNode());
@@ -524,71 +451,6 @@
   }
 }
 
-void MeshNode::ScheduleGrantTick() {
-  if (this->grantTimerRunning) {
-    return;
-  }
-  this->grantTimerRunning = true;
-  this->grantTimer.expires_after(kGrantPeriod);
-  this->grantTimer.async_wait([this](const asio::error_code& aError) {
-    this->grantTimerRunning = false;
-    if (aError) {
-      return;
-    }
-    this->grants.Tick(SteadyClock().Now());
-    if (this->grants.HasWaiters()) {
-      this->ScheduleGrantTick();
-    }
-  });
-}
-
-bool MeshNode::AskForTokens(const std::string& aOrganisation,
-                            uint32_t aWanted) {
-  TokenRequestFrame request{.organisation = aOrganisation, .wanted = aWanted};
-  if (this->lease.IsHeld(BootClock::now())) {
-    asio::post(this->io, [this, request] {
-      const TokenGrantFrame grant = this->GrantTokens(request);
-      this->grants.OnGrant(grant.organisation, grant.tokens, grant.mayRefuse,
-                           SteadyClock().Now());
-    });
-    return true;
-  }
-  const auto client = this->fleet.ClientOf(this->IssuerNode());
-  if (!client) {
-    return false;
-  }
-  client->SendMessage(std::move(request));
-  return true;
-}
-
-std::string MeshNode::IssuerNode() const {
-  const bool heard = SteadyClock().Now() - this->issuerHeardAt < kIssuerSilence;
-  return heard ? this->issuerHeard : this->lease.Holder();
-}
-
-bool MeshNode::IsWithoutIssuer() const {
-  if (this->lease.IsHeld(BootClock::now())) {
-    return false;
-  }
-  const Duration silence = SteadyClock().Now() - this->issuerHeardAt;
-  if (silence > kIssuerSilence) {
-    return true;
-  }
-  // A process that has ended issues nothing more.
-  return this->fleet.IsDown(this->issuerHeard);
-}
-
-TokenGrantFrame MeshNode::GrantTokens(const TokenRequestFrame& aRequest) {
-  TokenGrantFrame grant{.organisation = aRequest.organisation};
-  if (this->lease.IsHeld(BootClock::now())) {
-    const TimePoint now = SteadyClock().Now();
-    grant.mayRefuse = this->issuer.MayRefuse(now);
-    grant.tokens =
-        this->issuer.Grant(aRequest.organisation, aRequest.wanted, now);
-  }
-  return grant;
-}
-
 bool MeshNode::NeedsConfirmation() const {
   return this->context.config.Age(BootClock::now()) > kUnconfirmedFor ||
          this->fleet.IsAmongFirst(this->self.nodeId, kConfirmers);
@@ -622,16 +484,8 @@
   this->fleetFollower.Hurry();
   this->wasFresh = this->wasFresh || this->context.IsFresh();
   this->publisher.Tick();
-  const TimePoint now = SteadyClock().Now();
-  // A node whose target has left is about to end.
-  const bool candidate =
-      this->target.State() == TargetState::Ready &&
-      (now - this->startedAt < kFirstLook ||
-       this->fleet.IsAmongFirstReady(this->self.nodeId, kIssuerCandidates));
-  this->lease.Tick(candidate && now - this->issuerHeardAt > kIssuerMissed);
+  this->tokens.Maintain();
   this->RemoveUnreachable();
-  this->ApplyReach();
-  this->grants.SetAlone(this->IsWithoutIssuer(), SteadyClock().Now());
   FlushLog();
 }
 
@@ -674,7 +528,7 @@
   this->targetService.Stop();
   this->peerServer->PushState();
   this->callers->CloseAfterResponses();
-  this->lease.Release();
+  this->tokens.Release();
   this->Every(kStopPeriod, [this] { this->TryEnd(this->stopSince); });
 }
 
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -5,10 +5,7 @@
 #include <string>
 
 #include "Http1/LoopHttpServer.h"
-#include "Limits/GrantHolder.h"
-#include "Limits/GrantIssuer.h"
 #include "Mesh/EntryService.h"
-#include "Mesh/IssuerLease.h"
 #include "Mesh/MemberPublisher.h"
 #include "Mesh/MeshContext.h"
 #include "Mesh/MeshFleet.h"
@@ -16,6 +13,7 @@
 #include "Mesh/TableFollower.h"
 #include "Mesh/TargetProbe.h"
 #include "Mesh/TargetService.h"
+#include "Mesh/TokenExchange.h"
 
 namespace fescueline {
 
@@ -48,12 +46,6 @@
   void OnFleetRows(const std::vector<StoredRow>& aRows, bool aSnapshot);
   /// Puts a stored configuration in force if it is newer.
   void ApplyConfig(const std::string& aStored, std::string_view aSource);
-  /// Passes limits of the configuration and the fleet's size on.
-  void ApplyLimits();
-  /// Tells the issuer, if this node is one, how many nodes reach it.
-  void ApplyReach();
-  /// Remembers which peer issues tokens.
-  void OnIssuerState(const std::string& aNode, bool aIssuing);
   void OnPong(const std::string& aNode, const StateWire& aState,
               TimePoint aPingSentAt);
   void OnPeerMessage(const std::string& aNode, const DecodedFrame& aFrame);
@@ -61,14 +53,6 @@
                         const DecodedFrame& aFrame);
   void ApplyKnowledge(const KnowledgeFrame& aFrame, const std::string& aNode);
   KnowledgeFrame Knowledge(bool aWanted) const;
-  /// Serves the requests that wait for tokens until there are none.
-  void ScheduleGrantTick();
-  bool AskForTokens(const std::string& aOrganisation, uint32_t aWanted);
-  /// Node that issues tokens as far as known; empty if none.
-  std::string IssuerNode() const;
-  /// Whether no issuer counts on this node to ask it.
-  bool IsWithoutIssuer() const;
-  TokenGrantFrame GrantTokens(const TokenRequestFrame& aRequest);
   /// Asks a target that was not heard of yet for its health.
   void ProbeTarget();
   void Maintain();
@@ -94,21 +78,17 @@
   MeshContext context;
   LocalTargetState target;
   MeshFleet fleet;
-  GrantIssuer issuer;
-  GrantHolder grants;
+  TokenExchange tokens;
   TargetService targetService;
   TargetProbe probe;
   EntryService entryService;
   MemberPublisher publisher;
-  IssuerLease lease;
   TableFollower configFollower;
   TableFollower fleetFollower;
   std::unique_ptr<PeerServer> peerServer;
   std::unique_ptr<LoopHttpServer> callers;
   std::unique_ptr<LoopHttpServer> ready;
   std::unique_ptr<LoopHttpServer> reports;
-  asio::steady_timer grantTimer;
-  bool grantTimerRunning = false;
   bool stopping = false;
   /// Whether the removal of this node's row was sent, and has ended.
   bool leaving = false;
@@ -118,11 +98,7 @@
   bool lastReady = false;
   /// When knowledge was last sent to each node.
   std::unordered_map<std::string, TimePoint> knowledgeSent;
-  TimePoint startedAt = SteadyClock().Now();
   TimePoint stopSince{};
-  /// Peer that last said that it issues tokens, and when.
-  std::string issuerHeard;
-  TimePoint issuerHeardAt{};
 };
 
 }  // namespace fescueline
--- /dev/null
+++ b/src/Mesh/TokenExchange.cpp
@@ -0,0 +1,177 @@
+#include "Mesh/TokenExchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Mesh/MeshMember.h"
+
+namespace fescueline {
+
+namespace {
+constexpr Duration kTickPeriod = std::chrono::milliseconds(10);
+/// Without a word of the issuer for this long, the issuer has noticed that
+/// this node is cut off as well: both ends of a connection give up after
+/// 1.5 s of silence, one after the other at the latest.
+constexpr Duration kIssuerSilence = std::chrono::milliseconds(3500);
+/// Time without a word of the issuer after which candidates look at its lease.
+constexpr Duration kIssuerMissed = std::chrono::milliseconds(1200);
+/// Nodes that look at the lease when no issuer is heard. Each node looks once
+/// after its start, since it may have held the lease before.
+constexpr size_t kIssuerCandidates = 3;
+/// Time after the start in which every node looks.
+constexpr Duration kFirstLook = std::chrono::milliseconds(1500);
+}  // namespace
+
+TokenExchange::TokenExchange(Settings aSettings)
+    : settings(std::move(aSettings)),
+      issuer(GrantSettings{}, SteadyClock().Now()),
+      grants(
+          GrantSettings{},
+          [this](const std::string& aOrganisation, uint32_t aWanted) {
+            return this->Ask(aOrganisation, aWanted);
+          },
+          [this] { this->ScheduleTick(); }),
+      lease({.io = this->settings.io,
+             .store = this->settings.store,
+             .table = std::string(kIssuerTable),
+             .key = std::string(kIssuerKey),
+             .node = this->settings.node,
+             .incarnation = this->settings.incarnation.ToString(),
+             .onChange = [this](bool aHeld) { this->OnLeaseChange(aHeld); }}),
+      timer(this->settings.io) {}
+
+void TokenExchange::OnLeaseChange(bool aHeld) {
+  this->issuer = GrantIssuer(GrantSettings{}, SteadyClock().Now());
+  if (aHeld) {
+    this->ApplyLimits();
+  }
+  // Peers would learn it from the next pong, and refuse requests for want of
+  // tokens until then.
+  this->settings.onIssuing();
+}
+
+void TokenExchange::ApplyLimits() {
+  const MeshConfigPtr& now = this->settings.config.Current();
+  if (!now) {
+    return;
+  }
+  const TimePoint at = SteadyClock().Now();
+  for (const MeshOrganisation& organisation : now->All().organisations) {
+    this->grants.SetLimit(organisation.name, organisation.rate,
+                          this->settings.fleet.Size(), at);
+  }
+  this->ApplyReach();
+  this->grants.Retain([&now](const std::string& aName) {
+    return now->FindOrganisation(aName) != nullptr;
+  });
+}
+
+void TokenExchange::ApplyReach() {
+  const MeshConfigPtr& now = this->settings.config.Current();
+  if (!now || !this->IsIssuing()) {
+    return;
+  }
+  const size_t nodes = std::max<size_t>(1, this->settings.fleet.Size());
+  std::set<std::string> reached = this->settings.connectedNodes();
+  reached.insert(this->settings.node);
+  const TimePoint at = SteadyClock().Now();
+  for (const MeshOrganisation& organisation : now->All().organisations) {
+    this->issuer.SetLimit(organisation.name, organisation.rate, nodes,
+                          reached.size(), at);
+  }
+}
+
+void TokenExchange::OnPeerState(const std::string& aNode, bool aIssuing) {
+  if (aIssuing) {
+    this->issuerHeard = aNode;
+    this->issuerHeardAt = SteadyClock().Now();
+  } else if (aNode == this->issuerHeard) {
+    // It has given the duty up and will grant nothing more.
+    this->issuerHeard.clear();
+    this->issuerHeardAt = TimePoint{};
+  }
+}
+
+void TokenExchange::OnGrant(const TokenGrantFrame& aGrant) {
+  this->grants.OnGrant(aGrant.organisation, aGrant.tokens, aGrant.mayRefuse,
+                       SteadyClock().Now());
+}
+
+TokenGrantFrame TokenExchange::Grant(const TokenRequestFrame& aRequest) {
+  TokenGrantFrame grant{.organisation = aRequest.organisation};
+  if (this->IsIssuing()) {
+    const TimePoint now = SteadyClock().Now();
+    grant.mayRefuse = this->issuer.MayRefuse(now);
+    grant.tokens =
+        this->issuer.Grant(aRequest.organisation, aRequest.wanted, now);
+  }
+  return grant;
+}
+
+bool TokenExchange::Ask(const std::string& aOrganisation, uint32_t aWanted) {
+  TokenRequestFrame request{.organisation = aOrganisation, .wanted = aWanted};
+  if (this->IsIssuing()) {
+    asio::post(this->settings.io,
+               [this, request] { this->OnGrant(this->Grant(request)); });
+    return true;
+  }
+  const auto client = this->settings.fleet.ClientOf(this->IssuerNode());
+  if (!client) {
+    return false;
+  }
+  client->SendMessage(std::move(request));
+  return true;
+}
+
+void TokenExchange::ScheduleTick() {
+  if (this->timerRunning) {
+    return;
+  }
+  this->timerRunning = true;
+  this->timer.expires_after(kTickPeriod);
+  this->timer.async_wait([this](const asio::error_code& aError) {
+    this->timerRunning = false;
+    if (aError) {
+      return;
+    }
+    this->grants.Tick(SteadyClock().Now());
+    if (this->grants.HasWaiters()) {
+      this->ScheduleTick();
+    }
+  });
+}
+
+std::string TokenExchange::IssuerNode() const {
+  const bool heard = SteadyClock().Now() - this->issuerHeardAt < kIssuerSilence;
+  return heard ? this->issuerHeard : this->lease.Holder();
+}
+
+bool TokenExchange::IsWithoutIssuer() const {
+  if (this->IsIssuing()) {
+    return false;
+  }
+  const Duration silence = SteadyClock().Now() - this->issuerHeardAt;
+  if (silence > kIssuerSilence) {
+    return true;
+  }
+  // A process that has ended issues nothing more.
+  return this->settings.fleet.IsDown(this->issuerHeard);
+}
+
+bool TokenExchange::IsCandidate(TimePoint aNow) const {
+  // A node whose target has left is about to end.
+  return this->settings.target.State() == TargetState::Ready &&
+         (aNow - this->startedAt < kFirstLook ||
+          this->settings.fleet.IsAmongFirstReady(this->settings.node,
+                                                 kIssuerCandidates));
+}
+
+void TokenExchange::Maintain() {
+  const TimePoint now = SteadyClock().Now();
+  this->lease.Tick(this->IsCandidate(now) &&
+                   now - this->issuerHeardAt > kIssuerMissed);
+  this->ApplyReach();
+  this->grants.SetAlone(this->IsWithoutIssuer(), SteadyClock().Now());
+}
+
+}  // namespace fescueline
