Move the exchange of knowledge between peers out of MeshNode

Cause: MeshNode held the spacing, the frames and the ages of what peers pass on. Change: KnowledgeExchange has them.

--- /dev/null
+++ b/src/Mesh/KnowledgeExchange.cpp
@@ -0,0 +1,54 @@
+#include "Mesh/KnowledgeExchange.h"
+
+namespace fescueline {
+
+namespace {
+/// Time between two transfers of knowledge to one node.
+constexpr Duration kSpacing = std::chrono::seconds(1);
+}  // namespace
+
+void KnowledgeExchange::OnPong(const std::string& aNode,
+                               const StateWire& aState, TimePoint aPingSentAt) {
+  ConfigHolder& config = this->settings.config;
+  const TimePoint now = SteadyClock().Now();
+  if (aState.configVersion == config.Version()) {
+    if (aState.configAge >= 0) {
+      // The boot clock runs at least as far as the steady clock does.
+      config.ConfirmByPeer(aState.configVersion,
+                           BootClock::now() - (now - aPingSentAt),
+                           std::chrono::microseconds(aState.configAge));
+    }
+    return;
+  }
+  const auto client = this->settings.fleet.ClientOf(aNode);
+  TimePoint& sent = this->sentAt[aNode];
+  if (!client || now - sent < kSpacing) {
+    return;
+  }
+  sent = now;
+  client->SendMessage(this->Frame(aState.configVersion > config.Version()));
+}
+
+void KnowledgeExchange::Apply(const KnowledgeFrame& aFrame,
+                              const std::string& aNode) {
+  if (!aFrame.config.empty()) {
+    this->settings.onConfig(aFrame.config, aNode);
+  }
+  if (!aFrame.rows.empty()) {
+    this->settings.onRows(aFrame.rows);
+  }
+}
+
+KnowledgeFrame KnowledgeExchange::Frame(bool aWanted) const {
+  KnowledgeFrame frame{.configVersion = this->settings.config.Version(),
+                       .config = {},
+                       .rows = {},
+                       .wanted = aWanted};
+  if (!aWanted) {
+    frame.config = this->settings.config.Stored();
+    frame.rows = this->settings.fleet.Rows();
+  }
+  return frame;
+}
+
+}  // namespace fescueline
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -19,8 +19,6 @@
 constexpr Duration kFleetPeriod = std::chrono::milliseconds(500);
 constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(300);
 constexpr Duration kStopPeriod = std::chrono::milliseconds(50);
-/// Time between two transfers of knowledge to one node.
-constexpr Duration kKnowledgeSpacing = std::chrono::seconds(1);
 /// Callers learn from two questions, a second apart, that a node is not ready.
 constexpr Duration kCallersLeave = std::chrono::milliseconds(2600);
 /// Part of the stop limit that is left for the end itself.
@@ -91,12 +89,26 @@
              .onPong =
                  [this](const std::string& aNode, const StateWire& aState,
                         TimePoint aPingSentAt) {
-                   this->OnPong(aNode, aState, aPingSentAt);
+                   this->knowledge.OnPong(aNode, aState, aPingSentAt);
                  },
              .onMessage =
                  [this](const std::string& aNode, const DecodedFrame& aFrame) {
                    this->OnPeerMessage(aNode, aFrame);
                  }}),
+      knowledge(
+          {.config = this->config,
+           .fleet = this->fleet,
+           .onConfig =
+               [this](const std::string& aStored, const std::string& aNode) {
+                 this->ApplyConfig(aStored, aNode);
+               },
+           .onRows =
+               [this](const std::vector<FleetRowWire>& aRows) {
+                 if (!this->fleetFollower.IsUp()) {
+                   this->fleet.OnPeerRows(aRows);
+                   this->tokens.ApplyLimits();
+                 }
+               }}),
       tokens({.io = this->io,
               .config = this->config,
               .fleet = this->fleet,
@@ -383,58 +395,12 @@
   this->Maintain();
 }
 
-void MeshNode::OnPong(const std::string& aNode, const StateWire& aState,
-                      TimePoint aPingSentAt) {
-  const uint64_t own = this->config.Version();
-  if (aState.configVersion == own) {
-    if (aState.configAge >= 0) {
-      // The boot clock runs at least as far as the steady clock does.
-      const Duration sinceAsked = SteadyClock().Now() - aPingSentAt;
-      this->config.ConfirmByPeer(aState.configVersion,
-                                 BootClock::now() - sinceAsked,
-                                 std::chrono::microseconds(aState.configAge));
-    }
-    return;
-  }
-  const auto client = this->fleet.ClientOf(aNode);
-  const TimePoint now = SteadyClock().Now();
-  TimePoint& sent = this->knowledgeSent[aNode];
-  if (!client || now - sent < kKnowledgeSpacing) {
-    return;
-  }
-  sent = now;
-  client->SendMessage(this->Knowledge(aState.configVersion > own));
-}
-
-KnowledgeFrame MeshNode::Knowledge(bool aWanted) const {
-  KnowledgeFrame frame{.configVersion = this->config.Version(),
-                       .config = {},
-                       .rows = {},
-                       .wanted = aWanted};
-  if (!aWanted) {
-    frame.config = this->config.Stored();
-    frame.rows = this->fleet.Rows();
-  }
-  return frame;
-}
-
-void MeshNode::ApplyKnowledge(const KnowledgeFrame& aFrame,
-                              const std::string& aNode) {
-  if (!aFrame.config.empty()) {
-    this->ApplyConfig(aFrame.config, aNode);
-  }
-  if (!aFrame.rows.empty() && !this->fleetFollower.IsUp()) {
-    this->fleet.OnPeerRows(aFrame.rows);
-    this->tokens.ApplyLimits();
-  }
-}
-
 void MeshNode::OnPeerMessage(const std::string& aNode,
                              const DecodedFrame& aFrame) {
   if (aFrame.type == FrameType::TokenGrant) {
     this->tokens.OnGrant(aFrame.As<TokenGrantFrame>());
   } else if (aFrame.type == FrameType::Knowledge) {
-    this->ApplyKnowledge(aFrame.As<KnowledgeFrame>(), aNode);
+    this->knowledge.Apply(aFrame.As<KnowledgeFrame>(), aNode);
   }
 }
 
@@ -444,9 +410,9 @@
     aSession->Send(this->tokens.Grant(aFrame.As<TokenRequestFrame>()));
   } else if (aFrame.type == FrameType::Knowledge) {
     const auto frame = aFrame.As<KnowledgeFrame>();
-    this->ApplyKnowledge(frame, aSession->RemoteNode());
+    this->knowledge.Apply(frame, aSession->RemoteNode());
     if (frame.wanted && this->config.Version() > frame.configVersion) {
-      aSession->Send(this->Knowledge(false));
+      aSession->Send(this->knowledge.Frame(false));
     }
   }
 }
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -6,6 +6,7 @@
 
 #include "Http1/LoopHttpServer.h"
 #include "Mesh/EntryService.h"
+#include "Mesh/KnowledgeExchange.h"
 #include "Mesh/MemberPublisher.h"
 #include "Mesh/MeshContext.h"
 #include "Mesh/MeshFleet.h"
@@ -46,13 +47,9 @@
   void OnFleetRows(const std::vector<StoredRow>& aRows, bool aSnapshot);
   /// Puts a stored configuration in force if it is newer.
   void ApplyConfig(const std::string& aStored, std::string_view aSource);
-  void OnPong(const std::string& aNode, const StateWire& aState,
-              TimePoint aPingSentAt);
   void OnPeerMessage(const std::string& aNode, const DecodedFrame& aFrame);
   void OnSessionMessage(const PeerServer::SessionPtr& aSession,
                         const DecodedFrame& aFrame);
-  void ApplyKnowledge(const KnowledgeFrame& aFrame, const std::string& aNode);
-  KnowledgeFrame Knowledge(bool aWanted) const;
   /// Asks a target that was not heard of yet for its health.
   void ProbeTarget();
   void Maintain();
@@ -78,6 +75,7 @@
   MeshContext context;
   LocalTargetState target;
   MeshFleet fleet;
+  KnowledgeExchange knowledge;
   TokenExchange tokens;
   TargetService targetService;
   TargetProbe probe;
@@ -96,8 +94,6 @@
   /// Whether the configuration was ever fresh in this process.
   bool wasFresh = false;
   bool lastReady = false;
-  /// When knowledge was last sent to each node.
-  std::unordered_map<std::string, TimePoint> knowledgeSent;
   TimePoint stopSince{};
 };
 
