Share traffic among targets that ramp up together

Cause: when no drawn target passes the draw by weight, TargetPicker took the heaviest of those drawn. While all targets ramp up, weights are small and that is the usual case: a target ready 20 ms before three others got 2.12 times its share, one ready 10 ms ahead after a second 1.65 times.

Ruled out: the load comparison between the two choices, which the test keeps equal.

Change: the fallback is drawn in proportion to weight (a reservoir of one).

Conclusion: a restart does not gather the load on whichever target came first. The test "targets that ramp up together share the traffic" fails on the old draw.

--- a/src/Routing/TargetPicker.cpp
+++ b/src/Routing/TargetPicker.cpp
@@ -104,8 +104,8 @@
   if (aList.empty()) {
     return std::nullopt;
   }
-  std::optional<uint32_t> heaviest;
-  double heaviestWeight = 0.0;
+  std::optional<uint32_t> fallback;
+  double drawnWeight = 0.0;
   for (int draw = 0; draw < kDraws; ++draw) {
     const uint32_t index = aList[aChoice.random.Below(aList.size())];
     if (index == aOther || this->Excluded(aChoice, index)) {
@@ -116,15 +116,17 @@
     if (weight >= 1.0 || aChoice.random.Unit() < weight) {
       return index;
     }
-    if (weight > heaviestWeight) {
-      heaviest = index;
-      heaviestWeight = weight;
+    // In proportion to weight: the heaviest would take all of the traffic of
+    // targets that ramp up together.
+    drawnWeight += weight;
+    if (aChoice.random.Unit() * drawnWeight < weight) {
+      fallback = index;
     }
   }
   // The second choice may be missing; the first must be found if there is
   // one, however many targets are excluded.
-  if (heaviest || aOther) {
-    return heaviest;
+  if (fallback || aOther) {
+    return fallback;
   }
   return this->Any(aChoice, aList);
 }
--- a/tests/Routing/TargetPickerTest.cpp
+++ b/tests/Routing/TargetPickerTest.cpp
@@ -400,3 +400,30 @@
   }
   CHECK(share.Value() < 0.01);
 }
+
+// Pattern: a fleet restarts, and all targets ramp up, some a few milliseconds
+// ahead of others. Guards against all traffic going to the first of them.
+TEST_CASE("targets that ramp up together share the traffic") {
+  struct Row {
+    Duration firstReadyFor;
+    Duration othersReadyFor;
+    double least;
+    double most;
+  };
+  for (const Row& row : std::vector<Row>{{120ms, 100ms, 0.85, 1.15},
+                                         {1000ms, 990ms, 0.85, 1.15},
+                                         {9s, 0ms, 1.8, 4.0}}) {
+    CAPTURE(row.firstReadyFor);
+    Fixture fixture(4);
+    for (size_t i = 0; i < fixture.refs.size(); ++i) {
+      TargetReport report = Ready();
+      report.readyFor = i == 0 ? row.firstReadyFor : row.othersReadyFor;
+      fixture.table.OnPong(fixture.refs[i], report, fixture.clock.Now());
+    }
+    constexpr int kChoices = 8000;
+    const double share =
+        fixture.Count(kChoices)[fixture.refs[0].index] / (kChoices / 4.0);
+    CHECK(share >= row.least);
+    CHECK(share <= row.most);
+  }
+}
