Share the opening of listeners and the making of refusals

Cause: PeerServer and LoopHttpServer opened their listeners, and TargetAttempt and InboundAttempt made their refusal frames, with the same lines.

Change: ListenOn opens a listener, ToFrame makes a refusal frame, CheckHeadSize holds the three checks of HttpReader, ConfigLog holds what MeshNode logs of a configuration. No behaviour changes: the backlog now named is Asio's default.

Figures: Transport, Http1, Node, Mesh and PlatformAdapter tests pass.

--- a/src/Http1/HttpReader.cpp
+++ b/src/Http1/HttpReader.cpp
@@ -37,22 +37,19 @@
       HttpReader& reader = Of(aParser);
       reader.head.target.append(aData, aSize);
       reader.headBytes += aSize;
-      return reader.headBytes > reader.settings.maxHeadBytes ? kStopParsing
-                                                             : kContinueParsing;
+      return reader.CheckHeadSize();
     };
     callbacks.on_header_field = [](http_parser* aParser, const char* aData,
                                    size_t aSize) {
       HttpReader& reader = Of(aParser);
       reader.AppendField({aData, aSize});
-      return reader.headBytes > reader.settings.maxHeadBytes ? kStopParsing
-                                                             : kContinueParsing;
+      return reader.CheckHeadSize();
     };
     callbacks.on_header_value = [](http_parser* aParser, const char* aData,
                                    size_t aSize) {
       HttpReader& reader = Of(aParser);
       reader.AppendValue({aData, aSize});
-      return reader.headBytes > reader.settings.maxHeadBytes ? kStopParsing
-                                                             : kContinueParsing;
+      return reader.CheckHeadSize();
     };
     callbacks.on_headers_complete = [](http_parser* aParser) {
       return Of(aParser).OnHeadersComplete();
@@ -82,6 +79,11 @@
   this->headBytes += aBytes.size();
 }
 
+int HttpReader::CheckHeadSize() const {
+  return this->headBytes > this->settings.maxHeadBytes ? kStopParsing
+                                                       : kContinueParsing;
+}
+
 void HttpReader::AppendValue(std::string_view aBytes) {
   this->lastWasValue = true;
   this->head.headers.back().value.append(aBytes);
--- a/src/Http1/HttpReader.h
+++ b/src/Http1/HttpReader.h
@@ -80,6 +80,8 @@
   int OnMessageComplete();
   void AppendField(std::string_view aBytes);
   void AppendValue(std::string_view aBytes);
+  /// Tells the parser to stop once the head is too large.
+  int CheckHeadSize() const;
 
   Settings settings;
   http_parser parser{};
--- a/src/Http1/LoopHttpServer.cpp
+++ b/src/Http1/LoopHttpServer.cpp
@@ -2,8 +2,8 @@
 
 #include <vector>
 
-#include "Core/Error.h"
 #include "Http1/LoopHttpConnection.h"
+#include "Transport/ListenOn.h"
 
 namespace fescueline {
 
@@ -18,18 +18,8 @@
     : settings(std::move(aSettings)),
       acceptor(this->settings.io),
       sweepTimer(this->settings.io) {
-  try {
-    const asio::ip::tcp::endpoint endpoint(
-        asio::ip::make_address(this->settings.host), this->settings.port);
-    this->acceptor.open(endpoint.protocol());
-    this->acceptor.set_option(asio::socket_base::reuse_address(true));
-    this->acceptor.bind(endpoint);
-    this->acceptor.listen(asio::socket_base::max_listen_connections);
-  } catch (const asio::system_error& failure) {
-    throw Error("http.listen",
-                this->settings.host + ":" + std::to_string(this->settings.port),
-                failure.what());
-  }
+  ListenOn(this->acceptor, this->settings.host, this->settings.port,
+           "http.listen");
 }
 
 LoopHttpServer::~LoopHttpServer() = default;
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -1,8 +1,7 @@
 #include "Mesh/MeshNode.h"
 
-#include <fmt/format.h>
-
 #include "Log/Log.h"
+#include "Mesh/ConfigLog.h"
 
 namespace fescueline {
 
@@ -39,23 +38,6 @@
   table.rampTime = std::chrono::seconds(4);
   return table;
 }
-
-/// Logs the rates that a configuration changes.
-void LogRates(const MeshConfig* aBefore, const MeshConfig& aNow) {
-  for (const MeshOrganisation& organisation : aNow.All().organisations) {
-    const MeshOrganisation* known =
-        aBefore == nullptr ? nullptr
-                           : aBefore->FindOrganisation(organisation.name);
-    if (known != nullptr && known->rate == organisation.rate) {
-      continue;
-    }
-    Log(LogLevel::Info, "rate limit in force",
-        {{"organisation", organisation.name},
-         {"per_second", fmt::format("{}", organisation.rate.perSecond)},
-         {"burst", fmt::format("{}", organisation.rate.burst)},
-         {"version", std::to_string(aNow.Version())}});
-  }
-}
 }  // namespace
 
 MeshNode::MeshNode(asio::io_context& aIo, MeshSettings aSettings,
@@ -363,12 +345,7 @@
     return;
   }
   const MeshConfig& now = *this->config.Current();
-  Log(LogLevel::Info, "configuration in force",
-      {{"version", std::to_string(now.Version())},
-       {"source", std::string(aSource)},
-       {"routes", std::to_string(now.All().routes.size())},
-       {"organisations", std::to_string(now.All().organisations.size())}});
-  LogRates(before.get(), now);
+  LogConfigInForce(before.get(), now, aSource);
   this->callers->SetLimits(now.All().limits);
   this->tokens.ApplyLimits();
   this->targetService.OnConfigChanged();
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -6,6 +6,7 @@
 
 #include "Http1/HttpWriter.h"
 #include "Log/Log.h"
+#include "Node/Refusal.h"
 
 namespace fescueline {
 
@@ -268,15 +269,11 @@
         fmt::format("{:.1f}",
                     ToSeconds(this->deadline - SteadyClock().Now()) * 1000)}});
   if (!this->abandoned) {
-    this->session->Send(RefusalFrame{
-        .stream = this->frame.stream,
-        .outcome = static_cast<uint8_t>(aOutcome),
-        .cause = static_cast<uint8_t>(aCause),
-        .retryAfter = static_cast<uint32_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(aRetryAfter)
-                .count()),
-        .unspentRetries = this->running->UnspentRetries(),
-        .thresholds = this->service.Thresholds(this->context)});
+    RefusalFrame refusal =
+        ToFrame(this->frame.stream, aOutcome, aCause, aRetryAfter);
+    refusal.unspentRetries = this->running->UnspentRetries();
+    refusal.thresholds = this->service.Thresholds(this->context);
+    this->session->Send(refusal);
   }
   this->Finish(false);
 }
--- a/src/Node/InboundAttempt.cpp
+++ b/src/Node/InboundAttempt.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/RandomSource.h"
 #include "Node/Headers.h"
+#include "Node/Refusal.h"
 #include "Node/TargetHandler.h"
 
 namespace fescueline {
@@ -211,15 +212,11 @@
 
 void InboundAttempt::FinishFailed(Outcome aOutcome, Cause aCause,
                                   Duration aRetryAfter) {
-  this->session->Send(RefusalFrame{
-      .stream = this->frame.stream,
-      .outcome = static_cast<uint8_t>(aOutcome),
-      .cause = static_cast<uint8_t>(aCause),
-      .retryAfter = static_cast<uint32_t>(
-          std::chrono::duration_cast<std::chrono::milliseconds>(aRetryAfter)
-              .count()),
-      .unspentRetries = this->running->UnspentRetries(),
-      .thresholds = this->handler.Thresholds(this->Context())});
+  RefusalFrame refusal =
+      ToFrame(this->frame.stream, aOutcome, aCause, aRetryAfter);
+  refusal.unspentRetries = this->running->UnspentRetries();
+  refusal.thresholds = this->handler.Thresholds(this->Context());
+  this->session->Send(refusal);
   this->Finish({.outcome = aOutcome, .cause = aCause, .response = nullptr});
 }
 
--- a/src/Node/Refusal.cpp
+++ b/src/Node/Refusal.cpp
@@ -61,4 +61,14 @@
   return response;
 }
 
+RefusalFrame ToFrame(uint64_t aStream, Outcome aOutcome, Cause aCause,
+                     Duration aRetryAfter) {
+  const auto wait =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aRetryAfter);
+  return {.stream = aStream,
+          .outcome = static_cast<uint8_t>(aOutcome),
+          .cause = static_cast<uint8_t>(aCause),
+          .retryAfter = static_cast<uint32_t>(wait.count())};
+}
+
 }  // namespace fescueline
--- a/src/Node/Refusal.h
+++ b/src/Node/Refusal.h
@@ -4,6 +4,7 @@
 
 #include "Core/Outcome.h"
 #include "Core/Time.h"
+#include "Transport/Frames.h"
 #include "Transport/HttpMessage.h"
 
 namespace fescueline {
@@ -32,4 +33,9 @@
 /// text.
 HttpResponse ToResponse(const Refusal& aRefusal);
 
+/// The frame that tells a peer that its attempt got no response, without the
+/// retries and thresholds that go with it.
+RefusalFrame ToFrame(uint64_t aStream, Outcome aOutcome, Cause aCause,
+                     Duration aRetryAfter);
+
 }  // namespace fescueline
--- a/src/Transport/PeerServer.cpp
+++ b/src/Transport/PeerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Digest.h"
 #include "Core/RandomSource.h"
+#include "Transport/ListenOn.h"
 
 namespace fescueline {
 
@@ -111,18 +112,8 @@
 PeerServer::PeerServer(Settings aSettings)
     : settings(std::move(aSettings)),
       acceptor(asio::make_strand(this->settings.io)) {
-  try {
-    const asio::ip::tcp::endpoint endpoint(
-        asio::ip::make_address(this->settings.host), this->settings.port);
-    this->acceptor.open(endpoint.protocol());
-    this->acceptor.set_option(asio::socket_base::reuse_address(true));
-    this->acceptor.bind(endpoint);
-    this->acceptor.listen();
-  } catch (const asio::system_error& failure) {
-    throw Error("peer.listen",
-                this->settings.host + ":" + std::to_string(this->settings.port),
-                failure.what());
-  }
+  ListenOn(this->acceptor, this->settings.host, this->settings.port,
+           "peer.listen");
 }
 
 void PeerServer::Start() {
