End a streamed response when its attempt fails

Cause: a response longer than 128 KiB is streamed to the caller. When the connection to the target's node was lost after that, EntryCall::OnFailed sent the request again, or wrote a refusal: a second response head in the middle of the caller's body, which a caller that counts bytes takes for data.

Ruled out: the end frame "not whole", which already cut the connection.

Change: EntryCall::BreakOff ends what the caller has a part of, on a lost peer, on a broken-off response and at the deadline alike. ResponseRelay holds the response of the present attempt and asserts that no head follows once it is streamed. CallerRequest and CallerResponse hold what EntryCall reads from a request and how it words a refusal (moved).

Figures: EntryCallTest, with a peer that closes its connection after 200,000 of 300,000 bytes: two heads and two attempts before; one head, one attempt and a closed connection after. With 1,000 bytes, held back: both nodes are tried and the caller gets 502, as before.

Conclusion: callers see a short body as broken.

--- a/src/Mesh/EntryCall.cpp
+++ b/src/Mesh/EntryCall.cpp
@@ -3,9 +3,11 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
+#include <utility>
 
 #include "Log/Log.h"
+#include "Mesh/CallerRequest.h"
+#include "Mesh/CallerResponse.h"
 #include "Node/ThresholdMessages.h"
 
 namespace fescueline {
@@ -18,9 +20,6 @@
 /// issuer answers: an eighth of the usual latency objective, and as long as a
 /// fleet that restarts takes to have an issuer again.
 constexpr Duration kRateWait = std::chrono::milliseconds(250);
-/// Responses up to this size are passed on only when they are whole, so that a
-/// broken one can be repeated. Longer ones are streamed.
-constexpr size_t kMaxBuffered = size_t{128} * 1024;
 /// Taken off the deadline that targets get, for the way back.
 /// Longer than the period of the target's queue, so that the refusal of a
 /// request that expires there, which has not run, still arrives in time.
@@ -29,9 +28,6 @@
 constexpr Duration kDefaultTimeout = std::chrono::seconds(10);
 /// Least time that is worth another attempt.
 constexpr Duration kWorthRepeating = std::chrono::milliseconds(20);
-/// Callers honour a Retry-After of up to a third of the time they have left;
-/// the margin covers the way to them.
-constexpr double kRetryAfterShare = 0.3;
 constexpr Duration kStaleRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration kRateRetryAfter = std::chrono::milliseconds(1000);
 constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(300);
@@ -46,21 +42,6 @@
 /// makes its calls again, which count as repeats at every service further down.
 constexpr double kRerunShare = 0.35;
 
-std::string HostOf(const HttpHeaders& aHeaders) {
-  return std::string(FindHeader(aHeaders, "host").value_or(""));
-}
-
-std::optional<int64_t> ParseMilliseconds(std::string_view aText) {
-  int64_t value = 0;
-  const auto result =
-      std::from_chars(aText.data(), aText.data() + aText.size(), value);
-  // A fraction of a millisecond does not matter.
-  if (result.ec != std::errc() || value < 0) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 std::string Milliseconds(Duration aDuration) {
   return fmt::format("{:.1f}", ToSeconds(aDuration) * 1000);
 }
@@ -70,6 +51,7 @@
     : service(aService),
       context(aService.dependencies.context),
       exchange(std::move(aExchange)),
+      response(this->exchange),
       config(this->context.config.Current()),
       startedAt(SteadyClock().Now()),
       timer(this->context.io) {
@@ -88,10 +70,8 @@
     return;
   }
   this->deadline = this->startedAt + kDefaultTimeout;
-  if (const auto timeout = FindHeader(request.headers, names.timeout)) {
-    if (const auto value = ParseMilliseconds(*timeout)) {
-      this->deadline = this->startedAt + std::chrono::milliseconds(*value);
-    }
+  if (const auto timeout = TimeoutOf(request.headers, names)) {
+    this->deadline = this->startedAt + *timeout;
   }
   if (!this->Route() || !this->Authenticate()) {
     return;
@@ -105,7 +85,10 @@
   if (const auto running = this->context.running.ParentOf(this->requestId)) {
     this->Inherit(running);
   }
-  this->PrepareHeaders();
+  this->headers = TargetHeaders(
+      std::move(this->exchange->Request().headers), names,
+      this->context.settings.service,
+      this->organisation == nullptr ? "" : this->organisation->name);
   this->exchange->OnAbort([weak = this->weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->OnCallerGone();
@@ -207,25 +190,6 @@
   return true;
 }
 
-void EntryCall::PrepareHeaders() {
-  const HeaderVocabulary& names = this->context.headers;
-  HttpHeaders& received = this->exchange->Request().headers;
-  RemoveHopByHopHeaders(received);
-  for (const std::string* name :
-       {&names.key, &names.organisation, &names.callerService, &names.timeout,
-        &names.expectedTarget}) {
-    RemoveHeader(received, *name);
-  }
-  for (HttpHeader& header : received) {
-    this->headers.push_back({std::move(header.name), std::move(header.value)});
-  }
-  this->headers.push_back(
-      {names.callerService, this->context.settings.service});
-  if (this->organisation != nullptr) {
-    this->headers.push_back({names.organisation, this->organisation->name});
-  }
-}
-
 void EntryCall::AdmitByRate() {
   if (this->organisation == nullptr) {
     this->TryNext();
@@ -315,7 +279,7 @@
       std::move(frame),
       {.onHead =
            [guard](const ResponseHeadFrame& aFrame) {
-             guard([&](EntryCall& aCall) { aCall.OnHead(aFrame); });
+             guard([&](EntryCall& aCall) { aCall.response.OnHead(aFrame); });
            },
        .onData =
            [guard](std::string aData) {
@@ -336,66 +300,34 @@
            }});
 }
 
-void EntryCall::OnHead(const ResponseHeadFrame& aFrame) {
-  this->status = aFrame.status;
-  this->responseHeaders.clear();
-  for (const HeaderWire& header : aFrame.headers) {
-    this->responseHeaders.push_back({header.name, header.value});
-  }
-  this->responseLength.reset();
-  if (aFrame.contentLength >= 0) {
-    this->responseLength = static_cast<uint64_t>(aFrame.contentLength);
-  }
-  this->responseBody.clear();
-  this->delivery = Delivery::Buffered;
-}
-
 void EntryCall::OnData(std::string aData) {
   const size_t size = aData.size();
-  const auto credit = [client = this->attempt->choice.client,
-                       stream = this->attempt->stream,
-                       size] { client->Credit(stream, size); };
-  if (this->delivery == Delivery::Buffered) {
-    this->responseBody += aData;
-    if (this->responseBody.size() <= kMaxBuffered) {
-      credit();
-      return;
-    }
-    this->delivery = Delivery::Streamed;
-    this->exchange->StartStream(this->status, std::move(this->responseHeaders),
-                                this->responseLength);
-    aData = std::move(this->responseBody);
-    this->responseBody.clear();
-  }
-  this->exchange->Write(std::move(aData), credit);
+  this->response.OnData(
+      std::move(aData),
+      [client = this->attempt->choice.client, stream = this->attempt->stream,
+       size] { client->Credit(stream, size); });
 }
 
 void EntryCall::OnEnd(const ResponseEndFrame& aFrame) {
   this->LearnThresholds(aFrame.thresholds);
-  if (this->delivery == Delivery::Streamed) {
-    this->EndAttempt(aFrame.whole ? CallResult::Answered : CallResult::Failed,
-                     aFrame.unspentRetries);
-    this->exchange->EndStream(aFrame.whole);
-    if (!aFrame.whole) {
-      this->LogEnd("response broken off", Outcome::Ran, Cause::TargetFailed);
-    }
-    this->Finish();
-    return;
-  }
   if (!aFrame.whole) {
+    this->attempt->unspent = aFrame.unspentRetries;
     this->OnFailed(Outcome::Unknown, Cause::TargetFailed, {});
     return;
   }
-  const bool failed = this->status >= kFirstServerError;
+  if (this->response.IsStreamed()) {
+    this->EndAttempt(CallResult::Answered, aFrame.unspentRetries);
+    this->response.EndStream(true);
+    this->Finish();
+    return;
+  }
+  const bool failed = this->response.Status() >= kFirstServerError;
   this->EndAttempt(failed ? CallResult::Failed : CallResult::Answered,
                    aFrame.unspentRetries);
   ++this->arrivals;
   if (failed && this->MayRepeatFailure()) {
     this->LogRepeat(Outcome::Ran, Cause::TargetFailed);
-    this->failure = HttpResponse{.status = this->status,
-                                 .headers = std::move(this->responseHeaders),
-                                 .body = std::move(this->responseBody)};
-    this->delivery = Delivery::None;
+    this->failure = this->response.Take();
     this->mayHaveRun = true;
     this->TryNext();
     return;
@@ -407,10 +339,8 @@
   const TimePoint now = SteadyClock().Now();
   this->context.metrics.CountServed(
       this->organisation == nullptr ? "" : this->organisation->name,
-      this->importance, this->status, now - this->startedAt);
-  this->exchange->Respond({.status = this->status,
-                           .headers = std::move(this->responseHeaders),
-                           .body = std::move(this->responseBody)});
+      this->importance, this->response.Status(), now - this->startedAt);
+  this->exchange->Respond(this->response.Take());
   this->Finish();
 }
 
@@ -452,7 +382,10 @@
     result = CallResult::Failed;
   }
   this->EndAttempt(result, this->attempt->unspent);
-  this->delivery = Delivery::None;
+  if (this->response.IsStreamed()) {
+    this->BreakOff("response broken off", aCause);
+    return;
+  }
   if (this->MayRepeat(aOutcome, aCause)) {
     this->LogRepeat(aOutcome, aCause);
     this->TryNext();
@@ -479,7 +412,7 @@
   const bool calm =
       this->context.thresholds.Lowest(this->route->name, this->shareOf, now)
           .IsOpen();
-  return this->status == kOwnFailure && quick && calm &&
+  return this->response.Status() == kOwnFailure && quick && calm &&
          this->MayRepeat(Outcome::Ran, Cause::TargetFailed);
 }
 
@@ -514,6 +447,12 @@
   }
 }
 
+void EntryCall::BreakOff(std::string_view aEvent, Cause aCause) {
+  this->response.EndStream(false);
+  this->LogEnd(aEvent, Outcome::Ran, aCause);
+  this->Finish();
+}
+
 void EntryCall::OnTimeout() {
   if (this->finished) {
     return;
@@ -523,10 +462,8 @@
     this->attempt->choice.client->Cancel(this->attempt->stream);
     this->EndAttempt(CallResult::Failed);
   }
-  if (this->delivery == Delivery::Streamed) {
-    this->exchange->EndStream(false);
-    this->LogEnd("response cut", Outcome::Ran, Cause::DeadlineExpired);
-    this->Finish();
+  if (this->response.IsStreamed()) {
+    this->BreakOff("response cut", Cause::DeadlineExpired);
     return;
   }
   // An attempt that waits at a target's node may still start.
@@ -546,14 +483,6 @@
   this->Finish();
 }
 
-Duration EntryCall::RetryAfter(Duration aSuggested) const {
-  const Duration left = this->deadline - SteadyClock().Now();
-  const Duration most = FromSeconds(ToSeconds(left) * kRetryAfterShare);
-  const Duration wait = std::min(aSuggested, most);
-  // Spread over the second half, so that nobody returns at once.
-  return FromSeconds(ToSeconds(wait) * (0.5 + 0.5 * ThreadRandom().Unit()));
-}
-
 void EntryCall::Refuse(Outcome aOutcome, Cause aCause, Duration aRetryAfter) {
   if (this->finished) {
     return;
@@ -567,28 +496,14 @@
   this->context.metrics.CountRefusal(organisationName, this->importance,
                                      aCause);
   this->LogEnd("request refused", aOutcome, aCause);
-  HttpResponse response = ToResponse({.outcome = aOutcome,
-                                      .cause = aCause,
-                                      .retryAfter = Duration::zero(),
-                                      .detail = {}});
-  constexpr int kBadGateway = 502;
-  constexpr int kUnavailable = 503;
-  constexpr int kTimedOut = 504;
-  if (aOutcome != Outcome::NotRun) {
-    if (response.status == kUnavailable) {
-      response.status = kBadGateway;
-    }
-  } else if (response.status == kBadGateway || response.status == kTimedOut) {
-    // Only this status promises that the request has not run.
-    response.status = kUnavailable;
-  }
   const bool comeBack = aOutcome == Outcome::NotRun && this->route != nullptr &&
                         aRetryAfter > Duration::zero();
-  if (comeBack) {
-    response.headers.push_back(
-        {"Retry-After",
-         fmt::format("{:.3f}", ToSeconds(this->RetryAfter(aRetryAfter)))});
-  }
+  HttpResponse response = CallerRefusal(
+      aOutcome, aCause,
+      comeBack ? std::optional(ComeBackAfter(
+                     aRetryAfter, this->Remaining(SteadyClock().Now()),
+                     ThreadRandom().Unit()))
+               : std::nullopt);
   if (this->failure) {
     // What the target itself said is worth more than our own words.
     response = std::move(*this->failure);
--- a/src/Mesh/EntryCall.h
+++ b/src/Mesh/EntryCall.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Mesh/EntryService.h"
+#include "Mesh/ResponseRelay.h"
 #include "Node/RunningAttempt.h"
 #include "Transport/RequestContext.h"
 
@@ -24,9 +25,6 @@
   void Start();
 
  private:
-  /// How the request's response is passed on.
-  enum class Delivery : uint8_t { None, Buffered, Streamed };
-
   /// One attempt at one target.
   struct Attempt {
     MeshFleet::Choice choice;
@@ -45,11 +43,9 @@
   /// Checks route and key; false if the request was refused.
   bool Route();
   bool Authenticate();
-  void PrepareHeaders();
   void AdmitByRate();
   void TryNext();
   void Send(MeshFleet::Choice aChoice);
-  void OnHead(const ResponseHeadFrame& aFrame);
   void OnData(std::string aData);
   void OnEnd(const ResponseEndFrame& aFrame);
   void OnRefusal(const RefusalFrame& aFrame);
@@ -61,21 +57,23 @@
   bool MayRepeat(Outcome aOutcome, Cause aCause);
   void EndAttempt(CallResult aResult, uint32_t aUnspentRetries = 0);
   void LearnThresholds(const std::vector<ThresholdWire>& aThresholds);
+  /// Ends a response of which the caller has a part: it can be neither repeated
+  /// nor replaced.
+  void BreakOff(std::string_view aEvent, Cause aCause);
   void OnTimeout();
   void OnCallerGone();
   void Refuse(Outcome aOutcome, Cause aCause, Duration aRetryAfter = {});
   void DeliverBuffered();
   void Finish();
   Duration Remaining(TimePoint aNow) const { return this->deadline - aNow; }
-  /// Wait that still lets the caller come back in time, spread so that
-  /// refused callers do not return together.
-  Duration RetryAfter(Duration aSuggested) const;
   void LogRepeat(Outcome aOutcome, Cause aCause) const;
   void LogEnd(std::string_view aEvent, Outcome aOutcome, Cause aCause) const;
 
   EntryService& service;
   MeshContext& context;
   HttpExchangePtr exchange;
+  /// Passes the response of the present attempt on.
+  ResponseRelay response;
   MeshConfigPtr config;
   const MeshRoute* route = nullptr;
   const MeshOrganisation* organisation = nullptr;
@@ -112,11 +110,6 @@
   uint32_t arrivals = 0;
   /// Whether an attempt may have run.
   bool mayHaveRun = false;
-  Delivery delivery = Delivery::None;
-  int status = 0;
-  HttpHeaders responseHeaders;
-  std::optional<uint64_t> responseLength;
-  std::string responseBody;
   /// Failure that the target answered before the request was repeated.
   std::optional<HttpResponse> failure;
   bool finished = false;
