Count long responses in the metrics

Cause: EntryCall counted a request as served only when its response was held back, and as refused only when it refused itself. Responses over 128 KiB were in neither counter, whether whole or broken off.

Ruled out: the target's node, which counts attempts, not requests.

Change: CountServed at the end of a streamed response, CountRefusal when one is broken off; OrganisationName replaces four copies of an expression.

--- a/src/Mesh/EntryCall.cpp
+++ b/src/Mesh/EntryCall.cpp
@@ -85,10 +85,9 @@
   if (const auto running = this->context.running.ParentOf(this->requestId)) {
     this->Inherit(running);
   }
-  this->headers = TargetHeaders(
-      std::move(this->exchange->Request().headers), names,
-      this->context.settings.service,
-      this->organisation == nullptr ? "" : this->organisation->name);
+  this->headers =
+      TargetHeaders(std::move(this->exchange->Request().headers), names,
+                    this->context.settings.service, this->OrganisationName());
   this->exchange->OnAbort([weak = this->weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->OnCallerGone();
@@ -116,6 +115,10 @@
   this->AdmitByRate();
 }
 
+std::string EntryCall::OrganisationName() const {
+  return this->organisation == nullptr ? "" : this->organisation->name;
+}
+
 void EntryCall::Inherit(const RunningAttemptPtr& aParent) {
   const RequestContext& root = aParent->Context();
   this->parent = aParent;
@@ -318,6 +321,7 @@
   if (this->response.IsStreamed()) {
     this->EndAttempt(CallResult::Answered, aFrame.unspentRetries);
     this->response.EndStream(true);
+    this->CountServed();
     this->Finish();
     return;
   }
@@ -335,11 +339,14 @@
   this->DeliverBuffered();
 }
 
+void EntryCall::CountServed() {
+  this->context.metrics.CountServed(this->OrganisationName(), this->importance,
+                                    this->response.Status(),
+                                    SteadyClock().Now() - this->startedAt);
+}
+
 void EntryCall::DeliverBuffered() {
-  const TimePoint now = SteadyClock().Now();
-  this->context.metrics.CountServed(
-      this->organisation == nullptr ? "" : this->organisation->name,
-      this->importance, this->response.Status(), now - this->startedAt);
+  this->CountServed();
   this->exchange->Respond(this->response.Take());
   this->Finish();
 }
@@ -449,6 +456,8 @@
 
 void EntryCall::BreakOff(std::string_view aEvent, Cause aCause) {
   this->response.EndStream(false);
+  this->context.metrics.CountRefusal(this->OrganisationName(), this->importance,
+                                     aCause);
   this->LogEnd(aEvent, Outcome::Ran, aCause);
   this->Finish();
 }
@@ -487,8 +496,7 @@
   if (this->finished) {
     return;
   }
-  const std::string organisationName =
-      this->organisation == nullptr ? "" : this->organisation->name;
+  const std::string organisationName = this->OrganisationName();
   if (this->charged && aOutcome == Outcome::NotRun && this->arrivals == 0) {
     this->service.dependencies.grants.Return(organisationName,
                                              SteadyClock().Now());
@@ -528,8 +536,7 @@
                        Cause aCause) const {
   Log(LogLevel::Info, aEvent,
       {{"request", this->requestId},
-       {"organisation",
-        this->organisation == nullptr ? "" : this->organisation->name},
+       {"organisation", this->OrganisationName()},
        {"route", this->route == nullptr ? "" : this->route->name},
        {"service", this->chosenService},
        {"outcome", std::string(ToName(aOutcome))},
--- a/src/Mesh/EntryCall.h
+++ b/src/Mesh/EntryCall.h
@@ -64,6 +64,9 @@
   void OnCallerGone();
   void Refuse(Outcome aOutcome, Cause aCause, Duration aRetryAfter = {});
   void DeliverBuffered();
+  void CountServed();
+  /// Empty for a route that needs no key, and as long as the key is unknown.
+  std::string OrganisationName() const;
   void Finish();
   Duration Remaining(TimePoint aNow) const { return this->deadline - aNow; }
   void LogRepeat(Outcome aOutcome, Cause aCause) const;
--- a/tests/Mesh/EntryCallTest.cpp
+++ b/tests/Mesh/EntryCallTest.cpp
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -31,8 +33,8 @@
       MeshConfig::Content{.version = 1, .routes = {route}});
 }
 
-/// A node that answers each attempt with a part of a long response and then
-/// closes the connection.
+/// A node that answers each attempt with a long response, or with a part of it
+/// and the end of the connection.
 struct BreakingNode {
   BreakingNode(asio::io_context& aIo, const std::string& aName, size_t aPart)
       : server({.io = aIo,
@@ -68,6 +70,10 @@
       aSession->Send(
           ResponseDataFrame{.stream = aStream, .data = std::string(size, 'x')});
     }
+    if (aPart == kLength) {
+      aSession->Send(ResponseEndFrame{.stream = aStream, .whole = true});
+      return;
+    }
     // After what was sent: the frames above are written first.
     const auto timer = std::make_shared<asio::steady_timer>(
         aSession->GetStrand().get_inner_executor(), 50ms);
@@ -109,6 +115,18 @@
         this->io, [] { return false; }, 50ms);
   }
 
+  /// Whether the metrics page has such a line.
+  bool HasMetric(const std::string& aName, const std::string& aLabel,
+                 const std::string& aValue) const {
+    std::istringstream page(this->metrics.Page());
+    for (std::string line; std::getline(page, line);) {
+      if (line.starts_with(aName) && line.ends_with(" " + aValue) &&
+          line.find(aLabel) != std::string::npos) {
+        return true;
+      }
+    }
+    return false;
+  }
   /// Response heads that the caller has got.
   size_t Heads() const {
     size_t count = 0;
@@ -170,6 +188,19 @@
   CHECK(world.first.attempts + world.second.attempts == 1);
   // Fewer bytes than announced: it does not look complete.
   CHECK(world.caller.received.size() < kLength);
+  CHECK(world.HasMetric("fescueline_requests_refused_total", "connection-lost",
+                        "1"));
+}
+
+// Guards against metrics that leave long responses out.
+TEST_CASE("a long response is counted when it is whole") {
+  World world(kLength);
+  REQUIRE(RunUntil(
+      world.io, [&world] { return world.caller.received.size() >= kLength; }));
+  CHECK(world.Heads() == 1);
+  CHECK(RunUntil(world.io, [&world] {
+    return world.HasMetric("fescueline_requests_served_total", "", "1");
+  }));
 }
 
 // Guards against a short response that is given up although nobody has seen
