Replay the three walks of OPERATIONS.md by a process test

Cause: the page led from a request's id to its cause by commands and events that no test had run. Run over real processes, one walk was wrong: a payment whose response breaks off leaves `response broken off by the target`, which the page did not name and whose line did not tell the target.

Ruled out: `attempt failed` for this case; it stands for a response that never began.

Change: process-operations-* start mesh nodes as processes beside the platform's stand-ins, run the page's own commands (a command that is not on the page fails the test) and check events, outcomes and causes. MeshWorld is a template over how its nodes run.

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -86,7 +86,8 @@
   file(GLOB tests CONFIGURE_DEPENDS tests/Process/*.cpp)
   add_executable(ProcessTests ${tests} tests/TestMain.cpp)
   target_include_directories(ProcessTests PRIVATE tests)
-  target_link_libraries(ProcessTests PRIVATE flFleet doctest::doctest)
+  target_link_libraries(ProcessTests PRIVATE flFleet flPlatformStandIn
+    doctest::doctest)
   add_dependencies(ProcessTests fescueline fescueline-table-stand-in
     fescueline-target-stand-in)
   foreach(test ${tests})
@@ -97,7 +98,8 @@
         "${case}")
       add_test(NAME ${name} COMMAND ProcessTests -tc=${name})
       set_tests_properties(${name} PROPERTIES TIMEOUT 120 RUN_SERIAL ON
-        ENVIRONMENT "FESCUELINE_BIN=${CMAKE_BINARY_DIR}")
+        ENVIRONMENT
+        "FESCUELINE_BIN=${CMAKE_BINARY_DIR};FESCUELINE_DOCS=${CMAKE_SOURCE_DIR}/docs")
     endforeach()
   endforeach()
 endfunction()
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -236,7 +236,10 @@
   }
   if (!aResult.whole) {
     Log(LogLevel::Warning, "response broken off by the target",
-        {{"request", this->requestId}, {"error", aResult.error}});
+        {{"request", this->requestId},
+         {"route", this->context.route},
+         {"target", this->service.dependencies.target.Id()},
+         {"error", aResult.error}});
   }
   if (!this->abandoned) {
     this->session->Send(ResponseEndFrame{
--- a/tests/PlatformAdapter/MeshWorld.h
+++ b/tests/PlatformAdapter/MeshWorld.h
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <concepts>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -33,9 +34,31 @@
   }
 };
 
-/// A fleet of mesh nodes with targets and the store on one loop: services
-/// `front`, whose runs call `deep`, and `deep`.
-class MeshWorld {
+/// A node of a mesh world, started by its constructor.
+template <typename T>
+concept WorldNode =
+    std::constructible_from<T, asio::io_context&, const MeshSettings&> &&
+    requires(const T& aNode, size_t aTargets) {
+  { aNode.Serves(aTargets) } -> std::same_as<bool>;
+};
+
+/// A node on the loop of its world.
+class LoopNode : public MeshNode {
+ public:
+  LoopNode(asio::io_context& aIo, const MeshSettings& aSettings)
+      : MeshNode(aIo, aSettings, platform::MakePorts(aIo, aSettings)) {
+    this->Start();
+  }
+  /// Whether it is ready and has found so many targets.
+  bool Serves(size_t aTargets) const {
+    return this->IsReady() && this->KnownTargets() >= aTargets;
+  }
+};
+
+/// A fleet of mesh nodes with targets and the store: services `front`, whose
+/// runs call `deep`, and `deep`. Targets and store are on one loop.
+template <WorldNode TNode>
+class MeshWorldOf {
  public:
   struct Settings {
     size_t fronts = 2;
@@ -47,7 +70,7 @@
     bool targetsReport = true;
   };
 
-  explicit MeshWorld(const Settings& aSettings)
+  explicit MeshWorldOf(const Settings& aSettings)
       : store(this->io), targetsReport(aSettings.targetsReport) {
     DisableLog();
     this->PutConfig(1);
@@ -161,7 +184,7 @@
         this->io, [] { return false; }, aTime);
   }
   PlatformTarget& Target(size_t aNode) { return *this->members[aNode].target; }
-  MeshNode& Node(size_t aNode) { return *this->members[aNode].node; }
+  TNode& Node(size_t aNode) { return *this->members[aNode].node; }
   size_t Size() const { return this->members.size(); }
   /// Runs of a request identifier at all targets.
   size_t RunsOf(const std::string& aId) const {
@@ -180,7 +203,7 @@
  private:
   struct Member {
     MeshSettings settings;
-    std::unique_ptr<MeshNode> node;
+    std::unique_ptr<TNode> node;
     std::unique_ptr<PlatformTarget> target;
   };
 
@@ -219,9 +242,7 @@
     }
     settings.freshnessLimit = std::chrono::seconds(3);
     settings.stopLimit = std::chrono::seconds(4);
-    member.node = std::make_unique<MeshNode>(
-        this->io, settings, platform::MakePorts(this->io, settings));
-    member.node->Start();
+    member.node = std::make_unique<TNode>(this->io, settings);
     member.target = std::make_unique<PlatformTarget>(PlatformTarget::Settings{
         .io = this->io,
         .port = settings.target.port,
@@ -243,8 +264,7 @@
   /// Whether every node has found every target.
   bool AllServe() {
     for (Member& member : this->members) {
-      if (!member.node->IsReady() ||
-          member.node->KnownTargets() < this->members.size()) {
+      if (!member.node->Serves(this->members.size())) {
         return false;
       }
     }
@@ -258,4 +278,6 @@
   uint64_t lastId = 0;
 };
 
+using MeshWorld = MeshWorldOf<LoopNode>;
+
 }  // namespace fescueline::test
--- /dev/null
+++ b/tests/Process/OperationsTest.cpp
@@ -0,0 +1,198 @@
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "PlatformAdapter/MeshWorld.h"
+#include "Process/ProcessNode.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+using namespace std::chrono_literals;
+
+namespace {
+/// Commands of docs/OPERATIONS.md.
+constexpr const char* kLinesOfRequest =
+    R"(grep -h '"request":"ID' node-*.log | sort)";
+constexpr const char* kIssuerLeases =
+    R"(grep -h '"issuer lease' node-*.log | sort)";
+constexpr const char* kLinesOfRates =
+    R"(grep -h '"event":"rate limit in force"' node-*.log | sort)";
+
+/// Folder for logs, which is the working directory as long as it exists.
+class LogFolder {
+ public:
+  LogFolder() : before(std::filesystem::current_path()) {
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "fescueline-XXXXXX").string();
+    REQUIRE(mkdtemp(pattern.data()) != nullptr);
+    this->folder = pattern;
+    std::filesystem::current_path(this->folder);
+  }
+  LogFolder(const LogFolder&) = delete;
+  LogFolder& operator=(const LogFolder&) = delete;
+  ~LogFolder() {
+    std::error_code error;
+    std::filesystem::current_path(this->before, error);
+    std::filesystem::remove_all(this->folder, error);
+  }
+
+ private:
+  std::filesystem::path before;
+  std::filesystem::path folder;
+};
+
+using Lines = std::vector<nlohmann::json>;
+
+/// Runs a command of the page, as an on-call engineer would.
+Lines Run(std::string aCommand, const std::string& aId = "") {
+  const char* docs = std::getenv("FESCUELINE_DOCS");
+  REQUIRE_MESSAGE(docs != nullptr, "FESCUELINE_DOCS is not set");
+  std::ifstream page(std::string(docs) + "/OPERATIONS.md");
+  std::stringstream text;
+  text << page.rdbuf();
+  CAPTURE(aCommand);
+  CHECK(text.str().find(aCommand) != std::string::npos);
+
+  const size_t id = aCommand.find("ID");
+  if (id != std::string::npos) {
+    aCommand.replace(id, 2, aId);
+  }
+  const std::unique_ptr<FILE, int (*)(FILE*)> pipe(popen(aCommand.c_str(), "r"),
+                                                   pclose);
+  REQUIRE(pipe != nullptr);
+  std::string output;
+  char part[4096];
+  while (const size_t size = fread(part, 1, sizeof(part), pipe.get())) {
+    output.append(part, size);
+  }
+  Lines lines;
+  std::stringstream split(output);
+  for (std::string line; std::getline(split, line);) {
+    lines.push_back(nlohmann::json::parse(line));
+  }
+  return lines;
+}
+
+/// The first line of an event whose fields have these values.
+const nlohmann::json* Find(const Lines& aLines, const std::string& aEvent,
+                           const std::map<std::string, std::string>& aFields) {
+  for (const nlohmann::json& line : aLines) {
+    bool found = line.at("event") == aEvent;
+    for (const auto& [key, value] : aFields) {
+      found = found && line.value(key, "") == value;
+    }
+    if (found) {
+      return &line;
+    }
+  }
+  return nullptr;
+}
+
+using World = MeshWorldOf<ProcessNode>;
+
+/// Waits until each node serves, and until the log has what they did before.
+void WaitServing(World& aWorld) {
+  for (size_t node = 0; node < aWorld.Size(); ++node) {
+    REQUIRE(RunUntil(
+        aWorld.io,
+        [&] { return aWorld.Call(node, "GET", "/lookup/").status == 200; },
+        10s));
+  }
+  aWorld.answers.clear();
+}
+
+/// Nodes write their lines in batches.
+constexpr auto kLogDelay = 1500ms;
+}  // namespace
+
+// Guards against logs that do not tell why a caller was refused by its rate.
+TEST_CASE("process-operations-rate") {
+  const LogFolder folder;
+  World world({.fronts = 2, .deeps = 1, .frontCalls = false});
+  WaitServing(world);
+  constexpr double kRate = 5;
+  world.PutConfig(2, {"acme-key"}, kRate);
+  world.Pass(1500ms);
+  constexpr int kSent = 60;
+  for (int i = 0; i < kSent; ++i) {
+    world.Send(i % 2, fmt::format("walk{}-", i), "GET", "/lookup/");
+  }
+  REQUIRE(world.WaitAnswers(kSent));
+  std::string refused;
+  for (const auto& [id, answer] : world.answers) {
+    refused = answer.status == 429 ? id : refused;
+  }
+  REQUIRE_FALSE(refused.empty());
+  world.Pass(kLogDelay);
+
+  const Lines lines = Run(kLinesOfRequest, refused);
+  CHECK(lines.size() == 1);
+  CHECK(Find(lines, "request refused",
+             {{"request", refused},
+              {"cause", "rate-exceeded"},
+              {"outcome", "not-run"},
+              {"organisation", "acme"},
+              {"attempts", "0"}}) != nullptr);
+  CHECK(Find(Run(kIssuerLeases), "issuer lease gained", {}) != nullptr);
+  CHECK(Find(Run(kLinesOfRates), "rate limit in force",
+             {{"organisation", "acme"}, {"per_second", "5"}}) != nullptr);
+}
+
+// Guards against logs that do not tell how far a payment came.
+TEST_CASE("process-operations-unknown-outcome") {
+  const LogFolder folder;
+  World world({.fronts = 2, .deeps = 1, .frontCalls = false});
+  WaitServing(world);
+  world.Target(0).SetLose(1.0);
+  world.Target(1).SetLose(1.0);
+  world.Send(0, "payment", "POST", "/filing/");
+  REQUIRE(world.WaitAnswers(1));
+  CHECK(world.answers["payment"].status == 502);
+  CHECK(world.RunsOf("payment") == 1);
+  world.Pass(kLogDelay);
+
+  const Lines lines = Run(kLinesOfRequest, "payment");
+  const nlohmann::json* broken =
+      Find(lines, "response broken off by the target", {{"route", "filing"}});
+  REQUIRE(broken != nullptr);
+  CHECK_FALSE(broken->at("target").get<std::string>().empty());
+  CHECK_FALSE(broken->at("error").get<std::string>().empty());
+  CHECK(Find(lines, "request refused",
+             {{"outcome", "unknown"},
+              {"cause", "target-failed"},
+              {"attempts", "1"}}) != nullptr);
+  CHECK(Find(lines, "request repeated", {}) == nullptr);
+}
+
+// Guards against logs that do not tell what a late lookup ran into.
+TEST_CASE("process-operations-repeated-lookup") {
+  const LogFolder folder;
+  World world({.fronts = 2, .deeps = 1, .frontCalls = false});
+  WaitServing(world);
+  world.Target(0).SetShed(1.0);
+  constexpr int kSent = 20;
+  for (int i = 0; i < kSent; ++i) {
+    world.Send(i % 2, fmt::format("walk{}-", i), "GET", "/lookup/");
+  }
+  REQUIRE(world.WaitAnswers(kSent));
+  world.Pass(kLogDelay);
+
+  const Lines repeated = Run(kLinesOfRequest, "walk");
+  const nlohmann::json* line =
+      Find(repeated, "request repeated", {{"cause", "target-shed"}});
+  REQUIRE(line != nullptr);
+  const std::string id = line->at("request");
+  CHECK(world.answers[id].status == 200);
+  const Lines lines = Run(kLinesOfRequest, id);
+  const nlohmann::json* attempt =
+      Find(lines, "attempt failed", {{"cause", "target-shed"}});
+  REQUIRE(attempt != nullptr);
+  CHECK(attempt->contains("queued"));
+  CHECK(attempt->contains("running"));
+}
