Remove an unused member of the process test

Cause: ProcessNode offered its process, which no walk signals; a comment of WaitServing promised a wait that it does not make.

--- a/tests/Process/OperationsTest.cpp
+++ b/tests/Process/OperationsTest.cpp
@@ -96,7 +96,7 @@
 
 using World = MeshWorldOf<ProcessNode>;
 
-/// Waits until each node serves, and until the log has what they did before.
+/// Waits until each node serves, and forgets the answers to its attempts.
 void WaitServing(World& aWorld) {
   for (size_t node = 0; node < aWorld.Size(); ++node) {
     REQUIRE(RunUntil(
--- a/tests/Process/ProcessNode.h
+++ b/tests/Process/ProcessNode.h
@@ -38,7 +38,6 @@
     }
     return configured && others + 1 >= aTargets;
   }
-  ChildProcess& Process() { return this->process; }
 
  private:
   static bool Has(const std::string& aLine, std::string_view aText) {
