Check the line ends of heads and chunks

Cause: http_parser, as distributions build it, skips its strict checks: any byte behind a CR ends a line, any two bytes end a chunk, and text may follow a chunk's size. A target that garbled a line end of its head ("200 O\rK\r\n") got an empty head and a body up to the end of the connection, which counted as whole; a chunk longer than its size was cut to that size. Folded fields and a line of a chunk's size of 80 KiB for each byte of body were taken as well. Change: HttpLineChecker follows the lines of heads, chunks and trailers and refuses what RFC 9112 does not allow; the parser gets one part at a time, and both must agree where it ends.

--- /dev/null
+++ b/src/Http1/HttpLineChecker.cpp
@@ -0,0 +1,142 @@
+#include "Http1/HttpLineChecker.h"
+
+#include <algorithm>
+
+#include "Core/Error.h"
+
+namespace fescueline {
+
+namespace {
+/// Longest line with a chunk's size, bytes. Bounds the work for each byte of
+/// body; signatures of chunks need some 100 bytes.
+constexpr size_t kMaxChunkLine = 1024;
+/// Largest chunk size that can be shifted by another digit.
+constexpr uint64_t kMaxShiftable = UINT64_MAX >> 8;
+
+[[noreturn]] void Fail(std::string_view aWhat) {
+  throw Error("http.parse", "", aWhat);
+}
+
+/// Value of a hexadecimal digit; -1 for any other byte.
+int HexValue(char aByte) {
+  if (aByte >= '0' && aByte <= '9') {
+    return aByte - '0';
+  }
+  const char lower = static_cast<char>(aByte | 0x20);
+  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+}  // namespace
+
+void HttpLineChecker::BeginHead() { *this = HttpLineChecker{}; }
+
+void HttpLineChecker::BeginChunks() {
+  *this = HttpLineChecker{};
+  this->phase = Phase::ChunkSize;
+  this->skipsEmpty = false;
+}
+
+size_t HttpLineChecker::Check(std::string_view aBytes) {
+  size_t at = 0;
+  while (at < aBytes.size() && this->phase != Phase::Ended) {
+    if (this->phase == Phase::ChunkData) {
+      const uint64_t part =
+          std::min<uint64_t>(this->chunkLeft, aBytes.size() - at);
+      this->chunkLeft -= part;
+      at += part;
+      if (this->chunkLeft == 0) {
+        this->phase = Phase::ChunkEnd;
+      }
+      continue;
+    }
+    this->Take(aBytes[at]);
+    ++at;
+  }
+  return at;
+}
+
+void HttpLineChecker::Take(char aByte) {
+  const bool lineEnds = this->EndsLine(aByte);
+  if (this->afterCr) {
+    return;
+  }
+  switch (this->phase) {
+    case Phase::Lines:
+      lineEnds ? this->EndLine() : this->TakeLineByte(aByte);
+      break;
+    case Phase::ChunkSize:
+    case Phase::ChunkPadding:
+    case Phase::ChunkExtension:
+      lineEnds ? this->EndSizeLine() : this->TakeSizeByte(aByte);
+      break;
+    case Phase::ChunkEnd:
+      if (!lineEnds) {
+        Fail("chunk longer than its size");
+      }
+      this->phase = Phase::ChunkSize;
+      break;
+    case Phase::ChunkData:
+    case Phase::Ended:
+      break;
+  }
+}
+
+bool HttpLineChecker::EndsLine(char aByte) {
+  if (this->afterCr) {
+    if (aByte != '\n') {
+      Fail("CR without LF");
+    }
+    this->afterCr = false;
+    return true;
+  }
+  this->afterCr = aByte == '\r';
+  return aByte == '\n';
+}
+
+void HttpLineChecker::TakeLineByte(char aByte) {
+  const bool folded = this->lineBytes == 0 && (aByte == ' ' || aByte == '\t');
+  if (folded) {
+    Fail("line begins with white space");
+  }
+  ++this->lineBytes;
+  this->skipsEmpty = false;
+}
+
+void HttpLineChecker::EndLine() {
+  if (this->lineBytes == 0 && !this->skipsEmpty) {
+    this->phase = Phase::Ended;
+  }
+  this->lineBytes = 0;
+}
+
+void HttpLineChecker::TakeSizeByte(char aByte) {
+  ++this->lineBytes;
+  if (this->lineBytes > kMaxChunkLine) {
+    Fail("line of a chunk's size too long");
+  }
+  if (this->phase == Phase::ChunkExtension) {
+    return;
+  }
+  const int digit = HexValue(aByte);
+  if (digit >= 0 && this->phase == Phase::ChunkSize) {
+    if (this->chunkLeft > kMaxShiftable) {
+      Fail("chunk size out of range");
+    }
+    this->chunkLeft = this->chunkLeft * 16 + static_cast<uint64_t>(digit);
+    return;
+  }
+  const bool pads = aByte == ' ' || aByte == '\t';
+  if (this->lineBytes == 1 || (!pads && aByte != ';')) {
+    Fail("invalid chunk size");
+  }
+  this->phase = pads ? Phase::ChunkPadding : Phase::ChunkExtension;
+}
+
+void HttpLineChecker::EndSizeLine() {
+  if (this->lineBytes == 0) {
+    Fail("chunk without a size");
+  }
+  this->lineBytes = 0;
+  this->phase = this->chunkLeft == 0 ? Phase::Lines : Phase::ChunkData;
+}
+
+}  // namespace fescueline
--- a/src/Http1/HttpReader.cpp
+++ b/src/Http1/HttpReader.cpp
@@ -92,6 +92,7 @@
 
 int HttpReader::OnHeadersComplete() {
   this->hasHead = true;
+  this->headDone = true;
   if (this->settings.kind == HttpReaderKind::Request) {
     this->head.method =
         http_method_str(static_cast<http_method>(this->parser.method));
@@ -99,8 +100,11 @@
     this->head.status = static_cast<int>(this->parser.status_code);
   }
   constexpr uint64_t kNoLength = UINT64_MAX;
-  const bool chunked = (this->parser.flags & F_CHUNKED) != 0;
-  if (!chunked && this->parser.content_length != kNoLength) {
+  this->chunked = (this->parser.flags & F_CHUNKED) != 0;
+  if (this->chunked) {
+    this->lines.BeginChunks();
+  }
+  if (!this->chunked && this->parser.content_length != kNoLength) {
     this->head.length = this->parser.content_length;
   }
   this->head.keepAlive = http_should_keep_alive(&this->parser) != 0;
@@ -115,32 +119,47 @@
 }
 
 int HttpReader::OnMessageComplete() {
+  this->messageDone = true;
   this->inMessage = false;
   this->hasHead = false;
-  if (this->skipped) {
-    return kContinueParsing;
-  }
-  this->ended = true;
+  this->ended = !this->skipped;
+  this->lines.BeginHead();
   http_parser_pause(&this->parser, 1);
   return kContinueParsing;
 }
 
 size_t HttpReader::Feed(std::string_view aBytes) {
   this->ended = false;
-  const size_t used = http_parser_execute(&this->parser, &Callbacks(),
-                                          aBytes.data(), aBytes.size());
+  size_t used = 0;
+  while (used < aBytes.size() && !this->ended) {
+    used += this->FeedPart(aBytes.substr(used));
+  }
   if (this->ended) {
-    http_parser_pause(&this->parser, 0);
     // Reported only here, since the receiver may feed the next message.
     this->settings.events.onEnd();
-    return used;
+  }
+  return used;
+}
+
+size_t HttpReader::FeedPart(std::string_view aBytes) {
+  const bool inHead = !this->hasHead;
+  const bool hasLines = inHead || this->chunked;
+  const size_t size = hasLines ? this->lines.Check(aBytes) : aBytes.size();
+  const bool linesEnded = hasLines && this->lines.HasEnded();
+  this->headDone = false;
+  this->messageDone = false;
+  const size_t used =
+      http_parser_execute(&this->parser, &Callbacks(), aBytes.data(), size);
+  if (this->messageDone) {
+    http_parser_pause(&this->parser, 0);
   }
   const auto error = HTTP_PARSER_ERRNO(&this->parser);
   if (error != HPE_OK) {
     throw Error("http.parse", "", http_errno_description(error));
   }
-  if (used < aBytes.size()) {
-    throw Error("http.parse", "", "protocol upgrade");
+  const bool partEnded = inHead ? this->headDone : this->messageDone;
+  if (hasLines && partEnded != linesEnded) {
+    throw Error("http.parse", "", "ends elsewhere than its lines");
   }
   return used;
 }
--- a/src/Http1/HttpReader.h
+++ b/src/Http1/HttpReader.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "Http1/HttpLineChecker.h"
 #include "Transport/HttpMessage.h"
 
 namespace fescueline {
@@ -78,6 +79,8 @@
   static const http_parser_settings& Callbacks();
   int OnHeadersComplete();
   int OnMessageComplete();
+  /// Parses up to the end of a head, a chunked body or the message.
+  size_t FeedPart(std::string_view aBytes);
   void AppendField(std::string_view aBytes);
   void AppendValue(std::string_view aBytes);
   /// Tells the parser to stop once the head is too large.
@@ -87,15 +90,21 @@
   http_parser parser{};
   /// Head being collected.
   HttpHead head;
+  HttpLineChecker lines;
   /// Bytes of the head so far.
   size_t headBytes = 0;
   bool lastWasValue = false;
   bool inMessage = false;
   bool hasHead = false;
+  /// Whether the current message has a chunked body.
+  bool chunked = false;
   bool noBody = false;
   /// Whether the current response is not reported.
   bool skipped = false;
-  /// Whether the last Feed reached the end of a message.
+  /// Whether the bytes that were parsed last completed a head or a message.
+  bool headDone = false;
+  bool messageDone = false;
+  /// Whether the last Feed reached the end of a message that is reported.
   bool ended = false;
 };
 
--- a/tests/Http1/HttpReaderTest.cpp
+++ b/tests/Http1/HttpReaderTest.cpp
@@ -142,3 +142,90 @@
   REQUIRE(recorder.messages.size() == 1);
   CHECK(recorder.messages.front().ended);
 }
+
+namespace {
+struct DamagedCase {
+  std::string what;
+  HttpReaderKind kind;
+  std::string bytes;
+};
+
+const std::string kChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// What http_parser takes for whole messages although a line or chunk is
+/// damaged.
+const std::vector<DamagedCase> kDamaged = {
+    {"a byte behind CR in the status line", HttpReaderKind::Response,
+     "HTTP/1.1 200 O\rK\r\nContent-Length: 2\r\n\r\nab"},
+    {"a byte behind CR at the end of the head", HttpReaderKind::Response,
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\rXab"},
+    {"a byte behind CR in a field", HttpReaderKind::Request,
+     "GET / HTTP/1.1\r\nHost: h\rX\r\n\r\n"},
+    {"a field that goes on in the next line", HttpReaderKind::Request,
+     "GET / HTTP/1.1\r\nHost: h\r\n g\r\n\r\n"},
+    {"a first field behind white space", HttpReaderKind::Response,
+     "HTTP/1.1 200 OK\r\n A: b\r\nContent-Length: 2\r\n\r\nab"},
+    {"a chunk longer than its size", HttpReaderKind::Response,
+     kChunkedHead + "2\r\nabXX0\r\n\r\n"},
+    {"a byte behind CR of a chunk size", HttpReaderKind::Response,
+     kChunkedHead + "2\rXab\r\n0\r\n\r\n"},
+    {"other bytes behind a chunk size", HttpReaderKind::Response,
+     kChunkedHead + "2 zz\r\nab\r\n0\r\n\r\n"},
+    {"a byte behind CR of the last chunk", HttpReaderKind::Response,
+     kChunkedHead + "2\r\nab\r\n0\r\n\rX"},
+    {"a chunk without a size", HttpReaderKind::Request,
+     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+     ";a\r\n\r\n"},
+    {"an endless line of a chunk's size", HttpReaderKind::Response,
+     kChunkedHead + "2;" + std::string(2000, 'x') + "\r\nab\r\n0\r\n\r\n"}};
+
+/// Feeds bytes in steps; whether they were refused.
+bool IsRefused(Recorder& aRecorder, const std::string& aBytes, size_t aStep) {
+  try {
+    for (size_t at = 0; at < aBytes.size();) {
+      at += aRecorder.reader.Feed(aBytes.substr(at, aStep));
+    }
+  } catch (const Error&) {
+    return true;
+  }
+  return false;
+}
+}  // namespace
+
+// Pattern: a target writes other bytes into a line end of a head or of a chunk.
+// Guards against a damaged message that reads as a whole one.
+TEST_CASE("damaged lines and chunks are refused") {
+  for (const DamagedCase& row : kDamaged) {
+    CAPTURE(row.what);
+    for (const size_t step : {row.bytes.size(), size_t{1}, size_t{7}}) {
+      Recorder recorder(row.kind);
+      CHECK(IsRefused(recorder, row.bytes, step));
+      for (const Parsed& message : recorder.messages) {
+        CHECK_FALSE(message.ended);
+      }
+    }
+  }
+}
+
+// Guards against refusal of unusual but proper chunks, trailers and lines.
+TEST_CASE("proper chunks and trailers are read") {
+  for (const std::string& body : std::vector<std::string>{
+           "2\r\nab\r\n0\r\n\r\n", "0002\r\nab\r\n000\r\n\r\n",
+           "2;a=b\r\nab\r\n0;c\r\n\r\n", "2 ;a\r\nab\r\n0\r\n\r\n",
+           "1\r\na\r\n1\r\nb\r\n0\r\nA: b\r\nC: d\r\n\r\n"}) {
+    CAPTURE(body);
+    const std::string bytes = kChunkedHead + body;
+    for (const size_t step : {bytes.size(), size_t{1}, size_t{7}}) {
+      Recorder recorder(HttpReaderKind::Response);
+      CHECK_FALSE(IsRefused(recorder, bytes, step));
+      REQUIRE(recorder.messages.size() == 1);
+      CHECK(recorder.messages.front().ended);
+      CHECK(recorder.messages.front().body == "ab");
+    }
+  }
+  Recorder recorder(HttpReaderKind::Request);
+  CHECK_FALSE(IsRefused(recorder, "\r\nGET / HTTP/1.1\nHost: h\n\n", 1));
+  REQUIRE(recorder.messages.size() == 1);
+  CHECK(recorder.messages.front().ended);
+}
