Bound the number of header fields

Cause: a head is bounded by the bytes of its names and values, 16 KiB for callers and 64 KiB for targets, which allows thousands of tiny fields. A list in a frame between nodes may have 1,024 elements; the receiver of a longer one closes the connection, and with it all requests between the two nodes. One caller or one faulty target could do that at will. Change: heads and trailers have 500 fields at most. Measured: "heads and trailers with very many fields are refused" before: a request, a response and trailers with 1,100 fields were taken (5 checks). After: passes.

--- a/src/Http1/HttpReader.cpp
+++ b/src/Http1/HttpReader.cpp
@@ -28,6 +28,7 @@
       HttpReader& reader = Of(aParser);
       reader.head = HttpHead{};
       reader.headBytes = 0;
+      reader.fields = 0;
       reader.lastWasValue = false;
       reader.inMessage = true;
       reader.hasHead = false;
@@ -75,15 +76,20 @@
 void HttpReader::AppendField(std::string_view aBytes) {
   if (this->head.headers.empty() || this->lastWasValue) {
     this->head.headers.emplace_back();
+    ++this->fields;
     this->lastWasValue = false;
   }
   this->head.headers.back().name.append(aBytes);
   this->headBytes += aBytes.size();
 }
 
-int HttpReader::CheckHeadSize() const {
-  return this->headBytes > this->settings.maxHeadBytes ? kStopParsing
-                                                       : kContinueParsing;
+int HttpReader::CheckHeadSize() {
+  if (this->headBytes > this->settings.maxHeadBytes) {
+    this->fault = "head too large";
+  } else if (this->fields > this->settings.maxFields) {
+    this->fault = "too many fields";
+  }
+  return this->fault.empty() ? kContinueParsing : kStopParsing;
 }
 
 void HttpReader::AppendValue(std::string_view aBytes) {
--- a/src/Http1/HttpReader.h
+++ b/src/Http1/HttpReader.h
@@ -53,6 +53,9 @@
     HttpReaderKind kind = HttpReaderKind::Request;
     /// Longest start line and headers, bytes.
     size_t maxHeadBytes = size_t{16} * 1024;
+    /// Most header fields and trailers. A frame between nodes takes 1,024
+    /// elements in a list, and its receiver closes the connection over more.
+    size_t maxFields = 500;
     Events events;
   };
 
@@ -85,8 +88,8 @@
   void AppendValue(std::string_view aBytes);
   /// Refuses a head that http_parser takes; empty if there is no reason to.
   std::string_view FaultOfHead();
-  /// Tells the parser to stop once the head is too large.
-  int CheckHeadSize() const;
+  /// Tells the parser to stop once the head or the trailers are too large.
+  int CheckHeadSize();
 
   Settings settings;
   http_parser parser{};
@@ -97,6 +100,8 @@
   std::string_view fault;
   /// Bytes of the head so far.
   size_t headBytes = 0;
+  /// Fields of the head and the trailers so far.
+  size_t fields = 0;
   bool lastWasValue = false;
   bool inMessage = false;
   bool hasHead = false;
--- a/tests/Http1/HttpReaderTest.cpp
+++ b/tests/Http1/HttpReaderTest.cpp
@@ -290,3 +290,29 @@
   Recorder inner(HttpReaderKind::Response);
   CHECK(IsRefused(inner, "HTTP/1.1 200 OK\r\nA B: c\r\n\r\n", 4096));
 }
+
+// Pattern: a caller or target sends thousands of tiny fields within the bytes
+// of a head. Guards against a head that does not fit a frame between nodes,
+// whose receiver would close the connection with all requests on it.
+TEST_CASE("heads and trailers with very many fields are refused") {
+  for (const size_t count : {size_t{400}, size_t{1100}}) {
+    CAPTURE(count);
+    std::string fields;
+    for (size_t i = 0; i < count; ++i) {
+      fields += "a:b\r\n";
+    }
+    const bool tooMany = count > 1000;
+    Recorder request(HttpReaderKind::Request, 16 * 1024);
+    CHECK(IsRefused(request, "GET / HTTP/1.1\r\n" + fields + "\r\n", 4096) ==
+          tooMany);
+    CHECK(request.messages.empty() == tooMany);
+    Recorder response(HttpReaderKind::Response, 16 * 1024);
+    CHECK(IsRefused(response, "HTTP/1.1 200 OK\r\n" + fields + "\r\n", 4096) ==
+          tooMany);
+    CHECK(response.messages.empty() == tooMany);
+    Recorder trailers(HttpReaderKind::Response, 16 * 1024);
+    CHECK(IsRefused(trailers,
+                    kChunkedHead + "1\r\na\r\n0\r\n" + fields + "\r\n",
+                    4096) == tooMany);
+  }
+}
