Refuse unknown versions, statuses and transfer codings

Cause: http_parser takes any version and a status of one digit, which counted as interim; a 101 that nobody asked for; a transfer coding other than chunked, whose field is not passed on, so that the caller got coded bytes as the body; and the body of a CONNECT request, which it reads as the next request. Change: such heads are refused. White space behind a value is dropped, as it is no part of it. Measured: "heads with an unknown version, status or coding are refused" before: all 10 rows failed. After: passes.

--- a/src/Http1/HttpReader.cpp
+++ b/src/Http1/HttpReader.cpp
@@ -9,8 +9,12 @@
 constexpr int kContinueParsing = 0;
 constexpr int kNoBodyFollows = 1;
 constexpr int kStopParsing = -1;
+constexpr int kFirstStatus = 100;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 constexpr std::string_view kBlank = " \t";
+constexpr std::string_view kTransferEncoding = "transfer-encoding";
+constexpr std::string_view kChunked = "chunked";
 }  // namespace
 
 HttpReader::HttpReader(Settings aSettings) : settings(std::move(aSettings)) {
@@ -99,7 +103,33 @@
 }
 
 std::string_view HttpReader::FaultOfHead() {
+  if (this->parser.http_major != 1) {
+    return "unknown version";
+  }
+  if (this->settings.kind == HttpReaderKind::Response) {
+    const auto status = static_cast<int>(this->parser.status_code);
+    if (status < kFirstStatus || status == kSwitchingProtocols) {
+      return "unexpected status";
+    }
+    return this->FaultOfFields();
+  }
+  const bool hasBody = (this->parser.flags & F_CHUNKED) != 0 ||
+                       (this->parser.flags & F_CONTENTLENGTH) != 0;
+  if (this->parser.method == HTTP_CONNECT && hasBody) {
+    // The parser would take the body for the next request.
+    return "body of a CONNECT request";
+  }
+  if (this->parser.http_minor == 0 &&
+      FindHeader(this->head.headers, kTransferEncoding)) {
+    return "transfer coding in HTTP/1.0";
+  }
+  return this->FaultOfFields();
+}
+
+std::string_view HttpReader::FaultOfFields() {
+  size_t codings = 0;
   for (HttpHeader& field : this->head.headers) {
+    field.value.erase(field.value.find_last_not_of(kBlank) + 1);
     if (this->settings.kind == HttpReaderKind::Response) {
       // RFC 9112, section 5.1: dropped from responses, refused in requests.
       field.name.erase(field.name.find_last_not_of(kBlank) + 1);
@@ -107,6 +137,13 @@
     if (field.name.find_first_of(kBlank) != std::string::npos) {
       return "white space in a field name";
     }
+    if (EqualHeaderName(field.name, kTransferEncoding)) {
+      ++codings;
+      // Others would have to be undone, since the field is not passed on.
+      if (codings > 1 || !EqualHeaderName(field.value, kChunked)) {
+        return "unknown transfer coding";
+      }
+    }
   }
   return {};
 }
--- a/src/Http1/HttpReader.h
+++ b/src/Http1/HttpReader.h
@@ -88,6 +88,8 @@
   void AppendValue(std::string_view aBytes);
   /// Refuses a head that http_parser takes; empty if there is no reason to.
   std::string_view FaultOfHead();
+  /// Drops white space around names and values; why they are refused.
+  std::string_view FaultOfFields();
   /// Tells the parser to stop once the head or the trailers are too large.
   int CheckHeadSize();
 
--- a/tests/Http1/HttpReaderTest.cpp
+++ b/tests/Http1/HttpReaderTest.cpp
@@ -316,3 +316,45 @@
                     4096) == tooMany);
   }
 }
+
+// Guards against heads whose version, status or transfer coding says that the
+// bytes mean something else than the reader takes them for.
+TEST_CASE("heads with an unknown version, status or coding are refused") {
+  for (const DamagedCase& row : std::vector<DamagedCase>{
+           {"a request without a version", HttpReaderKind::Request,
+            "GET /\r\n\r\n"},
+           {"another version", HttpReaderKind::Request,
+            "GET / HTTP/2.0\r\nHost: h\r\n\r\n"},
+           {"a response of another version", HttpReaderKind::Response,
+            "HTTP/9.9 200 OK\r\n\r\n"},
+           {"a status of one digit", HttpReaderKind::Response,
+            "HTTP/1.1 7 OK\r\n\r\n"},
+           {"a switch to another protocol", HttpReaderKind::Response,
+            "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"},
+           {"a coding that is not undone", HttpReaderKind::Response,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+            "0\r\n\r\n"},
+           {"a coding up to the end of the connection",
+            HttpReaderKind::Response,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nab"},
+           {"a coding of a request", HttpReaderKind::Request,
+            "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+            "0\r\n\r\n"},
+           {"chunks in a version without them", HttpReaderKind::Request,
+            "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "0\r\n\r\n"},
+           {"a tunnel with a body, which the parser does not expect",
+            HttpReaderKind::Request,
+            "CONNECT h:1 HTTP/1.1\r\nContent-Length: 26\r\n\r\n"
+            "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"}}) {
+    CAPTURE(row.what);
+    Recorder recorder(row.kind);
+    CHECK(IsRefused(recorder, row.bytes, 4096));
+    CHECK(recorder.messages.empty());
+  }
+  Recorder recorder(HttpReaderKind::Response);
+  CHECK_FALSE(IsRefused(recorder,
+                        "HTTP/1.0 200 OK\r\nTransfer-Encoding: CHUNKED \r\n"
+                        "\r\n0\r\n\r\n",
+                        4096));
+}
