Bound the responses before the expected one

Cause: interim responses, and responses of other requests, are skipped until the expected one comes. Nothing bounded their number or their bytes: a target that sends them without end is read at full speed until the deadline of each request. Change: 100 interim responses before a final one, and 16 responses of other requests with 16 MiB of body before an accepted one; more is an error of the connection, so that the request ends as unknown. Measured: "responses before the expected one are bounded" before: 200 interim responses and 40 of other requests (40 MB) were read; 3 checks failed. After: passes.

--- a/src/Http1/HttpReader.cpp
+++ b/src/Http1/HttpReader.cpp
@@ -63,11 +63,7 @@
     };
     callbacks.on_body = [](http_parser* aParser, const char* aData,
                            size_t aSize) {
-      HttpReader& reader = Of(aParser);
-      if (!reader.skipped) {
-        reader.settings.events.onBody({aData, aSize});
-      }
-      return kContinueParsing;
+      return Of(aParser).OnBody({aData, aSize});
     };
     callbacks.on_message_complete = [](http_parser* aParser) {
       return Of(aParser).OnMessageComplete();
@@ -174,14 +170,39 @@
       this->head.status < kFirstFinalStatus) {
     // An interim response; the final one follows.
     this->skipped = true;
+    if (++this->interimCount > this->settings.maxInterim) {
+      this->fault = "too many interim responses";
+      return kStopParsing;
+    }
     return kNoBodyFollows;
   }
   const bool bodiless = this->settings.kind == HttpReaderKind::Response &&
                         (this->noBody || IsBodiless(this->head.status));
   this->skipped = !this->settings.events.onHead(std::move(this->head));
+  this->interimCount = 0;
+  if (!this->skipped) {
+    this->skippedCount = 0;
+    this->skippedBytes = 0;
+  } else if (++this->skippedCount > this->settings.maxSkipped) {
+    this->fault = "too many responses of other requests";
+    return kStopParsing;
+  }
   return bodiless ? kNoBodyFollows : kContinueParsing;
 }
 
+int HttpReader::OnBody(std::string_view aBytes) {
+  if (!this->skipped) {
+    this->settings.events.onBody(aBytes);
+    return kContinueParsing;
+  }
+  this->skippedBytes += aBytes.size();
+  if (this->skippedBytes > this->settings.maxSkippedBytes) {
+    this->fault = "response of another request without end";
+    return kStopParsing;
+  }
+  return kContinueParsing;
+}
+
 int HttpReader::OnMessageComplete() {
   this->messageDone = true;
   this->inMessage = false;
--- a/src/Http1/HttpReader.h
+++ b/src/Http1/HttpReader.h
@@ -56,6 +56,16 @@
     /// Most header fields and trailers. A frame between nodes takes 1,024
     /// elements in a list, and its receiver closes the connection over more.
     size_t maxFields = 500;
+    /// Most interim responses before a final one. A server that reports its
+    /// progress every few seconds sends fewer within any deadline.
+    size_t maxInterim = 100;
+    /// Most responses that are skipped before one is accepted. A connection
+    /// carries one request at a time, so that only a few can come late.
+    size_t maxSkipped = 16;
+    /// Most body bytes of skipped responses, which are read to get past them:
+    /// one long response costs less than a new connection and request, and a
+    /// body without end must not take the processor from other requests.
+    uint64_t maxSkippedBytes = uint64_t{16} << 20;
     Events events;
   };
 
@@ -90,6 +100,7 @@
   std::string_view FaultOfHead();
   /// Drops white space around names and values; why they are refused.
   std::string_view FaultOfFields();
+  int OnBody(std::string_view aBytes);
   /// Tells the parser to stop once the head or the trailers are too large.
   int CheckHeadSize();
 
@@ -112,6 +123,10 @@
   bool noBody = false;
   /// Whether the current response is not reported.
   bool skipped = false;
+  /// What was skipped since the last response that was accepted.
+  size_t interimCount = 0;
+  size_t skippedCount = 0;
+  uint64_t skippedBytes = 0;
   /// Whether the bytes that were parsed last completed a head or a message.
   bool headDone = false;
   bool messageDone = false;
--- a/tests/Http1/HttpReaderTest.cpp
+++ b/tests/Http1/HttpReaderTest.cpp
@@ -358,3 +358,57 @@
                         "\r\n0\r\n\r\n",
                         4096));
 }
+
+// Pattern: a target sends interim responses, or responses of other requests,
+// without end. Guards against work for a response that never comes.
+TEST_CASE("responses before the expected one are bounded") {
+  const std::string interim = "HTTP/1.1 102 X\r\n\r\n";
+  const std::string other =
+      "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1000000\r\n\r\n" +
+      std::string(1'000'000, 'x');
+  struct Case {
+    std::string what;
+    std::string bytes;
+    size_t taken;
+    size_t refused;
+  };
+  for (const Case& row : std::vector<Case>{
+           {"interim responses", interim, 20, 200},
+           {"responses of other requests", other, 4, 40},
+           {"empty ones of other requests",
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 4, 40}}) {
+    CAPTURE(row.what);
+    bool accepts = false;
+    bool accepted = false;
+    const auto feed = [&](HttpReader& aReader, size_t aCount) {
+      for (size_t i = 0; i < aCount; ++i) {
+        CHECK(aReader.Feed(row.bytes) == row.bytes.size());
+      }
+    };
+    HttpReader reader({.kind = HttpReaderKind::Response,
+                       .events = {.onHead =
+                                      [&](const HttpHead&) {
+                                        accepted = accepts;
+                                        return accepts;
+                                      },
+                                  .onBody = [](std::string_view) {},
+                                  .onEnd = [] {}}});
+    // An accepted response ends the count.
+    for (int round = 0; round < 3; ++round) {
+      feed(reader, row.taken);
+      accepts = true;
+      reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      CHECK(accepted);
+      accepts = false;
+    }
+    size_t fed = 0;
+    try {
+      for (; fed < row.refused; ++fed) {
+        reader.Feed(row.bytes);
+      }
+    } catch (const Error&) {
+    }
+    CHECK(fed >= row.taken);
+    CHECK(fed < row.refused);
+  }
+}
