End the connection over a response that does not fit its head

Cause: a streamed response was written as it came. A part of no bytes was written as the last chunk, so that the rest of the body was read as the next response; more or fewer bytes than the length shifted the next response; a response behind the end of another one, or behind its own end, was written too. To a caller of HTTP/1.0, which has no chunks, a body without a length went out in chunks. 204 and 304 were written with a body, and a stream that its owner dropped left the caller waiting. Change: the connection keeps the state of its response and the bytes that are due, ends over what does not fit, and drops a body where there is none. To HTTP/1.0, the body ends with the connection; until it is whole, every close is a reset, also that of the kernel when the process ends. Measured: before, 6 tests failed: "a caller without chunks gets the body as it is, or a reset", "a response that does not fit its head ends the connection" (4 of 4 rows), "an empty part does not end a response", "a response that is dropped half way breaks off", "nothing follows the end of a response", "responses without a body are written without one" (5 of 6 rows). After: all pass.

--- a/src/Http1/HttpReader.cpp
+++ b/src/Http1/HttpReader.cpp
@@ -166,6 +166,7 @@
     this->head.length = this->parser.content_length;
   }
   this->head.keepAlive = http_should_keep_alive(&this->parser) != 0;
+  this->head.readsChunks = this->parser.http_minor > 0;
   if (this->settings.kind == HttpReaderKind::Response &&
       this->head.status < kFirstFinalStatus) {
     // An interim response; the final one follows.
--- a/src/Http1/HttpReader.h
+++ b/src/Http1/HttpReader.h
@@ -28,6 +28,8 @@
   std::optional<uint64_t> length;
   /// Whether the connection can carry another message afterwards.
   bool keepAlive = false;
+  /// Whether the sender reads chunked bodies, which HTTP/1.0 does not have.
+  bool readsChunks = false;
 };
 
 /// Which side's messages a reader parses.
--- a/src/Http1/LoopHttpConnection.cpp
+++ b/src/Http1/LoopHttpConnection.cpp
@@ -1,7 +1,7 @@
 #include "Http1/LoopHttpConnection.h"
 
 #include "Core/Error.h"
-#include "Http1/HttpWriter.h"
+#include "Log/Log.h"
 #include "Transport/SocketRead.h"
 
 namespace fescueline {
@@ -32,6 +32,9 @@
   ~LoopHttpExchange() override {
     if (!this->answered) {
       this->connection->Respond(this->number, {.status = kNoAnswer}, {});
+    } else {
+      // Does nothing if the response has ended.
+      this->connection->EndStream(this->number, false, {});
     }
   }
 
@@ -156,6 +159,7 @@
                               .headers = std::move(aHead.headers),
                               .body = {}};
   this->requestKeepAlive = aHead.keepAlive;
+  this->readsChunks = aHead.readsChunks;
   this->headRequest = this->request.method == "HEAD";
   if (FindHeader(this->request.headers, "expect")) {
     RemoveHeader(this->request.headers, "expect");
@@ -178,6 +182,11 @@
     return;
   }
   this->busy = true;
+  this->responseState = ResponseState::None;
+  this->chunked = false;
+  this->bodiless = false;
+  this->untilClose = false;
+  this->bodyLeft.reset();
   this->closeAfter = !this->requestKeepAlive;
   ++this->exchange;
   this->server.settings.onRequest(std::make_shared<LoopHttpExchange>(
@@ -211,14 +220,23 @@
     }
     return;
   }
+  if (this->responseState != ResponseState::None) {
+    this->BreakOff("second response");
+    if (aOnSent) {
+      aOnSent();
+    }
+    return;
+  }
+  this->responseState = ResponseState::Ended;
   this->closeAfter = this->closeAfter || this->server.IsClosing();
   HttpFraming framing{.close = this->closeAfter};
-  if (!IsBodiless(aResponse.status)) {
+  const bool hasBody = !IsBodiless(aResponse.status);
+  if (hasBody) {
     framing.length = aResponse.body.size();
   }
   std::string bytes =
       WriteResponseHead(aResponse.status, aResponse.headers, framing);
-  if (!this->headRequest) {
+  if (hasBody && !this->headRequest) {
     bytes += aResponse.body;
   }
   this->abort = nullptr;
@@ -230,29 +248,63 @@
   });
 }
 
+HttpFraming LoopHttpConnection::StreamFraming(int aStatus,
+                                              std::optional<uint64_t> aLength) {
+  this->bodiless = this->headRequest || IsBodiless(aStatus);
+  if (IsBodiless(aStatus)) {
+    return {.close = this->closeAfter};
+  }
+  if (aLength) {
+    this->bodyLeft = this->bodiless ? 0 : *aLength;
+    return {.length = aLength, .close = this->closeAfter};
+  }
+  this->chunked = this->readsChunks;
+  this->untilClose = !this->readsChunks;
+  this->closeAfter = this->closeAfter || this->untilClose;
+  return {.chunked = this->chunked, .close = this->closeAfter};
+}
+
 void LoopHttpConnection::StartStream(uint64_t aExchange, int aStatus,
                                      const HttpHeaders& aHeaders,
                                      std::optional<uint64_t> aLength) {
   if (!this->IsCurrent(aExchange)) {
     return;
   }
+  if (this->responseState != ResponseState::None) {
+    this->BreakOff("second head");
+    return;
+  }
+  this->responseState = ResponseState::Streaming;
   this->closeAfter = this->closeAfter || this->server.IsClosing();
-  this->chunked = !aLength;
-  this->Queue(WriteResponseHead(aStatus, aHeaders,
-                                {.length = aLength,
-                                 .chunked = this->chunked,
-                                 .close = this->closeAfter}),
-              {});
+  const HttpFraming framing = this->StreamFraming(aStatus, aLength);
+  if (this->untilClose) {
+    // An orderly close would be the end of a whole body. Set now, so that the
+    // end of the process resets the connection as well.
+    this->SetResetOnClose(true);
+  }
+  this->Queue(WriteResponseHead(aStatus, aHeaders, framing), {});
 }
 
 void LoopHttpConnection::Write(uint64_t aExchange, const std::string& aData,
                                std::function<void()> aOnWritten) {
-  if (!this->IsCurrent(aExchange)) {
+  const auto taken = [&aOnWritten] {
     if (aOnWritten) {
       aOnWritten();
     }
+  };
+  // An empty chunk would be the last one.
+  if (!this->IsCurrent(aExchange) || this->bodiless || aData.empty()) {
+    taken();
     return;
   }
+  if (this->bodyLeft) {
+    if (aData.size() > *this->bodyLeft) {
+      this->BreakOff("more than the length");
+      taken();
+      return;
+    }
+    *this->bodyLeft -= aData.size();
+  }
   this->Queue(this->chunked ? WriteChunk(aData) : aData, std::move(aOnWritten));
 }
 
@@ -265,14 +317,17 @@
     return;
   }
   this->abort = nullptr;
-  if (!aWhole) {
-    this->Close();
+  const bool isShort = this->bodyLeft.value_or(0) > 0;
+  if (!aWhole || isShort) {
+    aWhole ? this->BreakOff("less than the length") : this->Close();
     if (aOnSent) {
       aOnSent();
     }
     return;
   }
-  this->Queue(this->chunked ? WriteChunk({}) : std::string(),
+  this->responseState = ResponseState::Ended;
+  const bool endsByChunk = this->chunked && !this->bodiless;
+  this->Queue(endsByChunk ? WriteChunk({}) : std::string(),
               [this, onSent = std::move(aOnSent)] {
                 this->OnResponseSent();
                 if (onSent) {
@@ -281,6 +336,17 @@
               });
 }
 
+void LoopHttpConnection::BreakOff(std::string_view aWhat) {
+  Log(LogLevel::Error, "response does not fit its head",
+      {{"what", std::string(aWhat)}});
+  this->Close();
+}
+
+void LoopHttpConnection::SetResetOnClose(bool aReset) {
+  asio::error_code ignored;
+  this->socket.set_option(asio::socket_base::linger(aReset, 0), ignored);
+}
+
 void LoopHttpConnection::OnResponseSent() {
   this->busy = false;
   this->lastProgress = SteadyClock().Now();
@@ -298,6 +364,9 @@
   this->lingering = true;
   this->lastProgress = SteadyClock().Now();
   this->inbox.clear();
+  if (this->untilClose) {
+    this->SetResetOnClose(false);
+  }
   asio::error_code ignored;
   this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   this->Read();
--- a/src/Http1/LoopHttpConnection.h
+++ b/src/Http1/LoopHttpConnection.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "Http1/HttpReader.h"
+#include "Http1/HttpWriter.h"
 #include "Http1/LoopHttpServer.h"
 
 namespace fescueline {
@@ -40,13 +41,18 @@
   void OnAbort(uint64_t aExchange, std::function<void()> aAbort);
 
  private:
+  /// How far the response of the current exchange is.
+  enum class ResponseState : uint8_t { None, Streaming, Ended };
+
   struct PendingWrite {
     std::string bytes;
     std::function<void()> onWritten;
   };
 
+  /// Whether the exchange has a response to begin or to go on with.
   bool IsCurrent(uint64_t aExchange) const {
-    return this->busy && aExchange == this->exchange && !this->closed;
+    return this->busy && aExchange == this->exchange && !this->closed &&
+           this->responseState != ResponseState::Ended;
   }
   HttpReader::Events ReaderEvents();
   bool OnHead(HttpHead aHead);
@@ -59,6 +65,12 @@
   void Reject(int aStatus);
   void Queue(std::string aBytes, std::function<void()> aOnWritten);
   void WriteNext();
+  /// How the body of a streamed response is delimited.
+  HttpFraming StreamFraming(int aStatus, std::optional<uint64_t> aLength);
+  /// Closes the connection over a response that does not fit its head.
+  void BreakOff(std::string_view aWhat);
+  /// Whether the kernel resets the connection when it is closed.
+  void SetResetOnClose(bool aReset);
   /// Runs when the response's last byte has left.
   void OnResponseSent();
   /// Closes after the peer has had time to read the response: closing with
@@ -78,8 +90,16 @@
   bool busy = false;
   bool requestKeepAlive = false;
   bool headRequest = false;
+  bool readsChunks = false;
+  ResponseState responseState = ResponseState::None;
   /// Whether the response in progress is chunked.
   bool chunked = false;
+  /// Whether the response in progress has no body.
+  bool bodiless = false;
+  /// Whether the end of the connection is that of the body.
+  bool untilClose = false;
+  /// Bytes of a body with a length that are still to come.
+  std::optional<uint64_t> bodyLeft;
   bool closeAfter = false;
   bool reading = false;
   bool lingering = false;
--- a/tests/Http1/LoopHttpServerTest.cpp
+++ b/tests/Http1/LoopHttpServerTest.cpp
@@ -149,3 +149,164 @@
   CHECK(Contains(caller.received, "Connection: close"));
   CHECK(Contains(caller.received, "last"));
 }
+
+namespace {
+/// Begins a streamed response to a request and waits for its first part.
+void Begin(Listener& aListener, RawPeer& aCaller, const std::string& aRequest,
+           std::optional<uint64_t> aLength) {
+  aCaller.Connect(aListener.server.Port());
+  aCaller.Send(aRequest);
+  REQUIRE(aListener.WaitExchanges(1));
+  aListener.exchanges[0]->StartStream(200, {}, aLength);
+  bool written = false;
+  aListener.exchanges[0]->Write("part", [&written] { written = true; });
+  REQUIRE(RunUntil(aListener.io, [&written] { return written; }));
+}
+}  // namespace
+
+// Pattern: a caller that speaks HTTP/1.0 gets a long response without a length.
+// Guards against chunk sizes in its body, and against a response that breaks
+// off and looks whole, as its end is that of the connection.
+TEST_CASE("a caller without chunks gets the body as it is, or a reset") {
+  for (const bool whole : {true, false}) {
+    CAPTURE(whole);
+    Listener listener;
+    RawPeer caller(listener.io);
+    Begin(listener, caller,
+          "GET /1 HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n",
+          std::nullopt);
+    listener.exchanges[0]->EndStream(whole);
+    REQUIRE(RunUntil(listener.io, [&] { return caller.closed; }));
+    CHECK(caller.reset != whole);
+    CHECK_FALSE(Contains(caller.received, "chunked"));
+    if (whole) {
+      CHECK(caller.received.ends_with("\r\n\r\npart"));
+    }
+  }
+}
+
+struct MisuseCase {
+  std::string what;
+  std::optional<uint64_t> length;
+  std::function<void(HttpExchange&)> use;
+};
+
+// Pattern: what a peer sends for a response does not fit its head. Guards
+// against bytes that the caller takes for another response, and against a part
+// of a body that looks whole.
+TEST_CASE("a response that does not fit its head ends the connection") {
+  for (const MisuseCase& row : std::vector<MisuseCase>{
+           {"an end before its length", 10,
+            [](HttpExchange& aExchange) { aExchange.EndStream(true); }},
+           {"more than its length", 6,
+            [](HttpExchange& aExchange) {
+              aExchange.Write("longer", {});
+              aExchange.EndStream(true);
+            }},
+           {"a second head", 10,
+            [](HttpExchange& aExchange) {
+              aExchange.StartStream(200, {}, 6);
+              aExchange.Write("longer", {});
+              aExchange.EndStream(true);
+            }},
+           {"another response", 10, [](HttpExchange& aExchange) {
+              aExchange.Respond({.status = 503, .body = "not run"});
+            }}}) {
+    CAPTURE(row.what);
+    Listener listener;
+    RawPeer caller(listener.io);
+    Begin(listener, caller, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", row.length);
+    row.use(*listener.exchanges[0]);
+    CHECK(RunUntil(
+        listener.io, [&] { return caller.closed; }, 1000ms));
+    CHECK(caller.received.ends_with("part"));
+  }
+}
+
+// Guards against an empty part that reads as the end of a chunked body.
+TEST_CASE("an empty part does not end a response") {
+  Listener listener;
+  RawPeer caller(listener.io);
+  Begin(listener, caller, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", std::nullopt);
+  bool taken = false;
+  listener.exchanges[0]->Write("", [&taken] { taken = true; });
+  CHECK(RunUntil(listener.io, [&taken] { return taken; }));
+  RunUntil(
+      listener.io, [] { return false; }, 20ms);
+  CHECK_FALSE(Contains(caller.received, "\r\n0\r\n"));
+  listener.exchanges[0]->Write("rest", {});
+  listener.exchanges[0]->EndStream(true);
+  CHECK(RunUntil(listener.io, [&] {
+    return caller.received.ends_with("4\r\nrest\r\n0\r\n\r\n");
+  }));
+}
+
+// Guards against a caller that waits for the rest of a response that nobody
+// writes any more.
+TEST_CASE("a response that is dropped half way breaks off") {
+  Listener listener;
+  RawPeer caller(listener.io);
+  Begin(listener, caller, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", std::nullopt);
+  listener.exchanges.clear();
+  CHECK(RunUntil(
+      listener.io, [&] { return caller.closed; }, 1000ms));
+  CHECK_FALSE(Contains(caller.received, "\r\n0\r\n"));
+}
+
+// Guards against bytes of an ended response that reach the next request of its
+// connection.
+TEST_CASE("nothing follows the end of a response") {
+  Listener listener;
+  RawPeer caller(listener.io);
+  caller.Connect(listener.server.Port());
+  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(listener.WaitExchanges(1));
+  HttpExchange& first = *listener.exchanges[0];
+  first.Respond({.status = 200, .body = "one"});
+  // Not written yet: the exchange is still the present one.
+  first.Write("stray", {});
+  first.Respond({.status = 200, .body = "stray"});
+  first.EndStream(true);
+  REQUIRE(
+      RunUntil(listener.io, [&] { return Contains(caller.received, "one"); }));
+  caller.Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(listener.WaitExchanges(2));
+  first.Write("stray", {});
+  listener.exchanges[1]->Respond({.status = 200, .body = "two"});
+  REQUIRE(
+      RunUntil(listener.io, [&] { return Contains(caller.received, "two"); }));
+  CHECK_FALSE(Contains(caller.received, "stray"));
+}
+
+// Guards against a body where the caller expects the next response: behind a
+// response to HEAD, or a status that never has one.
+TEST_CASE("responses without a body are written without one") {
+  struct Case {
+    std::string method;
+    int status;
+    bool hasLength;
+  };
+  for (const Case& row : std::vector<Case>{
+           {"HEAD", 200, true}, {"GET", 204, false}, {"GET", 304, false}}) {
+    for (const bool streamed : {false, true}) {
+      CAPTURE(row.status);
+      CAPTURE(streamed);
+      Listener listener;
+      RawPeer caller(listener.io);
+      caller.Connect(listener.server.Port());
+      caller.Send(row.method + " /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+      REQUIRE(listener.WaitExchanges(1));
+      if (streamed) {
+        listener.exchanges[0]->StartStream(row.status, {}, 4);
+        listener.exchanges[0]->Write("part", {});
+        listener.exchanges[0]->EndStream(true);
+      } else {
+        listener.exchanges[0]->Respond({.status = row.status, .body = "part"});
+      }
+      caller.Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+      REQUIRE(listener.WaitExchanges(2));
+      CHECK(caller.received.ends_with("\r\n\r\n"));
+      CHECK(Contains(caller.received, "Content-Length: 4") == row.hasLength);
+    }
+  }
+}
--- a/tests/Http1/LoopPeer.h
+++ b/tests/Http1/LoopPeer.h
@@ -57,6 +57,8 @@
   std::string received;
   bool accepted = false;
   bool closed = false;
+  /// Whether the other side's end was a reset.
+  bool reset = false;
 
  private:
   void Read() {
@@ -65,6 +67,7 @@
         [this](const asio::error_code& aError, size_t aSize) {
           if (aError) {
             this->closed = true;
+            this->reset = aError == asio::error::connection_reset;
             return;
           }
           this->received.append(this->buffer.data(), aSize);
