Bound the time of a caller's request by its first byte

Cause: the limit for a head counted from the last byte that arrived, although it is meant to count from the first. A byte now and then, also of empty lines before the request or of its body, held a connection and what it had sent for hours. Change: a head ends within the head timeout from its first byte, a whole request within 60 s; empty lines are no progress.

--- a/src/Http1/LoopHttpConnection.cpp
+++ b/src/Http1/LoopHttpConnection.cpp
@@ -1,5 +1,7 @@
 #include "Http1/LoopHttpConnection.h"
 
+#include <algorithm>
+
 #include "Core/Error.h"
 #include "Log/Log.h"
 #include "Transport/SocketRead.h"
@@ -100,9 +102,15 @@
   if (this->busy) {
     return std::nullopt;
   }
-  return this->lastProgress + (this->reader.InMessage()
-                                   ? this->server.Limits().headTimeout
-                                   : this->server.Limits().idleTimeout);
+  const CallerLimits& limits = this->server.Limits();
+  if (!this->reader.InMessage()) {
+    return this->lastProgress + limits.idleTimeout;
+  }
+  if (!this->reader.HasHead()) {
+    return this->requestSince + limits.headTimeout;
+  }
+  return std::min(this->lastProgress + limits.headTimeout,
+                  this->requestSince + limits.requestTimeout);
 }
 
 void LoopHttpConnection::Read() {
@@ -129,10 +137,10 @@
   }
   if (!this->lingering) {
     this->inbox.append(aBytes);
-    if (!this->busy) {
+    this->Parse();
+    if (!this->busy && this->reader.InMessage()) {
       this->lastProgress = SteadyClock().Now();
     }
-    this->Parse();
   }
   this->Read();
 }
@@ -144,12 +152,16 @@
     // and parse on at once; the bytes must be gone from the inbox by then.
     const std::string bytes = std::move(this->inbox);
     this->inbox.clear();
+    const bool begins = !this->reader.InMessage();
     try {
       const size_t used = this->reader.Feed(bytes);
       this->inbox.insert(0, bytes, used);
     } catch (const Error&) {
       this->Reject(this->reader.HasHead() ? kBadRequest : kHeadTooLarge);
     }
+    if (begins) {
+      this->requestSince = SteadyClock().Now();
+    }
   }
 }
 
--- a/src/Http1/LoopHttpConnection.h
+++ b/src/Http1/LoopHttpConnection.h
@@ -107,8 +107,10 @@
   std::function<void()> abort;
   std::deque<PendingWrite> writes;
   bool writing = false;
-  /// Last time that bytes moved or a request ended.
+  /// Last time that bytes of a message moved or a request ended.
   TimePoint lastProgress;
+  /// When the first byte of the present request arrived.
+  TimePoint requestSince{};
 };
 
 }  // namespace fescueline
--- a/src/Http1/LoopHttpServer.h
+++ b/src/Http1/LoopHttpServer.h
@@ -23,6 +23,9 @@
   /// Time from the first byte of a request to the end of its headers, and
   /// between two parts of its body.
   Duration headTimeout = std::chrono::seconds(3);
+  /// Time from the first byte of a request to its end, however steadily it
+  /// arrives: longer than any caller waits for a response.
+  Duration requestTimeout = std::chrono::seconds(60);
   /// Time that a connection may rest between two requests.
   Duration idleTimeout = std::chrono::seconds(15);
 };
--- a/tests/Http1/LoopHttpServerTest.cpp
+++ b/tests/Http1/LoopHttpServerTest.cpp
@@ -310,3 +310,40 @@
     }
   }
 }
+
+// Pattern: a caller sends a byte now and then. Guards against connections that
+// are held for ever by a head, by empty lines before one, or by a body.
+TEST_CASE("slow bytes do not prolong a request") {
+  for (const std::string& bytes : std::vector<std::string>{
+           "GET /1 HTTP/1.1\r\nHost: h\r\nA: " + std::string(200, 'a'),
+           std::string(200, '\n'),
+           "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n"}) {
+    CAPTURE(bytes.substr(0, 5));
+    Listener listener(
+        {.headTimeout = 300ms, .requestTimeout = 500ms, .idleTimeout = 300ms});
+    RawPeer caller(listener.io);
+    caller.Connect(listener.server.Port());
+    if (bytes.starts_with("POST")) {
+      caller.Send(bytes);
+    }
+    asio::steady_timer timer(listener.io);
+    size_t at = 0;
+    const std::function<void(const asio::error_code&)> drip =
+        [&](const asio::error_code& aError) {
+          if (aError || caller.closed || at == bytes.size()) {
+            return;
+          }
+          try {
+            caller.Send(bytes.substr(at++, 1));
+          } catch (const asio::system_error&) {
+            return;  // closed in between
+          }
+          timer.expires_after(50ms);
+          timer.async_wait(drip);
+        };
+    drip({});
+    CHECK(RunUntil(
+        listener.io, [&] { return caller.closed; }, 2500ms));
+    CHECK(listener.exchanges.empty());
+  }
+}
