Refuse frames of a peer that fit no response

Cause: the entry node took the frames of a response as they came. An end without a head delivered what an earlier attempt had left: the part of a broken response as a whole one, or a status of 0. A second head replaced the first in a held response and, behind an assertion that release builds do not have, went on in the body of a streamed one. Lengths were not compared, parts beyond the credit filled the memory, and a refusal as not run behind a head was passed on as one. A response to HEAD stated the length 0. Ruled out: nodes of this version do not send these; a faulty or older peer could. Change: ResponseRelay starts anew with each attempt and takes one head with a final status, no more body than the length and the credit allow, and an end that fits; anything else ends the attempt as unknown. A refusal behind a head is not "not run". A response to HEAD keeps its length. Measured: before, "frames that fit no response are answered as unknown" failed in 8 of 8 rows, "a second head in a long response ends the connection" aborted the process by the assertion, "an attempt does not end with the response of another" and "a response to HEAD keeps its length" failed.

--- a/src/Mesh/EntryCall.cpp
+++ b/src/Mesh/EntryCall.cpp
@@ -51,7 +51,7 @@
     : service(aService),
       context(aService.dependencies.context),
       exchange(std::move(aExchange)),
-      response(this->exchange),
+      response(this->exchange, this->exchange->Request().method == "HEAD"),
       config(this->context.config.Current()),
       startedAt(SteadyClock().Now()),
       timer(this->context.io) {
@@ -239,6 +239,7 @@
 void EntryCall::Send(MeshFleet::Choice aChoice) {
   const TimePoint now = SteadyClock().Now();
   const uint32_t number = ++this->attemptNumber;
+  this->response.Begin();
   this->tried.push_back(aChoice.target);
   this->attempt = Attempt{.choice = std::move(aChoice),
                           .ticket = this->service.dependencies.fleet.OnStart(
@@ -282,7 +283,7 @@
       std::move(frame),
       {.onHead =
            [guard](const ResponseHeadFrame& aFrame) {
-             guard([&](EntryCall& aCall) { aCall.response.OnHead(aFrame); });
+             guard([&](EntryCall& aCall) { aCall.OnHead(aFrame); });
            },
        .onData =
            [guard](std::string aData) {
@@ -303,12 +304,31 @@
            }});
 }
 
+void EntryCall::OnHead(const ResponseHeadFrame& aFrame) {
+  if (!this->response.OnHead(aFrame)) {
+    this->OnUnfit("head");
+  }
+}
+
 void EntryCall::OnData(std::string aData) {
   const size_t size = aData.size();
-  this->response.OnData(
+  const bool fits = this->response.OnData(
       std::move(aData),
       [client = this->attempt->choice.client, stream = this->attempt->stream,
        size] { client->Credit(stream, size); });
+  if (!fits) {
+    this->OnUnfit("body");
+  }
+}
+
+void EntryCall::OnUnfit(std::string_view aWhat) {
+  Log(LogLevel::Error, "peer sent what fits no response",
+      {{"request", this->requestId},
+       {"peer", this->attempt->choice.node},
+       {"part", std::string(aWhat)},
+       {"status", std::to_string(this->response.Status())}});
+  this->attempt->choice.client->Cancel(this->attempt->stream);
+  this->OnFailed(Outcome::Unknown, Cause::ConnectionLost, {});
 }
 
 void EntryCall::OnEnd(const ResponseEndFrame& aFrame) {
@@ -318,6 +338,10 @@
     this->OnFailed(Outcome::Unknown, Cause::TargetFailed, {});
     return;
   }
+  if (!this->response.IsWhole()) {
+    this->OnUnfit("end");
+    return;
+  }
   if (this->response.IsStreamed()) {
     this->EndAttempt(CallResult::Answered, aFrame.unspentRetries);
     this->response.EndStream(true);
@@ -347,7 +371,7 @@
 
 void EntryCall::DeliverBuffered() {
   this->CountServed();
-  this->exchange->Respond(this->response.Take());
+  this->response.Deliver();
   this->Finish();
 }
 
@@ -367,7 +391,10 @@
 void EntryCall::OnRefusal(const RefusalFrame& aFrame) {
   this->LearnThresholds(aFrame.thresholds);
   this->attempt->unspent = aFrame.unspentRetries;
-  this->OnFailed(static_cast<Outcome>(aFrame.outcome),
+  // A target that has begun to answer has run the request.
+  const bool notRun = static_cast<Outcome>(aFrame.outcome) == Outcome::NotRun &&
+                      !this->response.HasHead();
+  this->OnFailed(notRun ? Outcome::NotRun : Outcome::Unknown,
                  static_cast<Cause>(aFrame.cause),
                  std::chrono::milliseconds(aFrame.retryAfter));
 }
--- a/src/Mesh/EntryCall.h
+++ b/src/Mesh/EntryCall.h
@@ -46,10 +46,13 @@
   void AdmitByRate();
   void TryNext();
   void Send(MeshFleet::Choice aChoice);
+  void OnHead(const ResponseHeadFrame& aFrame);
   void OnData(std::string aData);
   void OnEnd(const ResponseEndFrame& aFrame);
   void OnRefusal(const RefusalFrame& aFrame);
   void OnLost(bool aSent);
+  /// The peer sent what fits no response: gives the attempt up.
+  void OnUnfit(std::string_view aWhat);
   /// An attempt ended without a usable response.
   void OnFailed(Outcome aOutcome, Cause aCause, Duration aRetryAfter);
   /// Whether to run an idempotent request again that the target failed.
--- a/src/Mesh/ResponseRelay.cpp
+++ b/src/Mesh/ResponseRelay.cpp
@@ -1,44 +1,79 @@
 #include "Mesh/ResponseRelay.h"
 
-#include <cassert>
+#include <algorithm>
 #include <utility>
 
+#include "Http1/HttpWriter.h"
+
 namespace fescueline {
 
 namespace {
 /// Responses up to this size are passed on only when they are whole. Longer
 /// ones are streamed, which bounds the memory of a request.
 constexpr size_t kMaxHeldBack = size_t{128} * 1024;
+/// Body bytes that may wait for the caller: what a sender may have under way
+/// without credit, and one read that it had begun.
+constexpr uint64_t kMaxWaiting = kInitialCredit + kMaxDataBytes;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 999;
 }  // namespace
 
-void ResponseRelay::OnHead(const ResponseHeadFrame& aFrame) {
-  assert(!this->streamed);
-  this->status = aFrame.status;
+void ResponseRelay::Begin() {
+  this->status = 0;
   this->headers.clear();
+  this->length.reset();
+  this->received = 0;
+  this->body.clear();
+}
+
+bool ResponseRelay::OnHead(const ResponseHeadFrame& aFrame) {
+  if (this->HasHead() || this->streamed || aFrame.status < kFirstFinalStatus ||
+      aFrame.status > kLastStatus) {
+    return false;
+  }
+  this->status = aFrame.status;
   for (const HeaderWire& header : aFrame.headers) {
     this->headers.push_back({header.name, header.value});
   }
-  this->length.reset();
   if (aFrame.contentLength >= 0) {
     this->length = static_cast<uint64_t>(aFrame.contentLength);
   }
-  this->body.clear();
+  return true;
 }
 
-void ResponseRelay::OnData(std::string aData,
+bool ResponseRelay::OnData(std::string aData,
                            const std::function<void()>& aTaken) {
+  const size_t size = aData.size();
+  if (!this->HasHead() || this->headRequest || IsBodiless(this->status) ||
+      size > kMaxWaiting - std::min(kMaxWaiting, *this->waiting) ||
+      (this->length && size > *this->length - this->received)) {
+    return false;
+  }
+  this->received += size;
   if (!this->streamed) {
     this->body += aData;
     if (this->body.size() <= kMaxHeldBack) {
       aTaken();
-      return;
+      return true;
     }
     this->streamed = true;
     this->exchange->StartStream(this->status, std::move(this->headers),
                                 this->length);
     aData = std::exchange(this->body, {});
   }
-  this->exchange->Write(std::move(aData), aTaken);
+  *this->waiting += size;
+  this->exchange->Write(std::move(aData),
+                        [waiting = this->waiting, size, aTaken] {
+                          *waiting -= size;
+                          aTaken();
+                        });
+  return true;
+}
+
+bool ResponseRelay::IsWhole() const {
+  const bool hasBody = !this->headRequest && !IsBodiless(this->status);
+  return this->HasHead() &&
+         (!hasBody || !this->length || *this->length == this->received);
 }
 
 HttpResponse ResponseRelay::Take() {
@@ -47,4 +82,15 @@
           .body = std::move(this->body)};
 }
 
+void ResponseRelay::Deliver() {
+  if (this->headRequest) {
+    // States the length of the body that the target did not send.
+    this->exchange->StartStream(this->status, std::move(this->headers),
+                                this->length);
+    this->exchange->EndStream(true);
+    return;
+  }
+  this->exchange->Respond(this->Take());
+}
+
 }  // namespace fescueline
--- a/src/Mesh/ResponseRelay.h
+++ b/src/Mesh/ResponseRelay.h
@@ -2,8 +2,10 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "Transport/Frames.h"
 #include "Transport/HttpServer.h"
@@ -12,17 +14,27 @@
 
 /// Passes a target's response on to the caller: a short one only when it is
 /// whole, so that a broken one can be repeated, a longer one as it arrives.
+/// Does not rely on the peer: what does not fit the response's head is refused.
 /// Runs on the loop.
 class ResponseRelay {
  public:
-  explicit ResponseRelay(HttpExchangePtr aExchange)
-      : exchange(std::move(aExchange)) {}
+  /// aHeadRequest: the caller wants no body.
+  ResponseRelay(HttpExchangePtr aExchange, bool aHeadRequest)
+      : exchange(std::move(aExchange)), headRequest(aHeadRequest) {}
 
-  /// A response begins; an earlier one that was held back is dropped.
-  void OnHead(const ResponseHeadFrame& aFrame);
+  /// Another attempt begins: drops what was held back of the one before.
+  void Begin();
+  /// A response begins. False if it has begun before or is no response.
+  [[nodiscard]] bool OnHead(const ResponseHeadFrame& aFrame);
   /// A part of the body. aTaken runs when there is room for as much again.
-  void OnData(std::string aData, const std::function<void()>& aTaken);
+  /// False if the part belongs to no response or is more than there may be.
+  [[nodiscard]] bool OnData(std::string aData,
+                            const std::function<void()>& aTaken);
 
+  /// Whether the response has begun.
+  bool HasHead() const { return this->status != 0; }
+  /// Whether the response has begun and its body fits the head.
+  bool IsWhole() const;
   /// Whether the caller has got a part of the response.
   bool IsStreamed() const { return this->streamed; }
   /// Ends a response that was streamed.
@@ -31,13 +43,22 @@
   int Status() const { return this->status; }
   /// The response that was held back.
   HttpResponse Take();
+  /// Passes the response that was held back on.
+  void Deliver();
 
  private:
   HttpExchangePtr exchange;
+  bool headRequest;
   bool streamed = false;
+  /// 0 before the head.
   int status = 0;
   HttpHeaders headers;
   std::optional<uint64_t> length;
+  /// Body bytes that have arrived.
+  uint64_t received = 0;
+  /// Body bytes that the caller's connection has not taken yet; shared with
+  /// the callbacks that count it down.
+  std::shared_ptr<uint64_t> waiting = std::make_shared<uint64_t>(0);
   std::string body;
 };
 
--- a/tests/Mesh/EntryCallTest.cpp
+++ b/tests/Mesh/EntryCallTest.cpp
@@ -33,19 +33,23 @@
       MeshConfig::Content{.version = 1, .routes = {route}});
 }
 
-/// A node that answers each attempt with a long response, or with a part of it
-/// and the end of the connection.
-struct BreakingNode {
-  BreakingNode(asio::io_context& aIo, const std::string& aName, size_t aPart)
+/// What a node sends for a stream of a request.
+using Script =
+    std::function<void(const PeerServer::SessionPtr&, uint64_t aStream)>;
+
+/// A node that answers each attempt by a script.
+struct ScriptedNode {
+  ScriptedNode(asio::io_context& aIo, const std::string& aName,
+               const Script& aScript)
       : server({.io = aIo,
                 .self = {aName, Id128::Generate(), "secret"},
                 .host = "127.0.0.1",
                 .handlers = {
                     .onRequest =
-                        [this, aPart](const PeerServer::SessionPtr& aSession,
-                                      const RequestFrame& aFrame, Duration) {
+                        [this, aScript](const PeerServer::SessionPtr& aSession,
+                                        const RequestFrame& aFrame, Duration) {
                           ++this->attempts;
-                          Answer(aSession, aFrame.stream, aPart);
+                          aScript(aSession, aFrame.stream);
                         },
                     .onCredit = [](const PeerServer::SessionPtr&,
                                    const CreditFrame&) {},
@@ -61,37 +65,50 @@
     this->server.Start();
   }
 
-  static void Answer(const PeerServer::SessionPtr& aSession, uint64_t aStream,
-                     size_t aPart) {
+  size_t attempts = 0;
+  PeerServer server;
+};
+
+/// Closes a session when what was sent on it has been written.
+void CloseSoon(const PeerServer::SessionPtr& aSession) {
+  const auto timer = std::make_shared<asio::steady_timer>(
+      aSession->GetStrand().get_inner_executor(), 50ms);
+  timer->async_wait([timer, aSession](const asio::error_code&) {
+    aSession->Close("broken on purpose");
+  });
+}
+
+void SendBody(const PeerServer::SessionPtr& aSession, uint64_t aStream,
+              size_t aBytes) {
+  for (size_t sent = 0; sent < aBytes; sent += kMaxDataBytes) {
+    const size_t size = std::min(kMaxDataBytes, aBytes - sent);
+    aSession->Send(
+        ResponseDataFrame{.stream = aStream, .data = std::string(size, 'x')});
+  }
+}
+
+/// A long response, or a part of it and the end of the connection.
+Script LongResponse(size_t aPart) {
+  return [aPart](const PeerServer::SessionPtr& aSession, uint64_t aStream) {
     aSession->Send(ResponseHeadFrame{
         .stream = aStream, .status = 200, .contentLength = kLength});
-    for (size_t sent = 0; sent < aPart; sent += kMaxDataBytes) {
-      const size_t size = std::min(kMaxDataBytes, aPart - sent);
-      aSession->Send(
-          ResponseDataFrame{.stream = aStream, .data = std::string(size, 'x')});
-    }
+    SendBody(aSession, aStream, aPart);
     if (aPart == kLength) {
       aSession->Send(ResponseEndFrame{.stream = aStream, .whole = true});
       return;
     }
-    // After what was sent: the frames above are written first.
-    const auto timer = std::make_shared<asio::steady_timer>(
-        aSession->GetStrand().get_inner_executor(), 50ms);
-    timer->async_wait([timer, aSession](const asio::error_code&) {
-      aSession->Close("broken on purpose");
-    });
-  }
-
-  size_t attempts = 0;
-  PeerServer server;
-};
+    CloseSoon(aSession);
+  };
+}
 
 struct World {
-  explicit World(size_t aPart)
-      : first(this->io, "n1", aPart), second(this->io, "n2", aPart) {
+  explicit World(const Script& aScript,
+                 const std::string& aRequest =
+                     "GET /x HTTP/1.1\r\nHost: h\r\nX-Id: a\r\n\r\n")
+      : first(this->io, "n1", aScript), second(this->io, "n2", aScript) {
     this->config.Apply("any");
     uint64_t version = 0;
-    for (BreakingNode* node : {&this->first, &this->second}) {
+    for (ScriptedNode* node : {&this->first, &this->second}) {
       const std::string name = node == &this->first ? "n1" : "n2";
       const MeshMember member{.node = name,
                               .incarnation = Id128::Generate(),
@@ -107,7 +124,7 @@
                      [this] { return this->fleet.UsableTargets() == 2; }));
     this->callers.Start();
     this->caller.Connect(this->callers.Port());
-    this->caller.Send("GET /x HTTP/1.1\r\nHost: h\r\nX-Id: a\r\n\r\n");
+    this->caller.Send(aRequest);
   }
   ~World() {
     this->fleet.CloseAll();
@@ -152,8 +169,8 @@
                       .metrics = this->metrics,
                       .thresholds = this->thresholds,
                       .running = this->running};
-  BreakingNode first;
-  BreakingNode second;
+  ScriptedNode first;
+  ScriptedNode second;
   MeshFleet fleet{
       {.io = this->io,
        .self = {"n0", Id128::Generate(), "secret"},
@@ -182,7 +199,7 @@
 // response. Guards against another response in its place, whose bytes the
 // caller would take for the rest of the body.
 TEST_CASE("a response that was begun is never replaced") {
-  World world(200'000);
+  World world(LongResponse(200'000));
   REQUIRE(RunUntil(world.io, [&world] { return world.caller.closed; }));
   CHECK(world.Heads() == 1);
   CHECK(world.first.attempts + world.second.attempts == 1);
@@ -194,7 +211,7 @@
 
 // Guards against metrics that leave long responses out.
 TEST_CASE("a long response is counted when it is whole") {
-  World world(kLength);
+  World world(LongResponse(kLength));
   REQUIRE(RunUntil(
       world.io, [&world] { return world.caller.received.size() >= kLength; }));
   CHECK(world.Heads() == 1);
@@ -206,9 +223,136 @@
 // Guards against a short response that is given up although nobody has seen
 // any of it.
 TEST_CASE("a response that was held back is repeated") {
-  World world(1000);
+  World world(LongResponse(1000));
   REQUIRE(RunUntil(world.io, [&world] { return world.Heads() > 0; }));
   CHECK(world.first.attempts == 1);
   CHECK(world.second.attempts == 1);
   CHECK(world.caller.received.starts_with("HTTP/1.1 502"));
 }
+
+namespace {
+struct UnfitCase {
+  std::string what;
+  Script script;
+};
+
+using SessionPtr = PeerServer::SessionPtr;
+
+void SendHead(const SessionPtr& aSession, uint64_t aStream, int64_t aLength,
+              uint16_t aStatus = 200) {
+  aSession->Send(ResponseHeadFrame{
+      .stream = aStream, .status = aStatus, .contentLength = aLength});
+}
+void SendEnd(const SessionPtr& aSession, uint64_t aStream) {
+  aSession->Send(ResponseEndFrame{.stream = aStream, .whole = true});
+}
+
+const std::vector<UnfitCase> kUnfit = {
+    {"an end without a head",
+     [](const SessionPtr& aSession, uint64_t aStream) {
+       SendEnd(aSession, aStream);
+     }},
+    {"a body without a head",
+     [](const SessionPtr& aSession, uint64_t aStream) {
+       SendBody(aSession, aStream, 4);
+       SendEnd(aSession, aStream);
+     }},
+    {"a second head",
+     [](const SessionPtr& aSession, uint64_t aStream) {
+       SendHead(aSession, aStream, -1);
+       SendBody(aSession, aStream, 2);
+       SendHead(aSession, aStream, -1);
+       SendEnd(aSession, aStream);
+     }},
+    {"less than the length",
+     [](const SessionPtr& aSession, uint64_t aStream) {
+       SendHead(aSession, aStream, 5);
+       SendBody(aSession, aStream, 4);
+       SendEnd(aSession, aStream);
+     }},
+    {"more than the length",
+     [](const SessionPtr& aSession, uint64_t aStream) {
+       SendHead(aSession, aStream, 3);
+       SendBody(aSession, aStream, 4);
+       SendEnd(aSession, aStream);
+     }},
+    {"an interim status",
+     [](const SessionPtr& aSession, uint64_t aStream) {
+       SendHead(aSession, aStream, -1, 100);
+       SendEnd(aSession, aStream);
+     }},
+    {"a body of a status without one",
+     [](const SessionPtr& aSession, uint64_t aStream) {
+       SendHead(aSession, aStream, -1, 204);
+       SendBody(aSession, aStream, 4);
+       SendEnd(aSession, aStream);
+     }},
+    {"a refusal behind a head",
+     [](const SessionPtr& aSession, uint64_t aStream) {
+       SendHead(aSession, aStream, -1);
+       aSession->Send(
+           RefusalFrame{.stream = aStream,
+                        .outcome = static_cast<uint8_t>(Outcome::NotRun),
+                        .cause = static_cast<uint8_t>(Cause::TargetShed)});
+     }}};
+}  // namespace
+
+// Pattern: a peer sends frames that fit no response. Guards against a part of
+// a response that looks whole, and against a request that has run and is
+// answered as not run.
+TEST_CASE("frames that fit no response are answered as unknown") {
+  for (const UnfitCase& row : kUnfit) {
+    CAPTURE(row.what);
+    World world(row.script);
+    REQUIRE(RunUntil(world.io, [&world] { return world.Heads() > 0; }));
+    CHECK(world.caller.received.starts_with("HTTP/1.1 502"));
+  }
+}
+
+// Guards against bytes of a second response in a body that has begun.
+TEST_CASE("a second head in a long response ends the connection") {
+  World world([](const SessionPtr& aSession, uint64_t aStream) {
+    SendHead(aSession, aStream, kLength);
+    SendBody(aSession, aStream, 200'000);
+    SendHead(aSession, aStream, 100'000);
+    SendBody(aSession, aStream, 100'000);
+    SendEnd(aSession, aStream);
+  });
+  CHECK(RunUntil(world.io, [&world] { return world.caller.closed; }));
+  CHECK(world.Heads() == 1);
+  CHECK(world.caller.received.size() < kLength);
+}
+
+// Pattern: an attempt breaks off within a short response, and the next one is
+// said to be whole without a response. Guards against the part of the first in
+// its place.
+TEST_CASE("an attempt does not end with the response of another") {
+  const auto attempts = std::make_shared<size_t>(0);
+  World world([attempts](const SessionPtr& aSession, uint64_t aStream) {
+    if (++*attempts > 1) {
+      SendEnd(aSession, aStream);
+      return;
+    }
+    SendHead(aSession, aStream, -1);
+    SendBody(aSession, aStream, 100);
+    CloseSoon(aSession);
+  });
+  REQUIRE(RunUntil(world.io, [&world] { return world.Heads() > 0; }));
+  CHECK(*attempts == 2);
+  CHECK(world.caller.received.starts_with("HTTP/1.1 502"));
+}
+
+// Guards against a response to HEAD that states another length than the body
+// that GET would get.
+TEST_CASE("a response to HEAD keeps its length") {
+  World world(
+      [](const SessionPtr& aSession, uint64_t aStream) {
+        SendHead(aSession, aStream, 1234);
+        SendEnd(aSession, aStream);
+      },
+      "HEAD /x HTTP/1.1\r\nHost: h\r\nX-Id: a\r\n\r\n");
+  REQUIRE(RunUntil(world.io, [&world] { return world.Heads() > 0; }));
+  CHECK(world.caller.received.starts_with("HTTP/1.1 200"));
+  CHECK(Contains(world.caller.received, "Content-Length: 1234\r\n"));
+  CHECK(world.caller.received.ends_with("\r\n\r\n"));
+}
