Test responses that are cut or never end through two nodes

TargetPath has an entry node, the node beside a target, and the target's bytes in the hands of the test. Responses are cut at every byte (9 kinds, orderly end and reset, on a kept connection of the caller), long ones at 5 places for three kinds of callers, and 20 patterns without end run at once beside other requests. What a caller has got is judged without the parser under test.

--- a/tests/Http1/LoopPeer.h
+++ b/tests/Http1/LoopPeer.h
@@ -17,7 +17,8 @@
       return false;
     }
     aIo.restart();
-    aIo.run_for(std::chrono::milliseconds(5));
+    // One event at a time, so that the condition is seen at once.
+    aIo.run_one_for(std::chrono::milliseconds(5));
   }
   return true;
 }
--- /dev/null
+++ b/tests/Mesh/CutResponseTest.cpp
@@ -0,0 +1,213 @@
+#include <fmt/format.h>
+
+#include "Mesh/TargetPath.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct CutCase {
+  std::string what;
+  /// Response; ID stands for the request's identifier.
+  std::string bytes;
+  std::string method = "GET";
+  /// Status of the whole response.
+  int status = 200;
+  /// Whether the status is believed as soon as the head is complete: no body
+  /// follows, or it is of no account.
+  bool headIsEnough = false;
+  /// Whether an orderly end of the connection ends the body.
+  bool endsWithConnection = false;
+};
+
+const std::vector<CutCase> kCuts = {
+    {"with a length",
+     "HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 9\r\n\r\nall of it"},
+    {"chunked",
+     "HTTP/1.1 200 OK\r\nX-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "3;a=b\r\nall\r\n6\r\n of it\r\n0\r\nA: b\r\n\r\n"},
+    {.what = "without a length",
+     .bytes =
+         "HTTP/1.1 200 OK\r\nX-Id: ID\r\nConnection: close\r\n\r\nall of it",
+     .endsWithConnection = true},
+    {"empty", "HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 0\r\n\r\n"},
+    {.what = "no content",
+     .bytes = "HTTP/1.1 204 No Content\r\nX-Id: ID\r\nA: b\r\n\r\n",
+     .status = 204},
+    {.what = "not modified, with the length of what it does not have",
+     .bytes =
+         "HTTP/1.1 304 Not Modified\r\nX-Id: ID\r\nContent-Length: 9\r\n\r\n",
+     .status = 304},
+    {.what = "to HEAD",
+     .bytes = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 9\r\n\r\n",
+     .method = "HEAD"},
+    {.what = "not run",
+     .bytes = "HTTP/1.1 503 Full\r\nX-Id: ID\r\nX-Not-Run: 1\r\n"
+              "Content-Length: 5\r\n\r\nfull\n",
+     .status = 503,
+     .headIsEnough = true},
+    {"behind an interim one",
+     "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n"
+     "HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 9\r\n\r\nall of it"}};
+
+std::string BytesOf(const CutCase& aCase, const std::string& aId) {
+  std::string bytes = aCase.bytes;
+  bytes.replace(bytes.find("ID"), 2, aId);
+  return bytes;
+}
+
+/// Position behind the head of the final response.
+size_t HeadEnd(const std::string& aBytes) {
+  return aBytes.find("\r\n\r\n", aBytes.rfind("HTTP/1.1 ")) + 4;
+}
+
+/// Status that the caller of a cut response must see.
+int StatusOf(const CutCase& aCase, const std::string& aBytes, size_t aCut,
+             bool aReset) {
+  const bool hasHead = aCut >= HeadEnd(aBytes);
+  const bool ends = aCase.endsWithConnection && !aReset;
+  const bool counts =
+      aCut == aBytes.size() || (hasHead && (aCase.headIsEnough || ends));
+  return counts ? aCase.status : 502;
+}
+
+std::string IdOf(const std::string& aRequest) {
+  const size_t at = aRequest.find("X-Id: ") + 6;
+  return aRequest.substr(at, aRequest.find("\r\n", at) - at);
+}
+
+}  // namespace
+
+// Pattern: a target stops at any byte of its response and ends the connection,
+// orderly or by a reset. Guards against a part that looks like a whole
+// response, against a request that has run and is answered as not run, and
+// against bytes of one request in the answer to the next.
+TEST_CASE("a response that is cut at any byte is answered as unknown") {
+  for (const CutCase& row : kCuts) {
+    for (const bool reset : {false, true}) {
+      CAPTURE(row.what);
+      CAPTURE(reset);
+      size_t cut = 0;
+      TargetPath path(
+          [&](TargetConnection& aConnection, const std::string& aRequest) {
+            const auto self = aConnection.shared_from_this();
+            aConnection.Send(
+                BytesOf(row, IdOf(aRequest)).substr(0, cut),
+                [self, reset] { reset ? self->Reset() : self->Close(); });
+          });
+      RawPeer& caller = path.NewCaller();
+      const size_t size = BytesOf(row, "r100").size();
+      // A reset may take back what the node has not read yet.
+      for (; cut < size + (reset ? 0 : 1); ++cut) {
+        CAPTURE(cut);
+        const std::string id = fmt::format("r{}", 100 + cut);
+        const std::string bytes = BytesOf(row, id);
+        SeenResponse seen;
+        caller.received.clear();
+        caller.Send(TargetPath::Request(
+            row.method, cut % 2 == 0 ? "/safe/" : "/once/", id));
+        REQUIRE(RunUntil(path.io, [&] {
+          seen = SeenResponse::Of(caller.received, row.method == "HEAD",
+                                  caller.closed && !caller.reset);
+          return seen.whole;
+        }));
+        const int status = StatusOf(row, bytes, cut, reset);
+        if (reset && status != 502) {
+          CHECK((seen.status == status || seen.status == 502));
+        } else {
+          CHECK(seen.status == status);
+        }
+        CHECK(Contains(caller.received, "X-Id: " + id + "\r\n"));
+        if (seen.status == 200 && row.method == "GET" && cut < size) {
+          CHECK(row.endsWithConnection);
+          CHECK(seen.body == bytes.substr(HeadEnd(bytes), seen.body.size()));
+        }
+      }
+    }
+  }
+}
+
+namespace {
+struct LongCase {
+  std::string what;
+  /// Head behind the identifier; the body is chunked or not.
+  std::string fields;
+  bool chunked = false;
+  bool endsWithConnection = false;
+};
+
+/// Longer than what is held back.
+constexpr size_t kLongBody = 200'000;
+
+std::string LongResponse(const LongCase& aCase, const std::string& aId) {
+  std::string bytes =
+      "HTTP/1.1 200 OK\r\nX-Id: " + aId + "\r\n" + aCase.fields + "\r\n";
+  const std::string part(kLongBody / 10, 'x');
+  for (int i = 0; i < 10; ++i) {
+    bytes +=
+        aCase.chunked ? fmt::format("{:x}\r\n{}\r\n", part.size(), part) : part;
+  }
+  return bytes + (aCase.chunked ? "0\r\n\r\n" : "");
+}
+}  // namespace
+
+// Pattern: a target stops within a response that the caller has got a part of,
+// and ends the connection. Guards against a part that looks whole to callers
+// that keep their connection, that close it, or that know no chunks.
+TEST_CASE("a long response that is cut never looks whole") {
+  const std::vector<LongCase> rows = {
+      {"with a length", fmt::format("Content-Length: {}\r\n", kLongBody)},
+      {.what = "chunked",
+       .fields = "Transfer-Encoding: chunked\r\n",
+       .chunked = true},
+      {.what = "without a length", .fields = "", .endsWithConnection = true}};
+  struct Caller {
+    std::string version;
+    std::string fields;
+  };
+  for (const LongCase& row : rows) {
+    for (const bool reset : {false, true}) {
+      size_t cut = 0;
+      TargetPath path(
+          [&](TargetConnection& aConnection, const std::string& aRequest) {
+            const auto self = aConnection.shared_from_this();
+            aConnection.Send(
+                LongResponse(row, IdOf(aRequest)).substr(0, cut),
+                [self, reset] { reset ? self->Reset() : self->Close(); });
+          });
+      const size_t size = LongResponse(row, "r1").size();
+      for (const size_t at :
+           {size_t{1000}, size_t{131'072}, size_t{150'000}, size - 1, size}) {
+        for (const Caller& kind : std::vector<Caller>{
+                 {"1.1", ""}, {"1.1", "Connection: close\r\n"}, {"1.0", ""}}) {
+          CAPTURE(row.what);
+          CAPTURE(reset);
+          CAPTURE(at);
+          CAPTURE(kind.version);
+          CAPTURE(kind.fields);
+          cut = at;
+          RawPeer& caller = path.NewCaller();
+          caller.Send(TargetPath::Request("GET", "/once/", "r1", kind.fields,
+                                          kind.version));
+          SeenResponse seen;
+          REQUIRE(RunUntil(path.io, [&] {
+            seen = SeenResponse::Of(caller.received, false,
+                                    caller.closed && !caller.reset);
+            return seen.whole || caller.closed;
+          }));
+          const bool ends = row.endsWithConnection && !reset;
+          if (seen.status == 200 && at < size && !ends) {
+            CHECK_FALSE(seen.whole);
+          }
+          if (at == size && !reset) {
+            CHECK(seen.status == 200);
+            CHECK(seen.whole);
+            CHECK(seen.body.size() == kLongBody);
+          }
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/tests/Mesh/EndlessResponseTest.cpp
@@ -0,0 +1,118 @@
+#include <fmt/format.h>
+
+#include "Mesh/TargetPath.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct EndlessCase {
+  std::string what;
+  /// Sent once; ID stands for the request's identifier.
+  std::string begin;
+  /// Sent until the node closes.
+  std::string piece;
+  std::chrono::milliseconds pause = 0ms;
+};
+
+std::string Times(const std::string& aText, size_t aCount) {
+  std::string text;
+  for (size_t i = 0; i < aCount; ++i) {
+    text += aText;
+  }
+  return text;
+}
+
+const std::string kStart = "HTTP/1.1 200 OK\r\nX-Id: ID\r\n";
+const std::string kChunked = kStart + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string kOther = "HTTP/1.1 200 OK\r\nX-Id: other\r\n";
+const std::string kHuge = "Content-Length: 1000000000000\r\n\r\n";
+const std::string kBody(16 * 1024, 'x');
+/// Less than a caller takes at once, as the test keeps what it gets.
+constexpr auto kSteady = 1ms;
+constexpr auto kSlow = 20ms;
+
+const std::vector<EndlessCase> kEndless = {
+    {"fields", kStart, Times("A: b\r\n", 100)},
+    {"one value", kStart + "A: ", kBody},
+    {"a reason", "HTTP/1.1 200 ", kBody},
+    {"empty lines before the status", "", Times("\r\n", 500)},
+    {"interim responses", "", Times("HTTP/1.1 102 X\r\n\r\n", 50)},
+    {"responses of others", "",
+     Times(kOther + "Content-Length: 0\r\n\r\n", 50)},
+    {"the body of another", kOther + kHuge, kBody},
+    {"a chunk's line", kChunked + "1;", kBody},
+    {"trailers", kChunked + "1\r\na\r\n0\r\n", Times("A: b\r\n", 100)},
+    {"a body with a length", kStart + kHuge, kBody, kSteady},
+    {"a body without a length", kStart + "\r\n", kBody, kSteady},
+    {"tiny chunks", kChunked, Times("1\r\na\r\n", 100), kSteady},
+    {"slow fields", kStart, "A: b\r\n", kSlow},
+    {"a slow value", kStart + "A: ", "x", kSlow},
+    {"a slow reason", "HTTP/1.1 200 ", "x", kSlow},
+    {"slow empty lines", "", "\r\n", kSlow},
+    {"slow interim responses", "", "HTTP/1.1 102 X\r\n\r\n", kSlow},
+    {"a slow chunk's line", kChunked + "1;", "x", kSlow},
+    {"slow trailers", kChunked + "0\r\n", "A: b\r\n", kSlow},
+    {"a slow body", kStart + kHuge, "x", kSlow}};
+
+/// Plays the row that the request's path names; answers any other request.
+void Play(TargetConnection& aConnection, const std::string& aRequest) {
+  const size_t at = aRequest.find("/row");
+  if (at != std::string::npos) {
+    const EndlessCase& row = kEndless[std::stoul(aRequest.substr(at + 4))];
+    std::string begin = row.begin;
+    if (const size_t id = begin.find("ID"); id != std::string::npos) {
+      begin.replace(id, 2, "r");
+    }
+    aConnection.Send(begin, [&aConnection, &row] {
+      aConnection.SendForEver(row.piece, row.pause);
+    });
+    return;
+  }
+  aConnection.Send(
+      "HTTP/1.1 200 OK\r\nX-Id: ok\r\nContent-Length: 2\r\n\r\nok");
+}
+
+}  // namespace
+
+// Pattern: a target sends bytes without end, at full speed or now and then, in
+// every part of a response. Guards against requests that outlive their
+// deadline, against a response that looks whole, and against other requests
+// that starve meanwhile.
+TEST_CASE("responses without end last until the deadline at most") {
+  constexpr auto kTimeout = 400ms;
+  TargetPath path(Play);
+  std::vector<RawPeer*> callers;
+  for (size_t i = 0; i < kEndless.size(); ++i) {
+    callers.push_back(&path.NewCaller());
+    callers.back()->Send(TargetPath::Request(
+        "GET", fmt::format("/{}/row{}/", i % 2 == 0 ? "safe" : "once", i), "r",
+        "X-Timeout: 400\r\n"));
+  }
+  const auto end = std::chrono::steady_clock::now() + kTimeout;
+  RawPeer& other = path.NewCaller();
+  while (std::chrono::steady_clock::now() < end - 100ms) {
+    other.received.clear();
+    other.Send(TargetPath::Request("GET", "/once/", "ok"));
+    REQUIRE(RunUntil(
+        path.io, [&other] { return other.received.ends_with("ok"); }, 100ms));
+  }
+  CHECK(RunUntil(
+      path.io, [&path] { return path.Open() == 0; }, 500ms));
+  for (size_t i = 0; i < kEndless.size(); ++i) {
+    CAPTURE(kEndless[i].what);
+    REQUIRE(RunUntil(path.io, [&] { return !callers[i]->received.empty(); }));
+    const SeenResponse seen = SeenResponse::Of(
+        callers[i]->received, false, callers[i]->closed && !callers[i]->reset);
+    CHECK((seen.status == 200 || seen.status == 502 || seen.status == 504));
+    CHECK((seen.status != 200 || (!seen.whole && callers[i]->closed)));
+  }
+  size_t open = 0;
+  for (const auto& connection : path.connections) {
+    open += connection->closed ? 0 : 1;
+  }
+  // Those of the other requests, which rest.
+  CHECK(open <= 1);
+}
--- a/tests/Mesh/EntryCallTest.cpp
+++ b/tests/Mesh/EntryCallTest.cpp
@@ -44,6 +44,7 @@
       : server({.io = aIo,
                 .self = {aName, Id128::Generate(), "secret"},
                 .host = "127.0.0.1",
+                .greetsWithState = true,
                 .handlers = {
                     .onRequest =
                         [this, aScript](const PeerServer::SessionPtr& aSession,
--- /dev/null
+++ b/tests/Mesh/TargetPath.h
@@ -0,0 +1,329 @@
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <asio.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Http1/LoopHttpServer.h"
+#include "Http1/LoopPeer.h"
+#include "Log/Log.h"
+#include "Mesh/EntryService.h"
+#include "Mesh/TargetService.h"
+#include "Transport/PeerServer.h"
+
+namespace fescueline::test {
+
+/// Connection of a node to a target that the test plays.
+class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
+ public:
+  explicit TargetConnection(asio::ip::tcp::socket aSocket)
+      : socket(std::move(aSocket)) {}
+
+  /// Waits for requests without a body.
+  void Serve(
+      std::function<void(TargetConnection&, const std::string&)> aOnRequest) {
+    this->onRequest = std::move(aOnRequest);
+    this->Read();
+  }
+  /// Writes bytes, however long that takes; aDone runs when they have left.
+  void Send(std::string aBytes, std::function<void()> aDone = {}) {
+    const auto bytes = std::make_shared<std::string>(std::move(aBytes));
+    asio::async_write(
+        this->socket, asio::buffer(*bytes),
+        [self = this->shared_from_this(), bytes, done = std::move(aDone)](
+            const asio::error_code& aError, size_t aSize) {
+          self->written += aSize;
+          if (!aError && done) {
+            done();
+          }
+        });
+  }
+  /// Writes a piece again and again, with a pause between two.
+  void SendForEver(const std::string& aPiece,
+                   std::chrono::milliseconds aPause) {
+    this->Send(aPiece, [this, aPiece, aPause] {
+      this->timer.expires_after(aPause);
+      this->timer.async_wait([self = this->shared_from_this(), aPiece,
+                              aPause](const asio::error_code& aError) {
+        if (!aError && !self->closed) {
+          self->SendForEver(aPiece, aPause);
+        }
+      });
+    });
+  }
+  void Close() {
+    asio::error_code ignored;
+    this->socket.close(ignored);
+  }
+  /// Closes so that the other side sees a reset.
+  void Reset() {
+    this->socket.set_option(asio::socket_base::linger(true, 0));
+    this->Close();
+  }
+
+  /// Whether the node has closed.
+  bool closed = false;
+  /// Bytes that have left.
+  uint64_t written = 0;
+
+ private:
+  void Read() {
+    this->socket.async_read_some(
+        asio::buffer(this->buffer),
+        [self = this->shared_from_this()](const asio::error_code& aError,
+                                          size_t aSize) {
+          if (aError) {
+            self->closed = true;
+            self->timer.cancel();
+            return;
+          }
+          self->received.append(self->buffer.data(), aSize);
+          if (self->received.ends_with("\r\n\r\n")) {
+            self->onRequest(*self, std::exchange(self->received, {}));
+          }
+          self->Read();
+        });
+  }
+
+  asio::ip::tcp::socket socket;
+  asio::steady_timer timer{this->socket.get_executor()};
+  std::function<void(TargetConnection&, const std::string&)> onRequest;
+  std::string received;
+  std::array<char, 4096> buffer{};
+};
+
+/// What a caller has of a response, judged without the code under test.
+struct SeenResponse {
+  int status = 0;
+  std::string body;
+  bool whole = false;
+
+  /// aEnded: the connection has ended, and orderly.
+  static SeenResponse Of(const std::string& aBytes, bool aHeadRequest,
+                         bool aEnded) {
+    SeenResponse seen;
+    const size_t end = aBytes.find("\r\n\r\n");
+    if (end == std::string::npos) {
+      return seen;
+    }
+    const std::string head = aBytes.substr(0, end + 2);
+    const std::string rest = aBytes.substr(end + 4);
+    seen.status = std::stoi(head.substr(9, 3));
+    const size_t length = head.find("\r\nContent-Length: ");
+    if (aHeadRequest || seen.status == 204 || seen.status == 304) {
+      seen.whole = rest.empty();
+    } else if (length != std::string::npos) {
+      seen.body = rest;
+      seen.whole = rest.size() == std::stoull(head.substr(length + 18));
+    } else if (head.find("\r\nTransfer-Encoding: chunked") !=
+               std::string::npos) {
+      seen.whole = seen.TakeChunks(rest);
+    } else {
+      seen.body = rest;
+      seen.whole = aEnded;
+    }
+    return seen;
+  }
+
+ private:
+  /// Whether the chunks end with the last one and nothing follows.
+  bool TakeChunks(const std::string& aBytes) {
+    size_t at = 0;
+    while (true) {
+      const size_t line = aBytes.find("\r\n", at);
+      if (line == std::string::npos) {
+        return false;
+      }
+      const size_t size = std::stoul(aBytes.substr(at, line - at), nullptr, 16);
+      if (size == 0) {
+        return aBytes.substr(line) == "\r\n\r\n";
+      }
+      this->body += aBytes.substr(line + 2, size);
+      at = line + 2 + size + 2;
+      if (at > aBytes.size()) {
+        return false;
+      }
+    }
+  }
+};
+
+/// The way of a request over two nodes: an entry node, and the node beside a
+/// target that the test plays. All on one loop.
+class TargetPath {
+ public:
+  using OnRequest =
+      std::function<void(TargetConnection&, const std::string& aRequest)>;
+
+  explicit TargetPath(OnRequest aOnRequest) : onRequest(std::move(aOnRequest)) {
+    DisableLog();
+    this->Accept();
+    this->config.Apply("any");
+    this->target.OnReport({.id = "t1",
+                           .startedAt = 1,
+                           .sequence = 1,
+                           .service = "fees",
+                           .slots = 50},
+                          SteadyClock().Now());
+    this->targets.OnTargetChanged();
+    this->peers.Start();
+    const MeshMember member{.node = "n1",
+                            .incarnation = Id128::Generate(),
+                            .dataCentre = "d1",
+                            .region = "r1",
+                            .service = "fees",
+                            .peers = {"127.0.0.1", this->peers.Port()}};
+    this->fleet.OnChanges({{.key = std::string(kMeshMemberPrefix) + "n1",
+                            .value = EncodeMeshMember(member),
+                            .version = 1}});
+    REQUIRE(RunUntil(this->io,
+                     [this] { return this->fleet.UsableTargets() == 1; }));
+    this->callers.Start();
+  }
+  ~TargetPath() {
+    this->fleet.CloseAll();
+    this->peers.CloseSessions("end of the test");
+    RunUntil(
+        this->io, [] { return false; }, std::chrono::milliseconds(50));
+  }
+  TargetPath(const TargetPath&) = delete;
+  TargetPath& operator=(const TargetPath&) = delete;
+
+  /// Text of a request. Paths below /safe/ may be repeated.
+  static std::string Request(const std::string& aMethod,
+                             const std::string& aPath, const std::string& aId,
+                             const std::string& aFields = {},
+                             const std::string& aVersion = "1.1") {
+    return aMethod + " " + aPath + " HTTP/" + aVersion +
+           "\r\nHost: h\r\nX-Id: " + aId + "\r\n" + aFields + "\r\n";
+  }
+  /// A connection of a caller, which lives as long as the path.
+  RawPeer& NewCaller() {
+    RawPeer& caller = this->callerPeers.emplace_back(this->io);
+    caller.Connect(this->callers.Port());
+    return caller;
+  }
+  /// Requests that are queued or run at the target's node.
+  size_t Open() const { return this->targets.Open(); }
+
+  asio::io_context io{1};
+  /// Connections to the target, in their order.
+  std::vector<std::shared_ptr<TargetConnection>> connections;
+
+ private:
+  static MeshConfigPtr Routes(const std::string&) {
+    MeshConfig::Content content{.version = 1};
+    for (const bool safe : {true, false}) {
+      MeshRoute route;
+      route.name = safe ? "lookup" : "filing";
+      route.host = "h";
+      route.prefix = safe ? "/safe/" : "/once/";
+      route.services = {{.service = "fees", .weight = 1}};
+      route.timeout = std::chrono::seconds(5);
+      route.idempotent = safe;
+      route.open = true;
+      route.maxTargets = 1;
+      content.routes.push_back(route);
+    }
+    return std::make_shared<MeshConfig>(content);
+  }
+
+  void Accept() {
+    this->acceptor.async_accept(
+        [this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
+          if (aError) {
+            return;
+          }
+          aSocket.set_option(asio::ip::tcp::no_delay(true));
+          this->connections.push_back(
+              std::make_shared<TargetConnection>(std::move(aSocket)));
+          this->connections.back()->Serve(this->onRequest);
+          this->Accept();
+        });
+  }
+
+  OnRequest onRequest;
+  std::deque<RawPeer> callerPeers;
+  asio::ip::tcp::acceptor acceptor{this->io,
+                                   {asio::ip::make_address("127.0.0.1"), 0}};
+  MeshSettings settings{
+      .node = "n0",
+      .service = "fees",
+      .target = {"127.0.0.1", this->acceptor.local_endpoint().port()},
+      .fleetSecret = "secret"};
+  HeaderVocabulary names{.requestId = "X-Id",
+                         .timeout = "X-Timeout",
+                         .key = "X-Key",
+                         .organisation = "X-Organisation",
+                         .callerService = "X-Caller",
+                         .expectedTarget = "X-Target",
+                         .notRun = "X-Not-Run"};
+  ConfigHolder config{Routes};
+  Metrics metrics;
+  ThresholdTable thresholds{{}, 1};
+  RunningRequests running;
+  MeshContext context{.io = this->io,
+                      .settings = this->settings,
+                      .headers = this->names,
+                      .config = this->config,
+                      .metrics = this->metrics,
+                      .thresholds = this->thresholds,
+                      .running = this->running};
+  LocalTargetState target{
+      {.service = "fees", .silentAfter = std::chrono::minutes(5)}};
+  TargetService targets{{.context = this->context,
+                         .target = this->target,
+                         .fleetSecret = "secret"}};
+  PeerServer peers{
+      {.io = this->io,
+       .self = {"n1", Id128::Generate(), "secret"},
+       .host = "127.0.0.1",
+       .greetsWithState = true,
+       .handlers = {.onRequest =
+                        [this](const PeerServer::SessionPtr& aSession,
+                               RequestFrame aFrame, Duration aHeldUp) {
+                          this->targets.OnRequest(aSession, std::move(aFrame),
+                                                  aHeldUp);
+                        },
+                    .onCredit =
+                        [this](const PeerServer::SessionPtr& aSession,
+                               const CreditFrame& aFrame) {
+                          this->targets.OnCredit(aSession, aFrame);
+                        },
+                    .onCancel =
+                        [this](const PeerServer::SessionPtr& aSession,
+                               uint64_t aStream) {
+                          this->targets.OnCancel(aSession, aStream);
+                        },
+                    .onClosed =
+                        [this](const PeerServer::SessionPtr& aSession) {
+                          this->targets.OnClosed(aSession);
+                        },
+                    .state = [this] { return this->targets.State(); }}}};
+  MeshFleet fleet{
+      {.io = this->io,
+       .self = {"n0", Id128::Generate(), "secret"},
+       .table = {.dataCentre = "d1", .region = "r1"},
+       .picker = {},
+       .onState = [](const std::string&, const StateWire&) {},
+       .onPong = [](const std::string&, const StateWire&, TimePoint) {},
+       .onMessage = [](const std::string&, const DecodedFrame&) {}}};
+  GrantHolder grants{GrantSettings{},
+                     [](const std::string&, uint32_t) { return false; }, [] {}};
+  EntryService service{{.context = this->context,
+                        .fleet = this->fleet,
+                        .grants = this->grants,
+                        .fleetSecret = "secret"}};
+  LoopHttpServer callers{{.io = this->io,
+                          .host = "127.0.0.1",
+                          .onRequest = [this](HttpExchangePtr aExchange) {
+                            this->service.OnRequest(std::move(aExchange));
+                          }}};
+};
+
+}  // namespace fescueline::test
