Stop reading a body that nobody wants

Cause: the body of a request that may run only once was read to its end after its caller had left, and so was that of a refusal. If it has no end, the node read it at full speed until the deadline, and the caller of the refused request was told only then. Change: after 1 MiB of a body that nobody wants, the connection is closed. What is known of the request stays as it was: abandoned, or not run.

--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -21,6 +21,10 @@
 /// The target gets this much less than what is left, so that its own timeout
 /// comes first.
 constexpr Duration kTimeoutMargin = std::chrono::milliseconds(2);
+/// Bytes that are read of a body that nobody wants, so that the connection can
+/// be used again: more costs more than a new connection, and a body without end
+/// would take the processor from other requests until the deadline.
+constexpr uint64_t kMaxUnwantedBody = uint64_t{1} << 20;
 constexpr int kMisdirected = 421;
 constexpr int kFirstServerError = 500;
 }  // namespace
@@ -177,6 +181,7 @@
 
 void TargetAttempt::OnBody(std::string_view aPart) {
   if (!this->headSent || this->abandoned) {
+    this->OnUnwanted(aPart);
     return;
   }
   this->credit -= static_cast<int64_t>(aPart.size());
@@ -191,6 +196,21 @@
   }
 }
 
+void TargetAttempt::OnUnwanted(std::string_view aPart) {
+  this->unwanted += aPart.size();
+  if (this->unwanted <= kMaxUnwantedBody) {
+    return;
+  }
+  this->connection->SetPaused(true);
+  // Not from within the event of the connection that it ends.
+  asio::post(this->service.dependencies.context.io,
+             [self = this->shared_from_this()] {
+               if (self->state == State::Running) {
+                 self->connection->Close("body that nobody wants");
+               }
+             });
+}
+
 void TargetAttempt::AddCredit(uint64_t aBytes) {
   this->credit += static_cast<int64_t>(aBytes);
   if (this->credit > 0 && this->state == State::Running) {
--- a/src/Mesh/TargetAttempt.h
+++ b/src/Mesh/TargetAttempt.h
@@ -41,6 +41,8 @@
   std::string RequestBytes(TimePoint aNow) const;
   bool OnHead(HttpHead aHead);
   void OnBody(std::string_view aPart);
+  /// Counts a part of a body that nobody wants.
+  void OnUnwanted(std::string_view aPart);
   void OnDone(const ClientExchangeResult& aResult);
 
   /// Counts whether the target itself failed the request.
@@ -74,6 +76,8 @@
   int64_t credit = kInitialCredit;
   /// Whether nobody waits for the response any more.
   bool abandoned = false;
+  /// Body bytes that nobody wanted.
+  uint64_t unwanted = 0;
 };
 
 }  // namespace fescueline
--- a/tests/Mesh/CutResponseTest.cpp
+++ b/tests/Mesh/CutResponseTest.cpp
@@ -197,6 +197,9 @@
                                     caller.closed && !caller.reset);
             return seen.whole || caller.closed;
           }));
+          if (kind.version == "1.0") {
+            CHECK_FALSE(Contains(caller.received, "chunked"));
+          }
           const bool ends = row.endsWithConnection && !reset;
           if (seen.status == 200 && at < size && !ends) {
             CHECK_FALSE(seen.whole);
--- a/tests/Mesh/EndlessResponseTest.cpp
+++ b/tests/Mesh/EndlessResponseTest.cpp
@@ -116,3 +116,53 @@
   // Those of the other requests, which rest.
   CHECK(open <= 1);
 }
+
+namespace {
+/// What a node may read of a body that nobody wants.
+constexpr uint64_t kMaxUnwanted = uint64_t{8} << 20;
+
+const std::vector<EndlessCase> kUnwanted = {
+    {"with a length", kStart + kHuge, kBody},
+    {"without a length", kStart + "\r\n", kBody},
+    {"chunked", kChunked, "4000\r\n" + kBody + "\r\n"}};
+}  // namespace
+
+// Pattern: a caller leaves while a target answers a request that may run only
+// once with a body without end. Guards against reading it at full speed until
+// the deadline, at the cost of the node's other requests.
+TEST_CASE("the body of an abandoned request is not read without end") {
+  for (const EndlessCase& row : kUnwanted) {
+    CAPTURE(row.what);
+    TargetPath path([&row](TargetConnection& aConnection, const std::string&) {
+      std::string begin = row.begin;
+      begin.replace(begin.find("ID"), 2, "r");
+      aConnection.Send(begin + row.piece, [&aConnection, &row] {
+        aConnection.SendForEver(row.piece, row.pause);
+      });
+    });
+    RawPeer& caller = path.NewCaller();
+    caller.Send(
+        TargetPath::Request("POST", "/once/", "r", "Content-Length: 0\r\n"));
+    REQUIRE(RunUntil(path.io, [&caller] { return !caller.received.empty(); }));
+    const uint64_t before = path.connections[0]->written;
+    caller.Close();
+    CHECK(RunUntil(
+        path.io, [&path] { return path.Open() == 0; }, 1000ms));
+    CHECK(path.connections[0]->written - before < kMaxUnwanted);
+  }
+}
+
+// Pattern: a target says that it did not run a request, and goes on without
+// end. Guards against a caller that is told so only at its deadline.
+TEST_CASE("a refusal with a body without end is passed on") {
+  TargetPath path([](TargetConnection& aConnection, const std::string&) {
+    aConnection.Send("HTTP/1.1 503 Full\r\nX-Id: r\r\nX-Not-Run: 1\r\n" + kHuge,
+                     [&aConnection] { aConnection.SendForEver(kBody, 0ms); });
+  });
+  RawPeer& caller = path.NewCaller();
+  caller.Send(TargetPath::Request("GET", "/once/", "r"));
+  CHECK(RunUntil(
+      path.io, [&caller] { return !caller.received.empty(); }, 1000ms));
+  CHECK(caller.received.starts_with("HTTP/1.1 503"));
+  CHECK(path.connections[0]->written < kMaxUnwanted);
+}
