Bound frames that do not end, and handshakes

Cause: a connection between nodes counted as alive as long as bytes arrived, so that a frame sent byte by byte held up all requests on it without end, and each byte copied what had arrived before. Change: a frame has 5 s from its first to its last byte; a handshake has 1 s and frames of 4 KiB. What has arrived of a frame is copied once.

--- a/src/Transport/FrameChannel.cpp
+++ b/src/Transport/FrameChannel.cpp
@@ -20,6 +20,8 @@
       sendsPings(aSettings.sendsPings),
       pingPeriod(aSettings.pingPeriod),
       silenceLimit(aSettings.silenceLimit),
+      frameLimit(aSettings.frameLimit),
+      maxFrameBytes(aSettings.maxFrameBytes),
       livenessTimer(aSettings.strand) {}
 
 void FrameChannel::Start(Handlers aHandlers) {
@@ -113,29 +115,37 @@
 }
 
 void FrameChannel::OnBytes(std::string_view aBytes) {
-  std::string joined;
-  std::string_view rest = aBytes;
-  if (!this->inbox.empty()) {
-    joined = std::move(this->inbox);
-    joined += aBytes;
-    rest = joined;
-    this->inbox.clear();
+  const bool joins = !this->inbox.empty();
+  if (joins) {
+    this->inbox += aBytes;
   }
+  std::string_view rest = joins ? std::string_view(this->inbox) : aBytes;
+  const size_t arrived = rest.size();
   try {
-    while (this->open && rest.size() >= kFramePrefixBytes) {
-      const size_t length =
-          DecodeFrameLength(rest.substr(0, kFramePrefixBytes));
-      if (rest.size() < kFramePrefixBytes + length) {
-        break;
-      }
-      this->OnBody(rest.substr(kFramePrefixBytes, length));
-      rest.remove_prefix(kFramePrefixBytes + length);
-    }
+    this->TakeFrames(rest);
   } catch (const Error& failure) {
     this->Close(failure.what());
   }
-  if (this->open) {
-    this->inbox = rest;
+  // Not copied while a long frame arrives in many parts.
+  const bool frameBegins = !joins || rest.size() < arrived;
+  if (this->open && frameBegins) {
+    this->inbox = std::string(rest);
+    this->frameSince = this->lastReceived;
+  }
+}
+
+void FrameChannel::TakeFrames(std::string_view& aBytes) {
+  while (this->open && aBytes.size() >= kFramePrefixBytes) {
+    const size_t length =
+        DecodeFrameLength(aBytes.substr(0, kFramePrefixBytes));
+    if (length > this->maxFrameBytes) {
+      throw Error("frame.length", this->peer, "frame too long");
+    }
+    if (aBytes.size() < kFramePrefixBytes + length) {
+      return;
+    }
+    this->OnBody(aBytes.substr(kFramePrefixBytes, length));
+    aBytes.remove_prefix(kFramePrefixBytes + length);
   }
 }
 
@@ -168,6 +178,11 @@
   if (now - this->livenessDue > kPauseThreshold) {
     // This process was paused; bytes may be waiting in the socket unread.
     this->lastReceived = now;
+    this->frameSince = now;
+  }
+  if (!this->inbox.empty() && now - this->frameSince > this->frameLimit) {
+    this->Close("frame without end");
+    return;
   }
   if (now - this->lastReceived > this->silenceLimit) {
     this->Close("silent");
--- a/src/Transport/FrameChannel.h
+++ b/src/Transport/FrameChannel.h
@@ -35,6 +35,11 @@
     Duration pingPeriod = std::chrono::milliseconds(500);
     /// A connection with no bytes for this long is closed.
     Duration silenceLimit = std::chrono::milliseconds(1500);
+    /// Longest time from the first to the last byte of a frame. The longest
+    /// frame takes half of it at 4 Mbit/s.
+    Duration frameLimit = std::chrono::seconds(5);
+    /// Longest frame that is accepted, bytes.
+    size_t maxFrameBytes = kMaxFrameBytes;
   };
 
   /// Events of the connection.
@@ -66,6 +71,8 @@
     asio::post(this->strand, std::move(aFunction));
   }
 
+  /// Changes the longest frame that is accepted.
+  void SetMaxFrameBytes(size_t aBytes) { this->maxFrameBytes = aBytes; }
   bool IsOpen() const { return this->open; }
   /// When the ping with that number left; nothing unless it is the last one.
   std::optional<TimePoint> PingSentAt(uint64_t aSequence) const {
@@ -92,6 +99,8 @@
   void Read();
   /// Handles the whole frames that have arrived.
   void OnBytes(std::string_view aBytes);
+  /// Handles the whole frames at the front and removes them.
+  void TakeFrames(std::string_view& aBytes);
   void OnBody(std::string_view aBody);
   void ScheduleLiveness();
   void CheckLiveness();
@@ -108,6 +117,10 @@
   Duration pingPeriod;
   /// Longest time without received bytes.
   Duration silenceLimit;
+  /// Longest time that one frame may take to arrive.
+  Duration frameLimit;
+  /// Longest frame that is accepted.
+  size_t maxFrameBytes;
   /// Event handlers; cleared on close to break reference cycles.
   Handlers handlers;
   /// Fires every ping period.
@@ -126,6 +139,8 @@
   size_t writing = 0;
   /// Part of a frame that has arrived.
   std::string inbox;
+  /// When the first bytes of that frame arrived.
+  TimePoint frameSince{};
   /// Whether the connection is usable.
   bool open = false;
   /// Smallest difference of receive and send time seen, microseconds.
--- a/src/Transport/PeerServer.cpp
+++ b/src/Transport/PeerServer.cpp
@@ -8,12 +8,21 @@
 
 namespace {
 constexpr size_t kNonceBytes = 16;
+/// Longest frame of a side that has not proved the fleet secret, bytes: names,
+/// an incarnation, a nonce and a proof.
+constexpr size_t kMaxHandshakeFrame = size_t{4} * 1024;
+/// Time for the handshake: twice that of a dialling node for the connection
+/// and the handshake.
+constexpr Duration kHandshakeLimit = std::chrono::seconds(1);
 std::atomic<uint64_t> sSessionCount{0};
 }  // namespace
 
 PeerSession::PeerSession(PeerServer& aServer,
                          std::shared_ptr<FrameChannel> aChannel)
-    : server(aServer), number(++sSessionCount), channel(std::move(aChannel)) {}
+    : server(aServer),
+      number(++sSessionCount),
+      channel(std::move(aChannel)),
+      handshakeTimer(this->channel->GetStrand()) {}
 
 void PeerSession::Start() {
   this->Post([self = this->shared_from_this()] {
@@ -22,9 +31,16 @@
              [self](const DecodedFrame& aFrame) { self->OnFrame(aFrame); },
          .onClosed =
              [self](const std::string&) {
+               self->handshakeTimer.cancel();
                self->server.settings.handlers.onClosed(self);
                self->server.Remove(self);
              }});
+    self->handshakeTimer.expires_after(kHandshakeLimit);
+    self->handshakeTimer.async_wait([self](const asio::error_code& aError) {
+      if (!aError && !self->ready) {
+        self->channel->Close("handshake timeout");
+      }
+    });
   });
 }
 
@@ -100,6 +116,8 @@
                 "dialler does not know the fleet secret");
   }
   this->ready = true;
+  this->handshakeTimer.cancel();
+  this->channel->SetMaxFrameBytes(kMaxFrameBytes);
   if (this->server.settings.greetsWithState) {
     this->Send(
         StateUpdateFrame{.state = this->server.settings.handlers.state()});
@@ -142,7 +160,8 @@
                           std::make_shared<FrameChannel>(FrameChannel::Settings{
                               .socket = std::move(aSocket),
                               .strand = strand,
-                              .peer = remote.address().to_string()}));
+                              .peer = remote.address().to_string(),
+                              .maxFrameBytes = kMaxHandshakeFrame}));
                       {
                         const std::lock_guard lock(this->mutex);
                         this->sessions.insert(session);
--- a/src/Transport/PeerServer.h
+++ b/src/Transport/PeerServer.h
@@ -62,6 +62,8 @@
   bool greeted = false;
   /// Whether the other side has proved the fleet secret.
   bool ready = false;
+  /// Bounds the handshake.
+  asio::steady_timer handshakeTimer;
 };
 
 /// Accepts connections from other nodes and hands their frames to the
--- /dev/null
+++ b/tests/Transport/FrameChannelTest.cpp
@@ -0,0 +1,131 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "Transport/FrameChannel.h"
+#include "Transport/PeerServer.h"
+
+using namespace fescueline;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Tcp = asio::ip::tcp;
+
+/// Runs the loop until the condition holds; false after the limit.
+template <typename Condition>
+bool RunUntil(asio::io_context& aIo, const Condition& aCondition,
+              std::chrono::milliseconds aLimit) {
+  const auto end = std::chrono::steady_clock::now() + aLimit;
+  while (!aCondition()) {
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    aIo.restart();
+    aIo.run_one_for(5ms);
+  }
+  return true;
+}
+
+/// The other side of a connection: writes a frame slowly and sees the close.
+struct SlowSender {
+  explicit SlowSender(asio::io_context& aIo) : socket(aIo), timer(aIo) {}
+
+  /// Writes the first bytes at once, and one every 10 ms.
+  void Start(std::string aBytes, size_t aAtOnce) {
+    this->bytes = std::move(aBytes);
+    this->at = aAtOnce;
+    asio::write(this->socket, asio::buffer(this->bytes.data(), aAtOnce));
+    this->socket.async_read_some(asio::buffer(this->buffer),
+                                 [this](const asio::error_code& aError,
+                                        size_t) { this->closed = !!aError; });
+    this->Next();
+  }
+
+  Tcp::socket socket;
+  bool closed = false;
+
+ private:
+  void Next() {
+    this->timer.expires_after(10ms);
+    this->timer.async_wait([this](const asio::error_code& aError) {
+      if (aError || this->closed || this->at == this->bytes.size()) {
+        return;
+      }
+      asio::error_code ignored;
+      asio::write(this->socket, asio::buffer(&this->bytes[this->at++], 1),
+                  ignored);
+      this->Next();
+    });
+  }
+
+  asio::steady_timer timer;
+  std::string bytes;
+  size_t at = 0;
+  std::array<char, 64> buffer{};
+};
+
+}  // namespace
+
+// Pattern: a faulty peer sends a frame byte by byte. Guards against a
+// connection that counts as alive although nothing on it gets through, which
+// holds up every request there.
+TEST_CASE("a frame that does not end closes the connection") {
+  asio::io_context io{1};
+  Tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+  SlowSender sender(io);
+  sender.socket.connect(acceptor.local_endpoint());
+  const Strand strand = asio::make_strand(io);
+  const auto channel = std::make_shared<FrameChannel>(
+      FrameChannel::Settings{.socket = acceptor.accept(strand),
+                             .strand = strand,
+                             .peer = "p",
+                             .pingPeriod = 50ms,
+                             .frameLimit = 300ms});
+  size_t frames = 0;
+  std::string reason;
+  channel->Start(
+      {.onFrame = [&frames](const DecodedFrame&) { ++frames; },
+       .onClosed =
+           [&reason](const std::string& aReason) { reason = aReason; }});
+  const std::string ping = EncodeFrame(PingFrame{.sequence = 1});
+  const std::string data = EncodeFrame(
+      ResponseDataFrame{.stream = 1, .data = std::string(1000, 'x')});
+  // Whole frames that arrive slowly do no harm.
+  sender.Start(ping + ping + ping + data, ping.size() + 4);
+  CHECK(RunUntil(
+      io, [&reason] { return !reason.empty(); }, 3000ms));
+  CHECK(frames == 3);
+  CHECK(reason == "frame without end");
+}
+
+// Pattern: something other than a node connects and sends slowly, or claims a
+// long frame. Guards against connections that hold memory without the secret.
+TEST_CASE("a connection without a handshake is closed in time") {
+  for (const size_t claimed : {size_t{400}, size_t{1'000'000}}) {
+    CAPTURE(claimed);
+    asio::io_context io{1};
+    bool closed = false;
+    PeerServer server(
+        {.io = io,
+         .self = {"n1", Id128::Generate(), "secret"},
+         .host = "127.0.0.1",
+         .handlers = {.onClosed = [&closed](const PeerServer::SessionPtr&) {
+           closed = true;
+         }}});
+    server.Start();
+    SlowSender sender(io);
+    sender.socket.connect({asio::ip::make_address("127.0.0.1"), server.Port()});
+    std::string bytes(4, '\0');
+    for (size_t i = 0; i < 4; ++i) {
+      bytes[3 - i] = static_cast<char>((claimed >> (8 * i)) & 0xff);
+    }
+    sender.Start(bytes + std::string(500, 'x'), 4);
+    // A frame that is too long is refused at once.
+    CHECK(RunUntil(
+        io, [&] { return closed && sender.closed; },
+        claimed > 1000 ? 500ms : 1500ms));
+  }
+}
