--- a/tests/Transport/FrameChannelTest.cpp
+++ b/tests/Transport/FrameChannelTest.cpp
@@ -1,34 +1,22 @@
 #include <doctest/doctest.h>
 
+#include <array>
 #include <chrono>
 #include <memory>
 #include <string>
 
+#include "Http1/LoopPeer.h"
 #include "Transport/FrameChannel.h"
 #include "Transport/PeerServer.h"
 
 using namespace fescueline;
+using namespace fescueline::test;
 using namespace std::chrono_literals;
 
 namespace {
 
 using Tcp = asio::ip::tcp;
 
-/// Runs the loop until the condition holds; false after the limit.
-template <typename Condition>
-bool RunUntil(asio::io_context& aIo, const Condition& aCondition,
-              std::chrono::milliseconds aLimit) {
-  const auto end = std::chrono::steady_clock::now() + aLimit;
-  while (!aCondition()) {
-    if (std::chrono::steady_clock::now() > end) {
-      return false;
-    }
-    aIo.restart();
-    aIo.run_one_for(5ms);
-  }
-  return true;
-}
-
 /// The other side of a connection: writes a frame slowly and sees the close.
 struct SlowSender {
   explicit SlowSender(asio::io_context& aIo) : socket(aIo), timer(aIo) {}
