Refuse a stream number that is in use

Cause: a request on a stream number that has an open attempt replaced that attempt in the table: both ran, and both answered on the one stream. Credit for more than was sent was added up, beyond any bound. Ruled out: nodes of this version number their streams upwards on each connection, and a new connection has its own session; a faulty peer could. Change: such a request is an error of the connection. Credit ends at what a response starts with. Measured: "a stream number that is in use is refused" before: the target got the request twice and the caller its response. After: once, and 502.

--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -212,7 +212,11 @@
 }
 
 void TargetAttempt::AddCredit(uint64_t aBytes) {
-  this->credit += static_cast<int64_t>(aBytes);
+  // No proper sender of credit gives back more than it got.
+  const auto most = static_cast<uint64_t>(kInitialCredit);
+  this->credit =
+      std::min(kInitialCredit,
+               this->credit + static_cast<int64_t>(std::min(aBytes, most)));
   if (this->credit > 0 && this->state == State::Running) {
     this->connection->SetPaused(false);
   }
--- a/src/Mesh/TargetService.cpp
+++ b/src/Mesh/TargetService.cpp
@@ -131,6 +131,9 @@
     throw Error("peer.request", aSession->RemoteNode(),
                 "request without a valid context");
   }
+  if (this->Find(aSession, aFrame.stream)) {
+    throw Error("peer.request", aSession->RemoteNode(), "stream number in use");
+  }
   const TimePoint deadline = now + context->remaining - aHeldUp;
   const auto attempt = std::make_shared<TargetAttempt>(
       *this, aSession, std::move(aFrame), std::move(*context), deadline);
--- a/tests/Mesh/CutResponseTest.cpp
+++ b/tests/Mesh/CutResponseTest.cpp
@@ -214,3 +214,23 @@
     }
   }
 }
+
+// Guards against two attempts that answer on one stream, because a peer uses
+// the number of an open one again.
+TEST_CASE("a stream number that is in use is refused") {
+  size_t runs = 0;
+  TargetPath path([&runs](TargetConnection& aConnection, const std::string&) {
+    ++runs;
+    aConnection.Send("HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 0\r\n\r\n");
+  });
+  path.sendsTwice = true;
+  RawPeer& caller = path.NewCaller();
+  caller.Send(TargetPath::Request("GET", "/once/", "r"));
+  REQUIRE(RunUntil(path.io, [&caller] { return !caller.received.empty(); }));
+  RunUntil(
+      path.io, [] { return false; }, 50ms);
+  CAPTURE(caller.received);
+  CHECK(caller.received.starts_with("HTTP/1.1 502"));
+  CHECK(runs <= 1);
+  CHECK(path.Open() == 0);
+}
--- a/tests/Mesh/TargetPath.h
+++ b/tests/Mesh/TargetPath.h
@@ -212,6 +212,8 @@
   size_t Open() const { return this->targets.Open(); }
 
   asio::io_context io{1};
+  /// Whether the frame of each request arrives twice.
+  bool sendsTwice = false;
   /// Connections to the target, in their order.
   std::vector<std::shared_ptr<TargetConnection>> connections;
 
@@ -287,6 +289,9 @@
        .handlers = {.onRequest =
                         [this](const PeerServer::SessionPtr& aSession,
                                RequestFrame aFrame, Duration aHeldUp) {
+                          if (this->sendsTwice) {
+                            this->targets.OnRequest(aSession, aFrame, aHeldUp);
+                          }
                           this->targets.OnRequest(aSession, std::move(aFrame),
                                                   aHeldUp);
                         },
