Test requests that are ambiguous or cut

14 requests whose end can be read in two ways, each in front of another one and in two splits, and three requests cut at every byte. Measured: on four of the 14 are passed on (a coding behind white space, a bare CR at the end of the head, a chunk that goes on, a tunnel with a body) and a fifth waits for a body (a folded length); of the cut requests none is passed on.

--- a/tests/Http1/LoopHttpServerTest.cpp
+++ b/tests/Http1/LoopHttpServerTest.cpp
@@ -347,3 +347,101 @@
     CHECK(listener.exchanges.empty());
   }
 }
+
+namespace {
+struct SmuggleCase {
+  std::string what;
+  /// First request; what follows it hides another one.
+  std::string bytes;
+};
+
+const std::string kHidden = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string kPost = "POST /1 HTTP/1.1\r\nHost: h\r\n";
+
+const std::vector<SmuggleCase> kSmuggled = {
+    {"length and chunks", kPost +
+                              "Content-Length: 4\r\nTransfer-Encoding: "
+                              "chunked\r\n\r\n0\r\n\r\n" +
+                              kHidden},
+    {"chunks and length", kPost +
+                              "Transfer-Encoding: chunked\r\nContent-Length: "
+                              "4\r\n\r\n0\r\n\r\n" +
+                              kHidden},
+    {"two lengths",
+     kPost + "Content-Length: 0\r\nContent-Length: 34\r\n\r\n" + kHidden},
+    {"a list of lengths", kPost + "Content-Length: 0, 34\r\n\r\n" + kHidden},
+    {"a length with a sign", kPost + "Content-Length: +0\r\n\r\n" + kHidden},
+    {"a folded length", kPost + "Content-Length:\r\n 34\r\n\r\n" + kHidden},
+    {"a coding behind white space",
+     kPost + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n" + kHidden},
+    {"two codings", kPost +
+                        "Transfer-Encoding: chunked\r\nTransfer-Encoding: "
+                        "identity\r\n\r\n0\r\n\r\n" +
+                        kHidden},
+    {"a bare CR in a field",
+     kPost + "A: b\rContent-Length: 34\r\n\r\n" + kHidden},
+    {"a bare CR at the end of the head", kPost + "\rX" + kHidden},
+    {"a chunk that goes on", kPost +
+                                 "Transfer-Encoding: chunked\r\n\r\n1\r\nabc"
+                                 "0\r\n\r\n" +
+                                 kHidden},
+    {"a chunk size with other bytes",
+     kPost + "Transfer-Encoding: chunked\r\n\r\n0x\r\n\r\n" + kHidden},
+    {"a tunnel with a body",
+     "CONNECT h:1 HTTP/1.1\r\nHost: h\r\nContent-Length: 34\r\n\r\n" + kHidden},
+    {"a body over the limit",
+     kPost + "Content-Length: 300\r\n\r\n" + std::string(300, 'x') + kHidden}};
+}  // namespace
+
+// Pattern: a caller hides a request behind one whose end can be read in two
+// ways. Guards against either of them being passed on, however the network
+// splits the bytes.
+TEST_CASE("requests with an ambiguous end are refused with all behind them") {
+  for (const SmuggleCase& row : kSmuggled) {
+    for (const size_t step : {size_t{4096}, size_t{9}}) {
+      CAPTURE(row.what);
+      CAPTURE(step);
+      Listener listener({.maxBodyBytes = 200});
+      RawPeer caller(listener.io);
+      caller.Connect(listener.server.Port());
+      for (size_t at = 0; at < row.bytes.size(); at += step) {
+        caller.Send(row.bytes.substr(at, step));
+        listener.io.restart();
+        listener.io.poll();
+      }
+      CHECK(RunUntil(listener.io, [&] { return caller.closed; }));
+      CHECK(listener.exchanges.empty());
+      const std::string status =
+          caller.received.empty() ? "" : caller.received.substr(9, 3);
+      CHECK((status == "400" || status == "413" || status == "431"));
+      CHECK(Contains(caller.received, "Connection: close"));
+      CHECK(caller.received.find("HTTP/1.1") ==
+            caller.received.rfind("HTTP/1.1"));
+    }
+  }
+}
+
+// Guards against a part of a request that is passed on.
+TEST_CASE("a request that is cut at any byte is not passed on") {
+  for (const std::string& bytes : std::vector<std::string>{
+           "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n",
+           kPost + "Content-Length: 4\r\n\r\nbody",
+           kPost +
+               "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}) {
+    Listener listener;
+    for (size_t cut = 0; cut < bytes.size(); ++cut) {
+      CAPTURE(bytes.substr(0, cut));
+      RawPeer caller(listener.io);
+      caller.Connect(listener.server.Port());
+      REQUIRE(RunUntil(listener.io, [&listener] {
+        return listener.server.Connections() == 1;
+      }));
+      caller.Send(bytes.substr(0, cut));
+      cut % 2 == 0 ? caller.Close() : caller.Reset();
+      REQUIRE(RunUntil(listener.io, [&] {
+        return caller.closed && listener.server.Connections() == 0;
+      }));
+      CHECK(listener.exchanges.empty());
+    }
+  }
+}
