--- a/tests/Http1/HttpReaderTest.cpp
+++ b/tests/Http1/HttpReaderTest.cpp
@@ -302,15 +302,15 @@
       fields += "a:b\r\n";
     }
     const bool tooMany = count > 1000;
-    Recorder request(HttpReaderKind::Request, 16 * 1024);
+    Recorder request(HttpReaderKind::Request, size_t{16} * 1024);
     CHECK(IsRefused(request, "GET / HTTP/1.1\r\n" + fields + "\r\n", 4096) ==
           tooMany);
     CHECK(request.messages.empty() == tooMany);
-    Recorder response(HttpReaderKind::Response, 16 * 1024);
+    Recorder response(HttpReaderKind::Response, size_t{16} * 1024);
     CHECK(IsRefused(response, "HTTP/1.1 200 OK\r\n" + fields + "\r\n", 4096) ==
           tooMany);
     CHECK(response.messages.empty() == tooMany);
-    Recorder trailers(HttpReaderKind::Response, 16 * 1024);
+    Recorder trailers(HttpReaderKind::Response, size_t{16} * 1024);
     CHECK(IsRefused(trailers,
                     kChunkedHead + "1\r\na\r\n0\r\n" + fields + "\r\n",
                     4096) == tooMany);
--- a/tests/Http1/LoopHttpServerTest.cpp
+++ b/tests/Http1/LoopHttpServerTest.cpp
@@ -433,12 +433,12 @@
       CAPTURE(bytes.substr(0, cut));
       RawPeer caller(listener.io);
       caller.Connect(listener.server.Port());
-      REQUIRE(RunUntil(listener.io, [&listener] {
+      REQUIRE(RunPromptly(listener.io, [&listener] {
         return listener.server.Connections() == 1;
       }));
       caller.Send(bytes.substr(0, cut));
       cut % 2 == 0 ? caller.Close() : caller.Reset();
-      REQUIRE(RunUntil(listener.io, [&] {
+      REQUIRE(RunPromptly(listener.io, [&] {
         return caller.closed && listener.server.Connections() == 0;
       }));
       CHECK(listener.exchanges.empty());
--- a/tests/Http1/LoopPeer.h
+++ b/tests/Http1/LoopPeer.h
@@ -7,22 +7,38 @@
 
 namespace fescueline::test {
 
-/// Runs the loop until the condition holds; false after the limit.
-inline bool RunUntil(
-    asio::io_context& aIo, const std::function<bool()>& aCondition,
-    std::chrono::milliseconds aLimit = std::chrono::milliseconds(5000)) {
+/// Calls aStep until the condition holds; false after the limit.
+template <typename Step>
+bool RunSteps(asio::io_context& aIo, const std::function<bool()>& aCondition,
+              std::chrono::milliseconds aLimit, const Step& aStep) {
   const auto end = std::chrono::steady_clock::now() + aLimit;
   while (!aCondition()) {
     if (std::chrono::steady_clock::now() > end) {
       return false;
     }
     aIo.restart();
-    // One event at a time, so that the condition is seen at once.
-    aIo.run_one_for(std::chrono::milliseconds(5));
+    aStep();
   }
   return true;
 }
 
+/// Runs the loop until the condition holds; false after the limit.
+inline bool RunUntil(
+    asio::io_context& aIo, const std::function<bool()>& aCondition,
+    std::chrono::milliseconds aLimit = std::chrono::milliseconds(5000)) {
+  return RunSteps(aIo, aCondition, aLimit,
+                  [&aIo] { aIo.run_for(std::chrono::milliseconds(5)); });
+}
+
+/// The same with a look at the condition after each event, for tests with many
+/// short waits. A condition that sends requests would send them without pause.
+inline bool RunPromptly(
+    asio::io_context& aIo, const std::function<bool()>& aCondition,
+    std::chrono::milliseconds aLimit = std::chrono::milliseconds(5000)) {
+  return RunSteps(aIo, aCondition, aLimit,
+                  [&aIo] { aIo.run_one_for(std::chrono::milliseconds(5)); });
+}
+
 /// The other end of a connection under test: collects what arrives and writes
 /// what it is told. Runs on the loop.
 class RawPeer {
--- a/tests/Mesh/CutResponseTest.cpp
+++ b/tests/Mesh/CutResponseTest.cpp
@@ -108,7 +108,7 @@
         caller.received.clear();
         caller.Send(TargetPath::Request(
             row.method, cut % 2 == 0 ? "/safe/" : "/once/", id));
-        REQUIRE(RunUntil(path.io, [&] {
+        REQUIRE(RunPromptly(path.io, [&] {
           seen = SeenResponse::Of(caller.received, row.method == "HEAD",
                                   caller.closed && !caller.reset);
           return seen.whole;
@@ -192,7 +192,7 @@
           caller.Send(TargetPath::Request("GET", "/once/", "r1", kind.fields,
                                           kind.version));
           SeenResponse seen;
-          REQUIRE(RunUntil(path.io, [&] {
+          REQUIRE(RunPromptly(path.io, [&] {
             seen = SeenResponse::Of(caller.received, false,
                                     caller.closed && !caller.reset);
             return seen.whole || caller.closed;
@@ -226,8 +226,8 @@
   path.sendsTwice = true;
   RawPeer& caller = path.NewCaller();
   caller.Send(TargetPath::Request("GET", "/once/", "r"));
-  REQUIRE(RunUntil(path.io, [&caller] { return !caller.received.empty(); }));
-  RunUntil(
+  REQUIRE(RunPromptly(path.io, [&caller] { return !caller.received.empty(); }));
+  RunPromptly(
       path.io, [] { return false; }, 50ms);
   CAPTURE(caller.received);
   CHECK(caller.received.starts_with("HTTP/1.1 502"));
--- a/tests/Mesh/EndlessResponseTest.cpp
+++ b/tests/Mesh/EndlessResponseTest.cpp
@@ -29,7 +29,7 @@
 const std::string kChunked = kStart + "Transfer-Encoding: chunked\r\n\r\n";
 const std::string kOther = "HTTP/1.1 200 OK\r\nX-Id: other\r\n";
 const std::string kHuge = "Content-Length: 1000000000000\r\n\r\n";
-const std::string kBody(16 * 1024, 'x');
+const std::string kBody(size_t{16} * 1024, 'x');
 /// Less than a caller takes at once, as the test keeps what it gets.
 constexpr auto kSteady = 1ms;
 constexpr auto kSlow = 20ms;
@@ -96,14 +96,15 @@
   while (std::chrono::steady_clock::now() < end - 100ms) {
     other.received.clear();
     other.Send(TargetPath::Request("GET", "/once/", "ok"));
-    REQUIRE(RunUntil(
+    REQUIRE(RunPromptly(
         path.io, [&other] { return other.received.ends_with("ok"); }, 100ms));
   }
-  CHECK(RunUntil(
+  CHECK(RunPromptly(
       path.io, [&path] { return path.Open() == 0; }, 500ms));
   for (size_t i = 0; i < kEndless.size(); ++i) {
     CAPTURE(kEndless[i].what);
-    REQUIRE(RunUntil(path.io, [&] { return !callers[i]->received.empty(); }));
+    REQUIRE(
+        RunPromptly(path.io, [&] { return !callers[i]->received.empty(); }));
     const SeenResponse seen = SeenResponse::Of(
         callers[i]->received, false, callers[i]->closed && !callers[i]->reset);
     CHECK((seen.status == 200 || seen.status == 502 || seen.status == 504));
@@ -143,10 +144,11 @@
     RawPeer& caller = path.NewCaller();
     caller.Send(
         TargetPath::Request("POST", "/once/", "r", "Content-Length: 0\r\n"));
-    REQUIRE(RunUntil(path.io, [&caller] { return !caller.received.empty(); }));
+    REQUIRE(
+        RunPromptly(path.io, [&caller] { return !caller.received.empty(); }));
     const uint64_t before = path.connections[0]->written;
     caller.Close();
-    CHECK(RunUntil(
+    CHECK(RunPromptly(
         path.io, [&path] { return path.Open() == 0; }, 1000ms));
     CHECK(path.connections[0]->written - before < kMaxUnwanted);
   }
@@ -161,7 +163,7 @@
   });
   RawPeer& caller = path.NewCaller();
   caller.Send(TargetPath::Request("GET", "/once/", "r"));
-  CHECK(RunUntil(
+  CHECK(RunPromptly(
       path.io, [&caller] { return !caller.received.empty(); }, 1000ms));
   CHECK(caller.received.starts_with("HTTP/1.1 503"));
   CHECK(path.connections[0]->written < kMaxUnwanted);
--- a/tests/Mesh/TargetPath.h
+++ b/tests/Mesh/TargetPath.h
@@ -181,14 +181,14 @@
     this->fleet.OnChanges({{.key = std::string(kMeshMemberPrefix) + "n1",
                             .value = EncodeMeshMember(member),
                             .version = 1}});
-    REQUIRE(RunUntil(this->io,
-                     [this] { return this->fleet.UsableTargets() == 1; }));
+    REQUIRE(RunPromptly(this->io,
+                        [this] { return this->fleet.UsableTargets() == 1; }));
     this->callers.Start();
   }
   ~TargetPath() {
     this->fleet.CloseAll();
     this->peers.CloseSessions("end of the test");
-    RunUntil(
+    RunPromptly(
         this->io, [] { return false; }, std::chrono::milliseconds(50));
   }
   TargetPath(const TargetPath&) = delete;
--- a/tests/Transport/CutPeerTest.cpp
+++ b/tests/Transport/CutPeerTest.cpp
@@ -97,7 +97,7 @@
   bool HasEnded() const { return this->whole || this->lost; }
   PeerStreamHandlers Handlers() {
     return {.onHead = [](const ResponseHeadFrame&) {},
-            .onData = [this](std::string aData) { this->body += aData; },
+            .onData = [this](const std::string& aData) { this->body += aData; },
             .onEnd =
                 [this](const ResponseEndFrame& aFrame) {
                   this->whole = aFrame.whole;
@@ -149,7 +149,7 @@
     for (size_t i = 0; i < 2; ++i) {
       client->Request({.method = "GET", .body = bodies[i]}, seen[i].Handlers());
     }
-    REQUIRE(RunUntil(
+    REQUIRE(RunPromptly(
         io, [&seen] { return seen[0].HasEnded() && seen[1].HasEnded(); }));
     for (size_t i = 0; i < 2; ++i) {
       CHECK(bodies[i].starts_with(seen[i].body));
@@ -161,7 +161,7 @@
     allWhole = seen[0].whole && seen[1].whole;
     client->Close("end of the row");
     relay.Close();
-    REQUIRE(RunUntil(io, [&] {
+    REQUIRE(RunPromptly(io, [&] {
       return client->IsClosed() && server.ConnectedNodes().empty();
     }));
     io.restart();
--- a/tests/Transport/FrameChannelTest.cpp
+++ b/tests/Transport/FrameChannelTest.cpp
@@ -83,7 +83,7 @@
       ResponseDataFrame{.stream = 1, .data = std::string(1000, 'x')});
   // Whole frames that arrive slowly do no harm.
   sender.Start(ping + ping + ping + data, ping.size() + 4);
-  CHECK(RunUntil(
+  CHECK(RunPromptly(
       io, [&reason] { return !reason.empty(); }, 3000ms));
   CHECK(frames == 3);
   CHECK(reason == "frame without end");
@@ -112,7 +112,7 @@
     }
     sender.Start(bytes + std::string(500, 'x'), 4);
     // A frame that is too long is refused at once.
-    CHECK(RunUntil(
+    CHECK(RunPromptly(
         io, [&] { return closed && sender.closed; },
         claimed > 1000 ? 500ms : 1500ms));
   }
