--- a/tests/Http1/HttpReaderTest.cpp
+++ b/tests/Http1/HttpReaderTest.cpp
@@ -142,3 +142,273 @@
   REQUIRE(recorder.messages.size() == 1);
   CHECK(recorder.messages.front().ended);
 }
+
+namespace {
+struct DamagedCase {
+  std::string what;
+  HttpReaderKind kind;
+  std::string bytes;
+};
+
+const std::string kChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// What http_parser takes for whole messages although a line or chunk is
+/// damaged.
+const std::vector<DamagedCase> kDamaged = {
+    {"a byte behind CR in the status line", HttpReaderKind::Response,
+     "HTTP/1.1 200 O\rK\r\nContent-Length: 2\r\n\r\nab"},
+    {"a byte behind CR at the end of the head", HttpReaderKind::Response,
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\rXab"},
+    {"a byte behind CR in a field", HttpReaderKind::Request,
+     "GET / HTTP/1.1\r\nHost: h\rX\r\n\r\n"},
+    {"a field that goes on in the next line", HttpReaderKind::Request,
+     "GET / HTTP/1.1\r\nHost: h\r\n g\r\n\r\n"},
+    {"a first field behind white space", HttpReaderKind::Response,
+     "HTTP/1.1 200 OK\r\n A: b\r\nContent-Length: 2\r\n\r\nab"},
+    {"a chunk longer than its size", HttpReaderKind::Response,
+     kChunkedHead + "2\r\nabXX0\r\n\r\n"},
+    {"a byte behind CR of a chunk size", HttpReaderKind::Response,
+     kChunkedHead + "2\rXab\r\n0\r\n\r\n"},
+    {"other bytes behind a chunk size", HttpReaderKind::Response,
+     kChunkedHead + "2 zz\r\nab\r\n0\r\n\r\n"},
+    {"a byte behind CR of the last chunk", HttpReaderKind::Response,
+     kChunkedHead + "2\r\nab\r\n0\r\n\rX"},
+    {"a chunk without a size", HttpReaderKind::Request,
+     "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+     ";a\r\n\r\n"},
+    {"an endless line of a chunk's size", HttpReaderKind::Response,
+     kChunkedHead + "2;" + std::string(2000, 'x') + "\r\nab\r\n0\r\n\r\n"}};
+
+/// Feeds bytes in steps; whether they were refused.
+bool IsRefused(Recorder& aRecorder, const std::string& aBytes, size_t aStep) {
+  try {
+    for (size_t at = 0; at < aBytes.size();) {
+      at += aRecorder.reader.Feed(aBytes.substr(at, aStep));
+    }
+  } catch (const Error&) {
+    return true;
+  }
+  return false;
+}
+}  // namespace
+
+// Pattern: a target writes other bytes into a line end of a head or of a chunk.
+// Guards against a damaged message that reads as a whole one.
+TEST_CASE("damaged lines and chunks are refused") {
+  for (const DamagedCase& row : kDamaged) {
+    CAPTURE(row.what);
+    for (const size_t step : {row.bytes.size(), size_t{1}, size_t{7}}) {
+      Recorder recorder(row.kind);
+      CHECK(IsRefused(recorder, row.bytes, step));
+      for (const Parsed& message : recorder.messages) {
+        CHECK_FALSE(message.ended);
+      }
+    }
+  }
+}
+
+// Guards against refusal of unusual but proper chunks, trailers and lines.
+TEST_CASE("proper chunks and trailers are read") {
+  for (const std::string& body : std::vector<std::string>{
+           "2\r\nab\r\n0\r\n\r\n", "0002\r\nab\r\n000\r\n\r\n",
+           "2;a=b\r\nab\r\n0;c\r\n\r\n", "2 ;a\r\nab\r\n0\r\n\r\n",
+           "1\r\na\r\n1\r\nb\r\n0\r\nA: b\r\nC: d\r\n\r\n"}) {
+    CAPTURE(body);
+    const std::string bytes = kChunkedHead + body;
+    for (const size_t step : {bytes.size(), size_t{1}, size_t{7}}) {
+      Recorder recorder(HttpReaderKind::Response);
+      CHECK_FALSE(IsRefused(recorder, bytes, step));
+      REQUIRE(recorder.messages.size() == 1);
+      CHECK(recorder.messages.front().ended);
+      CHECK(recorder.messages.front().body == "ab");
+    }
+  }
+  Recorder recorder(HttpReaderKind::Request);
+  CHECK_FALSE(IsRefused(recorder, "\r\nGET / HTTP/1.1\nHost: h\n\n", 1));
+  REQUIRE(recorder.messages.size() == 1);
+  CHECK(recorder.messages.front().ended);
+}
+
+// Pattern: a target answers 304 with the length of what it did not send, as
+// HTTP allows, or an interim or empty response with one by mistake. Guards
+// against bytes of the next response that are taken for its body, and against
+// a wait for bytes that never come.
+TEST_CASE("responses that never have a body end with their head") {
+  const std::string next = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+  for (const std::string& status : std::vector<std::string>{"204", "304"}) {
+    for (const std::string& field : std::vector<std::string>{
+             "Content-Length: 5", "Transfer-Encoding: chunked", "A: b"}) {
+      CAPTURE(status);
+      CAPTURE(field);
+      const std::string head =
+          "HTTP/1.1 " + status + " X\r\n" + field + "\r\n\r\n";
+      Recorder recorder(HttpReaderKind::Response);
+      CHECK(recorder.reader.Feed(head + next) == head.size());
+      REQUIRE(recorder.messages.size() == 1);
+      CHECK(recorder.messages.front().ended);
+      CHECK(recorder.messages.front().body.empty());
+    }
+  }
+  Recorder recorder(HttpReaderKind::Response);
+  const std::string bytes =
+      "HTTP/1.1 103 X\r\nContent-Length: 5\r\n\r\n" + next;
+  CHECK(recorder.reader.Feed(bytes) == bytes.size());
+  REQUIRE(recorder.messages.size() == 1);
+  CHECK(recorder.messages.front().body == "ab");
+}
+
+// Pattern: a caller hides a field behind white space before its colon, which
+// http_parser takes for the field and the lists of fields to remove do not.
+// Guards against requests that a target frames differently, and against
+// callers that name their own organisation.
+TEST_CASE("white space in field names is refused in requests") {
+  for (const std::string& field : std::vector<std::string>{
+           "Transfer-Encoding : chunked", "Content-Length : 0",
+           "X-Tenant : other", "X Tenant: other", "X-Tenant\t: other"}) {
+    CAPTURE(field);
+    Recorder recorder(HttpReaderKind::Request);
+    CHECK(IsRefused(
+        recorder,
+        "POST / HTTP/1.1\r\nHost: h\r\n" + field + "\r\n\r\n0\r\n\r\n", 4096));
+    CHECK(recorder.messages.empty());
+  }
+}
+
+// Guards against fields of a target that keep the white space, which no list
+// of fields to remove would match.
+TEST_CASE("white space behind a field name of a response is dropped") {
+  Recorder recorder(HttpReaderKind::Response);
+  const std::string bytes =
+      "HTTP/1.1 200 OK\r\nConnection : close\r\nContent-Length : 2\r\n\r\nab";
+  CHECK(recorder.reader.Feed(bytes) == bytes.size());
+  REQUIRE(recorder.messages.size() == 1);
+  CHECK(recorder.messages.front().body == "ab");
+  for (const HttpHeader& field : recorder.messages.front().head.headers) {
+    CHECK(field.name.find(' ') == std::string::npos);
+  }
+  Recorder inner(HttpReaderKind::Response);
+  CHECK(IsRefused(inner, "HTTP/1.1 200 OK\r\nA B: c\r\n\r\n", 4096));
+}
+
+// Pattern: a caller or target sends thousands of tiny fields within the bytes
+// of a head. Guards against a head that does not fit a frame between nodes,
+// whose receiver would close the connection with all requests on it.
+TEST_CASE("heads and trailers with very many fields are refused") {
+  for (const size_t count : {size_t{400}, size_t{1100}}) {
+    CAPTURE(count);
+    std::string fields;
+    for (size_t i = 0; i < count; ++i) {
+      fields += "a:b\r\n";
+    }
+    const bool tooMany = count > 1000;
+    Recorder request(HttpReaderKind::Request, 16 * 1024);
+    CHECK(IsRefused(request, "GET / HTTP/1.1\r\n" + fields + "\r\n", 4096) ==
+          tooMany);
+    CHECK(request.messages.empty() == tooMany);
+    Recorder response(HttpReaderKind::Response, 16 * 1024);
+    CHECK(IsRefused(response, "HTTP/1.1 200 OK\r\n" + fields + "\r\n", 4096) ==
+          tooMany);
+    CHECK(response.messages.empty() == tooMany);
+    Recorder trailers(HttpReaderKind::Response, 16 * 1024);
+    CHECK(IsRefused(trailers,
+                    kChunkedHead + "1\r\na\r\n0\r\n" + fields + "\r\n",
+                    4096) == tooMany);
+  }
+}
+
+// Guards against heads whose version, status or transfer coding says that the
+// bytes mean something else than the reader takes them for.
+TEST_CASE("heads with an unknown version, status or coding are refused") {
+  for (const DamagedCase& row : std::vector<DamagedCase>{
+           {"a request without a version", HttpReaderKind::Request,
+            "GET /\r\n\r\n"},
+           {"another version", HttpReaderKind::Request,
+            "GET / HTTP/2.0\r\nHost: h\r\n\r\n"},
+           {"a response of another version", HttpReaderKind::Response,
+            "HTTP/9.9 200 OK\r\n\r\n"},
+           {"a status of one digit", HttpReaderKind::Response,
+            "HTTP/1.1 7 OK\r\n\r\n"},
+           {"a switch to another protocol", HttpReaderKind::Response,
+            "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"},
+           {"a coding that is not undone", HttpReaderKind::Response,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+            "0\r\n\r\n"},
+           {"a coding up to the end of the connection",
+            HttpReaderKind::Response,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nab"},
+           {"a coding of a request", HttpReaderKind::Request,
+            "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+            "0\r\n\r\n"},
+           {"chunks in a version without them", HttpReaderKind::Request,
+            "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "0\r\n\r\n"},
+           {"a tunnel with a body, which the parser does not expect",
+            HttpReaderKind::Request,
+            "CONNECT h:1 HTTP/1.1\r\nContent-Length: 26\r\n\r\n"
+            "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"}}) {
+    CAPTURE(row.what);
+    Recorder recorder(row.kind);
+    CHECK(IsRefused(recorder, row.bytes, 4096));
+    CHECK(recorder.messages.empty());
+  }
+  Recorder recorder(HttpReaderKind::Response);
+  CHECK_FALSE(IsRefused(recorder,
+                        "HTTP/1.0 200 OK\r\nTransfer-Encoding: CHUNKED \r\n"
+                        "\r\n0\r\n\r\n",
+                        4096));
+}
+
+// Pattern: a target sends interim responses, or responses of other requests,
+// without end. Guards against work for a response that never comes.
+TEST_CASE("responses before the expected one are bounded") {
+  const std::string interim = "HTTP/1.1 102 X\r\n\r\n";
+  const std::string other =
+      "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1000000\r\n\r\n" +
+      std::string(1'000'000, 'x');
+  struct Case {
+    std::string what;
+    std::string bytes;
+    size_t taken;
+    size_t refused;
+  };
+  for (const Case& row : std::vector<Case>{
+           {"interim responses", interim, 20, 200},
+           {"responses of other requests", other, 4, 40},
+           {"empty ones of other requests",
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 4, 40}}) {
+    CAPTURE(row.what);
+    bool accepts = false;
+    bool accepted = false;
+    const auto feed = [&](HttpReader& aReader, size_t aCount) {
+      for (size_t i = 0; i < aCount; ++i) {
+        CHECK(aReader.Feed(row.bytes) == row.bytes.size());
+      }
+    };
+    HttpReader reader({.kind = HttpReaderKind::Response,
+                       .events = {.onHead =
+                                      [&](const HttpHead&) {
+                                        accepted = accepts;
+                                        return accepts;
+                                      },
+                                  .onBody = [](std::string_view) {},
+                                  .onEnd = [] {}}});
+    // An accepted response ends the count.
+    for (int round = 0; round < 3; ++round) {
+      feed(reader, row.taken);
+      accepts = true;
+      reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      CHECK(accepted);
+      accepts = false;
+    }
+    size_t fed = 0;
+    try {
+      for (; fed < row.refused; ++fed) {
+        reader.Feed(row.bytes);
+      }
+    } catch (const Error&) {
+    }
+    CHECK(fed >= row.taken);
+    CHECK(fed < row.refused);
+  }
+}
