Take no response for whole whose head broke off

Cause: libcurl reports success if the connection closes within the head of a response. HttpClient then reported status, no body and "whole", so the node sent a 200 with an empty body, framed as whole. Ruled out: resets and breaks within a body or its chunks; libcurl reports these as errors. Change: a transfer is whole only if the empty line of a final head (status 200 or above) was seen; a body before it fails. Measured: "a response cut at any byte is not whole" cuts six responses at every byte, with a close and with a reset. Conclusion: a broken head ends in "unknown", which repeats idempotent requests. A response that lacks only the last LF after its last chunk still counts as whole, since nothing of its body is missing.

--- a/src/Transport/HttpClient.cpp
+++ b/src/Transport/HttpClient.cpp
@@ -15,6 +15,7 @@
 
 constexpr int kPollMilliseconds = 1000;
 constexpr long kMaxIdleConnections = 64;
+constexpr long kFirstFinalStatus = 200;
 
 struct CurlEasyDeleter {
   void operator()(CURL* aHandle) const { curl_easy_cleanup(aHandle); }
@@ -69,12 +70,13 @@
 
   void Finish(CURLcode aCode) {
     HttpTransferResult result;
-    if (aCode == CURLE_OK) {
+    // libcurl reports success if the connection closes within the head.
+    if (aCode == CURLE_OK && this->headComplete) {
       this->ReportHead();
       result.whole = true;
       result.mayHaveBeenSent = true;
     } else {
-      result.error = curl_easy_strerror(aCode);
+      result.error = this->ErrorText(aCode);
       result.timedOut = aCode == CURLE_OPERATION_TIMEDOUT;
       result.mayHaveBeenSent = this->sends > 0;
       result.stopped = this->stopped;
@@ -155,19 +157,28 @@
 
   static size_t OnHeader(char* aData, size_t aSize, size_t aCount,
                          void* aSelf) {
-    static_cast<Transfer*>(aSelf)->AddHeaderLine(
-        std::string_view(aData, aSize * aCount));
-    return aSize * aCount;
+    auto* self = static_cast<Transfer*>(aSelf);
+    const std::string_view line(aData, aSize * aCount);
+    self->AddHeaderLine(line);
+    return line.size();
   }
 
   void AddHeaderLine(std::string_view aLine) {
+    const bool ended = aLine.ends_with('\n');
     while (!aLine.empty() && (aLine.back() == '\r' || aLine.back() == '\n')) {
       aLine.remove_suffix(1);
     }
+    if (this->headComplete) {
+      return;  // a trailer
+    }
     if (aLine.starts_with("HTTP/")) {
       this->headers.clear();  // an interim (1xx) response came before
       return;
     }
+    if (aLine.empty()) {
+      this->headComplete = ended && this->Status() >= kFirstFinalStatus;
+      return;
+    }
     const size_t colon = aLine.find(':');
     if (colon == std::string_view::npos) {
       return;
@@ -183,6 +194,10 @@
   static size_t OnBody(char* aData, size_t aSize, size_t aCount, void* aSelf) {
     auto* self = static_cast<Transfer*>(aSelf);
     const size_t bytes = aSize * aCount;
+    if (!self->headComplete) {
+      self->failure = "body without a complete head";
+      return 0;
+    }
     self->ReportHead();
     if (self->limited && self->credit <= 0) {
       self->paused = true;
@@ -198,13 +213,26 @@
       return;
     }
     this->headReported = true;
-    long status = 0;
     curl_off_t length = -1;
-    curl_easy_getinfo(this->easy.get(), CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(this->easy.get(), CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
                       &length);
-    this->handlers.onHead(static_cast<int>(status), std::move(this->headers),
-                          length);
+    this->handlers.onHead(static_cast<int>(this->Status()),
+                          std::move(this->headers), length);
+  }
+
+  /// Status of the head that arrived last; 0 if there is none.
+  long Status() const {
+    long status = 0;
+    curl_easy_getinfo(this->easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    return status;
+  }
+
+  std::string ErrorText(CURLcode aCode) const {
+    if (!this->failure.empty()) {
+      return this->failure;
+    }
+    return aCode == CURLE_OK ? "connection closed within the head"
+                             : curl_easy_strerror(aCode);
   }
 
   /// Number of the transfer.
@@ -223,8 +251,12 @@
   int sends = 0;
   /// Whether `maySend` stopped the request.
   bool stopped = false;
+  /// Whether the head of the final response is complete.
+  bool headComplete = false;
   /// Whether onHead was called.
   bool headReported = false;
+  /// Why a callback ended the transfer; empty if none did.
+  std::string failure;
   /// Response headers so far.
   HttpHeaders headers;
   /// Request headers for libcurl; must outlive `easy`.
--- a/tests/Transport/BrokenResponseTest.cpp
+++ b/tests/Transport/BrokenResponseTest.cpp
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "Transport/HttpFixtures.h"
+#include "Transport/ScriptedPeer.h"
 
 using namespace fescueline;
 using namespace fescueline::test;
@@ -32,7 +33,7 @@
                      }});
   HttpClient client;
   for (const Row& row : rows) {
-    CAPTURE(row.name);
+    CAPTURE(std::string(row.name));
     current = row;
     const Answer answer = Fetch(client, {.url = Url(server, "/")});
     CAPTURE(answer.result.error);
@@ -41,3 +42,61 @@
     CHECK(answer.result.whole == row.whole);
   }
 }
+
+// Guards against a response that breaks off in its head, or in its body, and
+// reaches the caller as a whole one that is empty or short.
+TEST_CASE("a response cut at any byte is not whole") {
+  struct Row {
+    const char* name;
+    std::string response;
+    /// Bytes at the end that the response is whole without.
+    size_t spare = 0;
+    /// Whether the response ends with the connection, so that a reset breaks
+    /// it.
+    bool untilClose = false;
+  };
+  const std::string line = "HTTP/1.1 200 OK\r\n";
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::vector<Row> rows = {
+      {"length", line + "X-A: b\r\nContent-Length: 12\r\n\r\n0123456789ab"},
+      {"no body", line + "X-A: b\r\nContent-Length: 0\r\n\r\n"},
+      {"never a body", "HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n"},
+      // Nothing of the body follows the CR of its last line.
+      {"chunks",
+       line + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 1},
+      {"after an interim response",
+       interim + line + "X-A: b\r\nContent-Length: 0\r\n\r\n"},
+      {"until the close", line + "X-A: b\r\n\r\n0123", 4, true}};
+  HttpClient client;
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    const size_t whole = row.response.size() - row.spare;
+    for (size_t size = 0; size <= row.response.size(); ++size) {
+      for (const bool reset : {false, true}) {
+        CAPTURE(size);
+        CAPTURE(reset);
+        const ScriptedPeer server([&](const ScriptedPeer::Turn& aTurn) {
+          aTurn.Send(row.response.substr(0, size));
+          if (reset) {
+            aTurn.Reset();
+          } else {
+            aTurn.Close();
+          }
+        });
+        const Answer answer = Fetch(client, {.url = server.Url("/")});
+        CAPTURE(answer.status);
+        CAPTURE(answer.body);
+        if (size < whole || (reset && row.untilClose)) {
+          CHECK_FALSE(answer.result.whole);
+        } else if (!reset) {
+          // A reset may discard bytes that were sent before it.
+          CHECK(answer.result.whole);
+        }
+        if (answer.result.whole) {
+          CHECK(answer.status >= 200);
+        }
+        CHECK(answer.result.mayHaveBeenSent);
+      }
+    }
+  }
+}
