Bound the head and the trailers of a response

Cause: libcurl's own limit does not cover trailers, and HttpClient kept every header line, so trailers without an end were read and kept at full speed until the time limit of the request. Change: a response may have 64 KiB of heads, interim responses and trailers together, as in HttpClientConnection. Conclusion: the memory of one transfer is bounded by its head limit and its credit.

--- a/src/Transport/HttpClient.cpp
+++ b/src/Transport/HttpClient.cpp
@@ -15,6 +15,9 @@
 
 constexpr int kPollMilliseconds = 1000;
 constexpr long kMaxIdleConnections = 64;
+/// Longest head of a response with its interim responses and trailers, in
+/// bytes; the same as HttpClientConnection accepts.
+constexpr size_t kMaxHeadBytes = size_t{64} * 1024;
 constexpr long kFirstFinalStatus = 200;
 
 struct CurlEasyDeleter {
@@ -159,6 +162,11 @@
                          void* aSelf) {
     auto* self = static_cast<Transfer*>(aSelf);
     const std::string_view line(aData, aSize * aCount);
+    self->headBytes += line.size();
+    if (self->headBytes > kMaxHeadBytes) {
+      self->failure = "head of the response is too long";
+      return 0;  // libcurl ends the transfer with CURLE_WRITE_ERROR
+    }
     self->AddHeaderLine(line);
     return line.size();
   }
@@ -255,6 +263,8 @@
   bool headComplete = false;
   /// Whether onHead was called.
   bool headReported = false;
+  /// Bytes of heads and trailers so far.
+  size_t headBytes = 0;
   /// Why a callback ended the transfer; empty if none did.
   std::string failure;
   /// Response headers so far.
--- a/tests/Transport/BrokenResponseTest.cpp
+++ b/tests/Transport/BrokenResponseTest.cpp
@@ -100,3 +100,44 @@
     }
   }
 }
+
+// Guards against a head without an end that fills the memory.
+TEST_CASE("a head without an end is refused") {
+  struct Row {
+    const char* name;
+    std::string begin;
+    std::string more;
+  };
+  for (const Row& row : std::vector<Row>{
+           {"headers", "HTTP/1.1 200 OK\r\n",
+            "X-More: " + std::string(500, 'x') + "\r\n"},
+           {"one header", "HTTP/1.1 200 OK\r\nX-More: ", std::string(500, 'x')},
+           {"interim responses", "HTTP/1.1 100 Continue\r\n\r\n",
+            "HTTP/1.1 102 Processing\r\nX-More: x\r\n\r\n"},
+           {"trailers",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            "X-More: " + std::string(500, 'x') + "\r\n"}}) {
+    CAPTURE(std::string(row.name));
+    constexpr size_t kMuch = size_t{64} * 1024 * 1024;
+    std::atomic<size_t> written{0};
+    const ScriptedPeer server([&](const ScriptedPeer::Turn& aTurn) {
+      aTurn.Send(row.begin);
+      std::string more;
+      while (more.size() < size_t{64} * 1024) {
+        more += row.more;
+      }
+      asio::error_code error;
+      while (!error && written < kMuch) {
+        written += asio::write(aTurn.socket, asio::buffer(more), error);
+      }
+      aTurn.Reset();
+    });
+    HttpClient client;
+    const Answer answer = Fetch(
+        client, {.url = server.Url("/"), .timeout = std::chrono::seconds(5)});
+    CAPTURE(answer.result.error);
+    CHECK_FALSE(answer.result.whole);
+    CHECK_FALSE(answer.result.timedOut);
+    CHECK(written < kMuch);
+  }
+}
