Give each probe of a target a connection of its own

Cause: a probe took its connection to the pool of requests after its answer. The answer carries no identifier, so a copy that the target wrote later stood where the response to the next request was expected. Its body was read at full speed until the time limit of 1 s. Ruled out: heads without an end; the reader's limit ends them. Change: a probe makes a connection, closes it after the answer, and closes it if the body exceeds 64 KiB. Answers that are not whole are logged. Measured: "the connection of a probe carries nothing else" and "a probe reads a bounded answer". After: closed, and less than 16 MiB, which includes the buffers of the sockets. Conclusion: an answer to a probe cannot reach a request.

--- a/src/Mesh/TargetProbe.cpp
+++ b/src/Mesh/TargetProbe.cpp
@@ -14,6 +14,10 @@
 constexpr uint32_t kMaxQuestions = 3;
 /// Below the shortest time between two reports: later the target is known.
 constexpr Duration kAnswerTimeout = std::chrono::seconds(1);
+/// Time to connect; the target is on this host.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+/// Longest body of an answer, in bytes. All that is read is in its head.
+constexpr size_t kMaxBodyBytes = size_t{64} * 1024;
 constexpr int kOk = 200;
 }  // namespace
 
@@ -38,15 +42,17 @@
     return;
   }
   ++this->asked;
-  const auto onConnection = [this, aPath](const ConnectionPtr& aConnection,
-                                          const std::string& aError) {
-    if (aConnection) {
-      this->Send(aConnection, aPath);
-    } else {
-      Log(LogLevel::Info, "target not reached by a probe", {{"error", aError}});
-    }
-  };
-  this->settings.pool.Acquire(Duration::zero(), onConnection);
+  const auto connection =
+      std::make_shared<HttpClientConnection>(this->settings.io);
+  connection->Connect(this->settings.target, kConnectTimeout,
+                      [this, connection, aPath](const std::string& aError) {
+                        if (aError.empty()) {
+                          this->Send(connection, aPath);
+                        } else {
+                          Log(LogLevel::Info, "target not reached by a probe",
+                              {{"error", aError}});
+                        }
+                      });
 }
 
 void TargetProbe::Send(const ConnectionPtr& aConnection,
@@ -69,13 +75,28 @@
              *answer = this->Read(aHead);
              return true;
            },
-       .onBody = [](std::string_view) {},
+       .onBody =
+           [this, connection = std::weak_ptr(aConnection),
+            bytes = size_t{0}](std::string_view aPart) mutable {
+             const bool fitted = bytes <= kMaxBodyBytes;
+             bytes += aPart.size();
+             if (fitted && bytes > kMaxBodyBytes) {
+               // Not from within the read that this is a part of.
+               asio::post(this->settings.io, [connection] {
+                 if (const auto open = connection.lock()) {
+                   open->Close("answer to a probe is too long");
+                 }
+               });
+             }
+           },
        .onDone =
            [this, timer, aConnection,
             answer](const ClientExchangeResult& aResult) {
              timer->cancel();
-             if (aResult.reusable) {
-               this->settings.pool.Release(aConnection);
+             aConnection->Close("probe done");
+             if (!aResult.whole) {
+               Log(LogLevel::Info, "probe not answered",
+                   {{"error", aResult.error}});
              }
              if (aResult.whole && *answer) {
                this->settings.onReady(**answer);
--- a/src/Mesh/TargetProbe.h
+++ b/src/Mesh/TargetProbe.h
@@ -3,11 +3,12 @@
 #include <asio.hpp>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
-#include "Http1/ConnectionPool.h"
+#include "Http1/HttpClientConnection.h"
 #include "Mesh/HeaderVocabulary.h"
 
 namespace fescueline {
@@ -21,13 +22,15 @@
 };
 
 /// Asks the local target for its health, so that a node that starts beside a
-/// running target need not wait for its next report. Runs on the loop.
+/// running target need not wait for its next report. Each question has a
+/// connection of its own: its answer carries no identifier, so a copy that came
+/// late would be taken for the response to the next request. Runs on the loop.
 class TargetProbe {
  public:
   /// Construction parameters.
   struct Settings {
     asio::io_context& io;
-    ConnectionPool& pool;
+    asio::ip::tcp::endpoint target;
     const HeaderVocabulary& headers;
     /// Host header of the question.
     std::string host;
@@ -41,7 +44,7 @@
   void Ask(const std::string& aPath);
 
  private:
-  using ConnectionPtr = ConnectionPool::ConnectionPtr;
+  using ConnectionPtr = std::shared_ptr<HttpClientConnection>;
 
   void Send(const ConnectionPtr& aConnection, const std::string& aPath);
   /// The answer of a target that is ready; nothing for any other answer.
--- a/src/Mesh/TargetService.h
+++ b/src/Mesh/TargetService.h
@@ -48,9 +48,6 @@
   /// The node is stopping: takes nothing new.
   void Stop();
 
-  /// Connections to the target.
-  ConnectionPool& Pool() { return *this->pool; }
-
   /// State of the target for peers.
   StateWire State() const;
   /// Attempts queued or running.
--- a/tests/Mesh/TargetProbeTest.cpp
+++ b/tests/Mesh/TargetProbeTest.cpp
@@ -7,10 +7,30 @@
 #include "Http1/LoopHttpServer.h"
 #include "Http1/LoopPeer.h"
 #include "Mesh/TargetProbe.h"
+#include "Transport/EndlessServer.h"
 
 using namespace fescueline;
 using namespace fescueline::test;
 
+namespace {
+const HeaderVocabulary kNames{.targetId = "x-id", .load = "x-load"};
+
+/// A probe of one target.
+struct ProbeOf {
+  ProbeOf(asio::io_context& aIo, const asio::ip::tcp::endpoint& aTarget)
+      : probe({.io = aIo,
+               .target = aTarget,
+               .headers = kNames,
+               .host = "t",
+               .onReady = [this](const ProbeAnswer& aAnswer) {
+                 this->answer = aAnswer;
+               }}) {}
+
+  std::optional<ProbeAnswer> answer;
+  TargetProbe probe;
+};
+}  // namespace
+
 // Guards against slots that are read from something else.
 TEST_CASE("slots are the last of three numbers") {
   struct Row {
@@ -57,17 +77,15 @@
            aExchange->Respond({.status = row.status, .headers = row.headers});
          }});
     server.Start();
-    ConnectionPool pool(
-        {.io = io,
-         .peer = {asio::ip::make_address("127.0.0.1"), server.Port()}});
     std::optional<ProbeAnswer> answer;
-    TargetProbe probe({.io = io,
-                       .pool = pool,
-                       .headers = names,
-                       .host = "t",
-                       .onReady = [&answer](const ProbeAnswer& aAnswer) {
-                         answer = aAnswer;
-                       }});
+    TargetProbe probe(
+        {.io = io,
+         .target = {asio::ip::make_address("127.0.0.1"), server.Port()},
+         .headers = names,
+         .host = "t",
+         .onReady = [&answer](const ProbeAnswer& aAnswer) {
+           answer = aAnswer;
+         }});
     for (int i = 0; i < 10; ++i) {
       probe.Ask("/health");
     }
@@ -89,10 +107,9 @@
                                    {asio::ip::make_address("127.0.0.1"), 0});
   RawPeer silent(io);
   silent.Accept(acceptor);
-  ConnectionPool pool({.io = io, .peer = acceptor.local_endpoint()});
   const HeaderVocabulary names{.targetId = "x-id", .load = "x-load"};
   TargetProbe probe({.io = io,
-                     .pool = pool,
+                     .target = acceptor.local_endpoint(),
                      .headers = names,
                      .host = "t",
                      .onReady = [](const ProbeAnswer&) { CHECK(false); }});
@@ -101,3 +118,64 @@
   CHECK(RunUntil(
       io, [&silent] { return silent.closed; }, std::chrono::seconds(3)));
 }
+
+// Guards against the answer to a probe that a target writes once more, late,
+// being read as the answer of a request on the same connection.
+TEST_CASE("the connection of a probe carries nothing else") {
+  struct Row {
+    const char* name;
+    int status;
+  };
+  for (const Row& row :
+       std::vector<Row>{{"ready", 200}, {"leaving", 503}, {"unknown", 404}}) {
+    CAPTURE(std::string(row.name));
+    asio::io_context io{1};
+    asio::ip::tcp::acceptor acceptor(io,
+                                     {asio::ip::make_address("127.0.0.1"), 0});
+    RawPeer target(io);
+    target.Accept(acceptor);
+    ProbeOf asker(io, acceptor.local_endpoint());
+    asker.probe.Ask("/health");
+    REQUIRE(RunUntil(io, [&target] { return !target.received.empty(); }));
+    target.Send("HTTP/1.1 " + std::to_string(row.status) +
+                " X\r\nX-Id: t1\r\nX-Load: 1,0,9\r\n"
+                "Content-Length: 2\r\n\r\nok");
+    CHECK(RunUntil(
+        io, [&target] { return target.closed; },
+        std::chrono::milliseconds(500)));
+    CHECK(asker.answer.has_value() == (row.status == 200));
+  }
+}
+
+// Guards against an answer without an end that is read at full speed until the
+// time limit, and against an answer that breaks off counting as one.
+TEST_CASE("a probe reads a bounded answer") {
+  constexpr size_t kKiB = 1024;
+  struct Row {
+    const char* name;
+    std::string begin;
+    std::string endless;
+  };
+  const std::string ready = "HTTP/1.1 200 OK\r\nX-Id: t1\r\nX-Load: 1,0,9\r\n";
+  for (const Row& row : std::vector<Row>{
+           {"head", ready, "X-More: " + std::string(kKiB, 'x') + "\r\n"},
+           {"name of a header", ready, std::string(kKiB, 'x')},
+           {"body without a length", ready + "\r\n", std::string(kKiB, 'x')},
+           {"body with a length",
+            ready + "Content-Length: 999999999999\r\n\r\n",
+            std::string(kKiB, 'x')},
+           {"chunks", ready + "Transfer-Encoding: chunked\r\n\r\n",
+            "400\r\n" + std::string(kKiB, 'x') + "\r\n"}}) {
+    CAPTURE(std::string(row.name));
+    asio::io_context io{1};
+    EndlessServer target(io, row.begin, row.endless);
+    ProbeOf asker(io, target.Endpoint());
+    asker.probe.Ask("/health");
+    CHECK(RunUntil(
+        io, [&target] { return target.Closed() == 1; },
+        std::chrono::seconds(3)));
+    // The buffers of the sockets hold a few MiB.
+    CHECK(target.Written() < 16 * kKiB * kKiB);
+    CHECK_FALSE(asker.answer);
+  }
+}
--- /dev/null
+++ b/tests/Transport/EndlessServer.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <asio.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace fescueline::test {
+
+/// Answers the first request of each connection with a begin and then the same
+/// text over and over until the client closes. Runs on the loop, which it
+/// never blocks.
+class EndlessServer {
+ public:
+  EndlessServer(asio::io_context& aIo, std::string aBegin, std::string aText)
+      : acceptor(aIo, {asio::ip::address_v4::loopback(), 0}),
+        begin(std::move(aBegin)),
+        text(std::move(aText)) {
+    this->Accept();
+  }
+  EndlessServer(const EndlessServer&) = delete;
+
+  asio::ip::tcp::endpoint Endpoint() const {
+    return this->acceptor.local_endpoint();
+  }
+  /// Bytes written, which includes what the buffers of the sockets hold.
+  size_t Written() const { return this->written; }
+  /// Connections that the client has closed.
+  size_t Closed() const { return this->closed; }
+
+ private:
+  using SocketPtr = std::shared_ptr<asio::ip::tcp::socket>;
+
+  void Accept() {
+    this->acceptor.async_accept(
+        [this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
+          if (aError) {
+            return;
+          }
+          const auto socket =
+              std::make_shared<asio::ip::tcp::socket>(std::move(aSocket));
+          const auto head = std::make_shared<std::string>();
+          asio::async_read_until(
+              *socket, asio::dynamic_buffer(*head), "\r\n\r\n",
+              [this, socket, head](const asio::error_code& aError, size_t) {
+                if (!aError) {
+                  this->Write(socket, this->begin);
+                }
+              });
+          this->Accept();
+        });
+  }
+
+  void Write(const SocketPtr& aSocket, const std::string& aText) {
+    asio::async_write(
+        *aSocket, asio::buffer(aText),
+        [this, aSocket](const asio::error_code& aError, size_t aSize) {
+          this->written += aSize;
+          if (aError) {
+            ++this->closed;
+            return;
+          }
+          this->Write(aSocket, this->text);
+        });
+  }
+
+  asio::ip::tcp::acceptor acceptor;
+  std::string begin;
+  std::string text;
+  size_t written = 0;
+  size_t closed = 0;
+};
+
+}  // namespace fescueline::test
