Take no response to another request on a kept connection

Cause: the node reused connections to its target without a way to tell responses apart. What the target wrote once more, late, was read as the response to the next request: a caller got another one's body, or a refusal of a request that the target ran. Ruled out: requests that must not run twice, which have a connection of their own; copies that are complete before the next request is sent, as libcurl drops such a connection. Change: targets repeat `fescueline-attempt` in their responses. A response that names another attempt fails its transfer (outcome unknown). After a response that names none, the connection is closed. The stand-in target repeats the header. Space after a header's value is dropped. Conclusion: a target that does not repeat the header costs a connection per request. Not measured: that cost.

--- a/src/Node/InboundAttempt.cpp
+++ b/src/Node/InboundAttempt.cpp
@@ -41,13 +41,16 @@
     return;
   }
   this->state = State::Running;
-  HttpTransferRequest request{.url = aTargetUrl + this->frame.target,
-                              .method = this->frame.method,
-                              .headers = this->TargetHeaders(),
-                              .body = std::move(this->frame.body),
-                              .timeout = left,
-                              .freshConnection = !this->Context().idempotent,
-                              .credit = kInitialCredit};
+  HttpTransferRequest request{
+      .url = aTargetUrl + this->frame.target,
+      .method = this->frame.method,
+      .headers = this->TargetHeaders(),
+      .body = std::move(this->frame.body),
+      .timeout = left,
+      .freshConnection = !this->Context().idempotent,
+      .identity = HttpHeader{std::string(kAttemptHeader),
+                             this->Context().attemptId.ToString()},
+      .credit = kInitialCredit};
   const auto self = this->shared_from_this();
   // A process that was paused since the check above must not send.
   request.maySend = [self] {
--- a/src/Transport/HttpClient.cpp
+++ b/src/Transport/HttpClient.cpp
@@ -115,6 +115,9 @@
     this->Set(CURLOPT_PREREQDATA, this);
     if (this->request.freshConnection) {
       this->Set(CURLOPT_FRESH_CONNECT, 1L);
+    }
+    // Allowed again by a response that repeats the identity.
+    if (this->request.freshConnection || this->request.identity) {
       this->Set(CURLOPT_FORBID_REUSE, 1L);
     }
     if (this->request.method == "HEAD") {
@@ -167,36 +170,59 @@
       self->failure = "head of the response is too long";
       return 0;  // libcurl ends the transfer with CURLE_WRITE_ERROR
     }
-    self->AddHeaderLine(line);
-    return line.size();
+    return self->AddHeaderLine(line) ? line.size() : 0;
   }
 
-  void AddHeaderLine(std::string_view aLine) {
-    const bool ended = aLine.ends_with('\n');
-    while (!aLine.empty() && (aLine.back() == '\r' || aLine.back() == '\n')) {
-      aLine.remove_suffix(1);
-    }
+  /// False if the response belongs to another request.
+  bool AddHeaderLine(std::string_view aLine) {
+    constexpr std::string_view kSpace = " \t\r\n";
+    const bool isEnd = aLine == "\r\n" || aLine == "\n";
+    aLine = aLine.substr(0, aLine.find_last_not_of(kSpace) + 1);
     if (this->headComplete) {
-      return;  // a trailer
+      return true;  // a trailer
     }
     if (aLine.starts_with("HTTP/")) {
       this->headers.clear();  // an interim (1xx) response came before
-      return;
+      return true;
     }
-    if (aLine.empty()) {
-      this->headComplete = ended && this->Status() >= kFirstFinalStatus;
-      return;
+    if (isEnd) {
+      this->headComplete = this->Status() >= kFirstFinalStatus;
+      return !this->headComplete || this->CheckIdentity();
     }
     const size_t colon = aLine.find(':');
     if (colon == std::string_view::npos) {
-      return;
+      return true;
     }
     std::string_view value = aLine.substr(colon + 1);
-    while (!value.empty() && value.front() == ' ') {
-      value.remove_prefix(1);
-    }
+    value.remove_prefix(
+        std::min(value.size(), value.find_first_not_of(kSpace)));
     this->headers.push_back(
         {std::string(aLine.substr(0, colon)), std::string(value)});
+    return true;
+  }
+
+  /// False if the response names another request. Lets the connection be used
+  /// again if it names this one.
+  bool CheckIdentity() {
+    if (!this->request.identity) {
+      return true;
+    }
+    bool repeated = false;
+    for (const HttpHeader& header : this->headers) {
+      if (!EqualHeaderName(header.name, this->request.identity->name)) {
+        continue;
+      }
+      if (header.value != this->request.identity->value) {
+        this->headComplete = false;
+        this->failure = "response belongs to another request";
+        return false;
+      }
+      repeated = true;
+    }
+    if (repeated && !this->request.freshConnection) {
+      this->Set(CURLOPT_FORBID_REUSE, 0L);
+    }
+    return true;
   }
 
   static size_t OnBody(char* aData, size_t aSize, size_t aCount, void* aSelf) {
--- a/src/Transport/HttpClient.h
+++ b/src/Transport/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "Core/Time.h"
@@ -48,6 +49,12 @@
   /// Uses a connection of its own, so that a close of an idle connection by
   /// the server cannot make the outcome unknown.
   bool freshConnection = false;
+  /// Header of the request that the server may repeat in its response. A
+  /// response with another value belongs to another request and fails the
+  /// transfer; after a response without it the connection is not used again,
+  /// since a second response on it could not be told apart. Nothing if the
+  /// server is known to write one response to each request.
+  std::optional<HttpHeader> identity;
   /// Body bytes that may arrive before Credit is called; negative for no limit.
   int64_t credit = -1;
   /// Asked on the client's thread right before the first byte is sent, so that
--- /dev/null
+++ b/tests/Node/FaultyTargetTest.cpp
@@ -0,0 +1,134 @@
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "EmbeddedFleet.h"
+#include "Log/Log.h"
+#include "Transport/ScriptedPeer.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+
+namespace {
+/// A node beside a target that the test plays.
+struct FaultyFleet {
+  explicit FaultyFleet(ScriptedPeer::Script aScript)
+      : target(std::move(aScript)) {
+    REQUIRE(this->fleet.WaitReady(std::chrono::seconds(20)));
+    this->fleet.CreateRoute("fees", "fees", "/fees", R"({"access":"open"})");
+    // Takes the place of the stand-in, which says no more before the test ends.
+    const auto announced = EmbeddedFleet::Fetch(
+        this->fleet.Client(),
+        {.url = "http://127.0.0.1:" +
+                std::to_string(this->fleet.At(0).TargetPort()) + "/v1/announce",
+         .method = "POST",
+         .headers = {{"Content-Type", "application/json"}},
+         .body = R"({"service":"fees","state":"ready","slots":10,"address":")" +
+                 this->target.Address() + "\"}"});
+    REQUIRE(announced.status < 300);
+  }
+
+  static EmbeddedFleet::Settings OneNode() {
+    DisableLog();
+    EmbeddedFleet::Settings settings;
+    settings.instances = {
+        {.service = "fees",
+         .target = {.announcePeriod = std::chrono::minutes(1)}}};
+    return settings;
+  }
+
+  ScriptedPeer target;
+  EmbeddedFleet fleet{OneNode()};
+};
+
+/// Path of a request.
+std::string PathOf(const ScriptedPeer::Turn& aTurn) {
+  const size_t begin = aTurn.head.find(' ') + 1;
+  return aTurn.head.substr(begin, aTurn.head.find(' ', begin) - begin);
+}
+
+std::string ResponseTo(const ScriptedPeer::Turn& aTurn, int aStatus,
+                       bool aEchoes) {
+  const std::string attempt = aTurn.Header("fescueline-attempt");
+  const std::string path = PathOf(aTurn);
+  return "HTTP/1.1 " + std::to_string(aStatus) + " X\r\n" +
+         (aEchoes ? "fescueline-attempt: " + attempt + "\r\n" : "") +
+         (aStatus == 503 ? "fescueline-shed: " + attempt + "\r\n" : "") +
+         "Content-Length: " + std::to_string(path.size()) + "\r\n\r\n" + path;
+}
+}  // namespace
+
+// Guards against a caller that gets the response to an earlier request, which
+// the target wrote once more on a kept connection, or a refusal of it.
+TEST_CASE("a response that a target writes again reaches no caller") {
+  struct Row {
+    const char* name;
+    int status;
+    bool echoes;
+    bool late;
+  };
+  for (const Row& row :
+       std::vector<Row>{{"late, named", 200, true, true},
+                        {"late, nameless", 200, false, true},
+                        {"at once, named", 200, true, false},
+                        {"at once, nameless", 200, false, false},
+                        {"late refusal, named", 503, true, true},
+                        {"late refusal, nameless", 503, false, true}}) {
+    CAPTURE(std::string(row.name));
+    std::atomic<size_t> ran{0};
+    std::mutex mutex;
+    std::string copy;
+    size_t copyOf = 0;
+    FaultyFleet world([&](const ScriptedPeer::Turn& aTurn) {
+      const std::lock_guard lock(mutex);
+      const bool first = PathOf(aTurn) == "/fees/0";
+      if (!first) {
+        ++ran;
+      }
+      if (row.late && aTurn.request > 0 && copyOf == aTurn.connection) {
+        aTurn.Send(std::exchange(copy, {}));
+      }
+      const std::string own =
+          ResponseTo(aTurn, first ? row.status : 200, row.echoes);
+      copy = own;
+      copyOf = aTurn.connection;
+      aTurn.Send(row.late ? own : own + own);
+    });
+    constexpr size_t kCalls = 6;
+    for (size_t i = 0; i < kCalls; ++i) {
+      const std::string path = "/fees/" + std::to_string(i);
+      const size_t before = ran;
+      const auto response = world.fleet.Call(0, {.url = path});
+      CAPTURE(path);
+      CAPTURE(response.body);
+      if (response.status == 200) {
+        CHECK(response.whole);
+        CHECK(response.body == path);
+      } else if (ran > before) {
+        CHECK(FindHeader(response.headers, "fescueline-outcome") != "not-run");
+      }
+    }
+  }
+}
+
+// Guards against a response whose head breaks off and that reaches the caller
+// as an empty one with status 200.
+TEST_CASE("a response that breaks off in its head is not passed on") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 5\r\n\r\n";
+  std::atomic<size_t> size{0};
+  FaultyFleet world([&](const ScriptedPeer::Turn& aTurn) {
+    aTurn.Send(head.substr(0, size));
+    aTurn.Close();
+  });
+  for (size = 0; size < head.size(); ++size) {
+    CAPTURE(size.load());
+    const auto response = world.fleet.Call(0, {.url = "/fees"});
+    CHECK(response.status != 200);
+    CHECK(FindHeader(response.headers, "fescueline-outcome") != "not-run");
+  }
+}
--- /dev/null
+++ b/tests/Transport/KeptConnectionTest.cpp
@@ -0,0 +1,158 @@
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "Transport/HttpFixtures.h"
+#include "Transport/ScriptedPeer.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+
+namespace {
+constexpr const char* kIdentity = "x-attempt";
+
+/// How a server frames its responses.
+enum class Framing : uint8_t { Length, Chunked, NoBody };
+
+std::string Respond(Framing aFraming, int aStatus, const std::string& aId,
+                    bool aEchoes) {
+  std::string head = "HTTP/1.1 " + std::to_string(aStatus) +
+                     " X\r\nX-Of: " + aId + "\r\n" +
+                     (aEchoes ? "X-Attempt: " + aId + "\r\n" : "");
+  switch (aFraming) {
+    case Framing::Length:
+      return head + "Content-Length: " + std::to_string(aId.size()) +
+             "\r\n\r\n" + aId;
+    case Framing::Chunked:
+      return head + "Transfer-Encoding: chunked\r\n\r\n" +
+             std::to_string(aId.size()) + "\r\n" + aId + "\r\n0\r\n\r\n";
+    case Framing::NoBody:
+      return head + "Content-Length: 0\r\n\r\n";
+  }
+  return {};
+}
+
+HttpTransferRequest RequestOf(const ScriptedPeer& aServer,
+                              const std::string& aId) {
+  return {.url = aServer.Url("/" + aId),
+          .headers = {{kIdentity, aId}},
+          .timeout = std::chrono::seconds(2),
+          .identity = HttpHeader{kIdentity, aId}};
+}
+}  // namespace
+
+// Guards against a response that a server writes once more, at once or late,
+// reaching the next request on the same connection: a wrong body, or a refusal
+// of a request that runs.
+TEST_CASE("a response that is written again answers no other request") {
+  struct Row {
+    const char* name;
+    Framing framing;
+    int status;
+    /// Bytes of the copy that come with the first response; the rest comes
+    /// when the next request has arrived.
+    size_t early;
+  };
+  constexpr size_t kAll = 1000;
+  std::vector<Row> rows;
+  for (const Framing framing :
+       {Framing::Length, Framing::Chunked, Framing::NoBody}) {
+    for (const size_t early : {size_t{0}, size_t{7}, size_t{30}, kAll}) {
+      rows.push_back({"response", framing, 200, early});
+      rows.push_back({"refusal", framing, 503, early});
+    }
+  }
+  for (const Row& row : rows) {
+    for (const bool echoes : {false, true}) {
+      CAPTURE(std::string(row.name));
+      CAPTURE(static_cast<int>(row.framing));
+      CAPTURE(row.early);
+      CAPTURE(echoes);
+      const ScriptedPeer server([&](const ScriptedPeer::Turn& aTurn) {
+        const std::string id = aTurn.Header(kIdentity);
+        const std::string copy =
+            Respond(row.framing, row.status, "one", echoes);
+        if (aTurn.request > 0) {
+          aTurn.Send(copy.substr(std::min(row.early, copy.size())));
+        }
+        const std::string own = id == "one"
+                                    ? copy + copy.substr(0, row.early)
+                                    : Respond(row.framing, 200, id, echoes);
+        aTurn.Send(own);
+      });
+      HttpClient client;
+      CHECK(Fetch(client, RequestOf(server, "one")).result.whole);
+      const Answer second = Fetch(client, RequestOf(server, "two"));
+      CAPTURE(second.status);
+      CAPTURE(second.body);
+      CAPTURE(second.result.error);
+      if (second.status != 0) {
+        CHECK(FindHeader(second.headers, "x-of") == "two");
+        CHECK(second.result.whole);
+      }
+      if (!echoes) {
+        CHECK(second.result.whole);
+      }
+    }
+  }
+}
+
+// Guards against a connection per request to a server that repeats the
+// identity, and against one that is shared with a server that does not.
+TEST_CASE("a connection is kept if its responses can be told apart") {
+  struct Row {
+    const char* name;
+    bool echoes;
+    bool identity;
+    size_t connections;
+  };
+  constexpr size_t kRequests = 5;
+  for (const Row& row :
+       std::vector<Row>{{"repeated", true, true, 1},
+                        {"not repeated", false, true, kRequests},
+                        {"no identity", false, false, 1}}) {
+    CAPTURE(std::string(row.name));
+    const ScriptedPeer server([&](const ScriptedPeer::Turn& aTurn) {
+      aTurn.Send(
+          Respond(Framing::Length, 200, aTurn.Header(kIdentity), row.echoes));
+    });
+    HttpClient client;
+    for (size_t i = 0; i < kRequests; ++i) {
+      HttpTransferRequest request = RequestOf(server, "n" + std::to_string(i));
+      if (!row.identity) {
+        request.identity.reset();
+      }
+      CHECK(Fetch(client, std::move(request)).result.whole);
+    }
+    CHECK(server.Connections() == row.connections);
+  }
+}
+
+// Guards against a response to another request that counts as this one's on a
+// connection of its own.
+TEST_CASE("a response with another identity fails the request") {
+  struct Row {
+    const char* name;
+    std::string headers;
+    bool whole;
+  };
+  for (const Row& row : std::vector<Row>{
+           {"none", "", true},
+           {"own", "X-Attempt: mine\r\n", true},
+           {"own, spaces", "X-Attempt: \t mine \t\r\n", true},
+           {"other", "X-Attempt: yours\r\n", false},
+           {"longer", "X-Attempt: mine2\r\n", false},
+           {"empty", "X-Attempt:\r\n", false},
+           {"both", "X-Attempt: mine\r\nX-Attempt: yours\r\n", false}}) {
+    CAPTURE(std::string(row.name));
+    const ScriptedPeer server([&](const ScriptedPeer::Turn& aTurn) {
+      aTurn.Send("HTTP/1.1 200 OK\r\n" + row.headers +
+                 "Content-Length: 1\r\n\r\nx");
+    });
+    HttpClient client;
+    const Answer answer = Fetch(client, RequestOf(server, "mine"));
+    CHECK(answer.result.whole == row.whole);
+    CHECK(answer.status == (row.whole ? 200 : 0));
+    CHECK(answer.result.mayHaveBeenSent);
+  }
+}
--- a/tools/StandIn/StandInTarget.cpp
+++ b/tools/StandIn/StandInTarget.cpp
@@ -27,6 +27,14 @@
   const auto text = FindHeader(aHeaders, aName);
   return text ? std::stoull(std::string(*text)) : aDefault;
 }
+
+/// Header that tells the node which request a response belongs to.
+HttpHeaders Identity(const HttpHeaders& aRequest) {
+  const auto attempt = FindHeader(aRequest, kAttemptHeader);
+  return attempt
+             ? HttpHeaders{{std::string(kAttemptHeader), std::string(*attempt)}}
+             : HttpHeaders{};
+}
 }  // namespace
 
 /// One request in the target.
@@ -198,10 +206,11 @@
   this->Journal("arrive", aExchange->Request());
   const HttpHeaders& headers = aExchange->Request().headers;
   if (this->shedding) {
-    aExchange->Respond({.status = 503,
-                        .headers = {{"fescueline-shed",
-                                     HeaderOr(headers, kAttemptHeader, "")}},
-                        .body = "shed\n"});
+    HttpHeaders refusal = Identity(headers);
+    refusal.push_back(
+        {"fescueline-shed", HeaderOr(headers, kAttemptHeader, "")});
+    aExchange->Respond(
+        {.status = 503, .headers = std::move(refusal), .body = "shed\n"});
     return;
   }
   const auto job = std::make_shared<Job>();
@@ -314,7 +323,7 @@
   const HttpHeaders& headers = aJob->exchange->Request().headers;
   if (aJob->failedCall != 0) {
     aJob->exchange->Respond({.status = 502,
-                             .headers = {},
+                             .headers = Identity(headers),
                              .body = "call failed with status " +
                                      std::to_string(aJob->failedCall) + "\n"});
     this->Finish(aJob);
@@ -326,16 +335,18 @@
         {"service", this->settings.service},
         {"organisation", HeaderOr(headers, "fescueline-organisation", "")},
         {"echo", HeaderOr(headers, "x-echo", "")}};
-    aJob->exchange->Respond({.status = 200,
-                             .headers = {{"Content-Type", "application/json"}},
-                             .body = body.dump()});
+    HttpHeaders answer = Identity(headers);
+    answer.push_back({"Content-Type", "application/json"});
+    aJob->exchange->Respond(
+        {.status = 200, .headers = std::move(answer), .body = body.dump()});
     this->Finish(aJob);
     return;
   }
   const bool breaks = FindHeader(headers, "x-break-body").has_value();
   const bool chunked = FindHeader(headers, "x-chunked").has_value();
   aJob->exchange->StartStream(
-      200, {}, chunked ? std::nullopt : std::optional<uint64_t>(bytes));
+      200, Identity(headers),
+      chunked ? std::nullopt : std::optional<uint64_t>(bytes));
   const uint64_t sent = breaks ? bytes / 2 : bytes;
   for (uint64_t at = 0; at < sent; at += kChunk) {
     aJob->exchange->Write(
