--- /dev/null
+++ b/tests/PlatformAdapter/HttpRowStoreTest.cpp
@@ -0,0 +1,160 @@
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Http1/LoopPeer.h"
+#include "HttpRowStore.h"
+#include "Log/Log.h"
+#include "Transport/EndlessServer.h"
+#include "Transport/ScriptedPeer.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+using fescueline::platform::HttpRowStore;
+
+namespace {
+/// Starts a call at a store.
+using CallStart = std::function<void(HttpRowStore&, RowStore::Done)>;
+
+std::string Response(int aStatus, const std::string& aBody) {
+  return fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}", aStatus,
+                     aBody.size(), aBody);
+}
+
+/// Body about one row; "eA==" is the value x.
+std::string OneRow(const std::string& aTable, const std::string& aKey) {
+  return fmt::format(
+      R"({{"rows":[{{"table":"{}","part":"","key":"{}","value":"eA==","ver":7}}],)"
+      R"("has-more":false,"ver":9,"now-ms":1000}})",
+      aTable, aKey);
+}
+
+CallStart ReadOf(const std::string& aTable, const std::string& aAfter = "") {
+  return [aTable, aAfter](HttpRowStore& aStore, RowStore::Done aDone) {
+    aStore.Read(aTable, aAfter, std::move(aDone));
+  };
+}
+
+CallStart FollowOf(const std::string& aTable, uint64_t aAfter) {
+  return [aTable, aAfter](HttpRowStore& aStore, RowStore::Done aDone) {
+    aStore.Follow(aTable, aAfter, Duration::zero(), std::move(aDone));
+  };
+}
+
+CallStart WriteOf(const std::string& aTable, const std::string& aKey,
+                  uint64_t aExpected) {
+  return [=](HttpRowStore& aStore, RowStore::Done aDone) {
+    aStore.Write(
+        {.table = aTable, .key = aKey, .expected = aExpected, .value = "x"},
+        std::move(aDone));
+  };
+}
+
+/// Calls the store and waits for the end.
+StoreReply Call(asio::io_context& aIo, HttpRowStore& aStore,
+                const CallStart& aStart) {
+  std::optional<StoreReply> reply;
+  aStart(aStore, [&reply](const StoreReply& aReply) { reply = aReply; });
+  REQUIRE(RunUntil(aIo, [&reply] { return reply.has_value(); }));
+  return *reply;
+}
+
+SocketAddress AddressOf(uint16_t aPort) {
+  return {.host = "127.0.0.1", .port = aPort};
+}
+}  // namespace
+
+// Guards against an answer that the store writes once more and that is taken
+// for the answer of the next call: rows of another table, or a write that is
+// reported as done.
+TEST_CASE("an answer that is written again answers no other call") {
+  DisableLog();
+  struct Row {
+    const char* name;
+    /// Whether the second copy comes with the first, or late.
+    bool late;
+    CallStart first;
+    std::string answer;
+    CallStart second;
+    std::string ownAnswer;
+    StoreStatus status;
+    std::vector<std::string> keys;
+  };
+  const std::string written = R"({"ver":12,"now-ms":1001})";
+  const std::string empty = R"({"rows":[],"ver":9,"now-ms":1002})";
+  std::vector<Row> rows;
+  for (const bool late : {false, true}) {
+    rows.push_back({"read after a read",
+                    late,
+                    ReadOf("a"),
+                    OneRow("a", "k"),
+                    ReadOf("b"),
+                    OneRow("b", "mine"),
+                    StoreStatus::Done,
+                    {"mine"}});
+    rows.push_back({"write after a write",
+                    late,
+                    WriteOf("a", "k", 7),
+                    written,
+                    WriteOf("b", "k", 3),
+                    OneRow("b", "k"),
+                    StoreStatus::Conflict,
+                    {"k"}});
+    rows.push_back({"follow after a write",
+                    late,
+                    WriteOf("a", "k", 7),
+                    written,
+                    FollowOf("a", 6),
+                    OneRow("a", "mine"),
+                    StoreStatus::Done,
+                    {"mine"}});
+    rows.push_back({"write after a read",
+                    late,
+                    ReadOf("a"),
+                    OneRow("a", "k"),
+                    WriteOf("a", "k", 3),
+                    OneRow("a", "k"),
+                    StoreStatus::Conflict,
+                    {"k"}});
+    rows.push_back({"follow after a follow",
+                    late,
+                    FollowOf("a", 9),
+                    empty,
+                    FollowOf("b", 6),
+                    OneRow("b", "mine"),
+                    StoreStatus::Done,
+                    {"mine"}});
+  }
+  for (const Row& row : rows) {
+    CAPTURE(std::string(row.name));
+    CAPTURE(row.late);
+    std::atomic<bool> second{false};
+    const int ownStatus = row.status == StoreStatus::Conflict ? 412 : 200;
+    const ScriptedPeer peer([&](const ScriptedPeer::Turn& aTurn) {
+      const std::string answer = Response(200, row.answer);
+      if (!second) {
+        aTurn.Send(row.late ? answer : answer + answer);
+        return;
+      }
+      if (aTurn.request > 0 && row.late) {
+        aTurn.Send(answer);
+      }
+      aTurn.Send(Response(ownStatus, row.ownAnswer));
+    });
+    asio::io_context io{1};
+    HttpRowStore store(io, AddressOf(peer.Port()));
+    CHECK(Call(io, store, row.first).status == StoreStatus::Done);
+    second = true;
+    const StoreReply reply = Call(io, store, row.second);
+    std::vector<std::string> keys;
+    for (const StoredRow& found : reply.rows) {
+      keys.push_back(found.key);
+    }
+    CHECK(reply.status == row.status);
+    CHECK(keys == row.keys);
+  }
+}
