--- a/tests/PlatformAdapter/HttpRowStoreTest.cpp
+++ b/tests/PlatformAdapter/HttpRowStoreTest.cpp
@@ -158,3 +158,76 @@
     CHECK(keys == row.keys);
   }
 }
+
+// Guards against an answer that isn't about what was asked for being used:
+// a table that seems empty, a confirmation without a moment, a write that
+// counts as done.
+TEST_CASE("an answer about something else is not used") {
+  DisableLog();
+  struct Row {
+    const char* name;
+    CallStart call;
+    int status;
+    std::string body;
+    StoreStatus expected;
+  };
+  const std::string ends = R"(,"ver":9,"now-ms":1000})";
+  for (const Row& row : std::vector<Row>{
+           {"read", ReadOf("a", "j"), 200, OneRow("a", "k"), StoreStatus::Done},
+           {"read, other table", ReadOf("a"), 200, OneRow("b", "k"),
+            StoreStatus::Unknown},
+           {"read, key before the range", ReadOf("a", "k"), 200,
+            OneRow("a", "k"), StoreStatus::Unknown},
+           {"read, other part", ReadOf("a"), 200,
+            R"({"rows":[{"part":"p","key":"k","value":"eA==","ver":7}])" + ends,
+            StoreStatus::Unknown},
+           {"read, no rows", ReadOf("a"), 200, R"({"ver":9,"now-ms":1})",
+            StoreStatus::Unknown},
+           {"read, no version", ReadOf("a"), 200, R"({"rows":[],"now-ms":1})",
+            StoreStatus::Unknown},
+           {"read, no moment", ReadOf("a"), 200, R"({"rows":[],"ver":9})",
+            StoreStatus::Unknown},
+           {"read, condition failed", ReadOf("a"), 412, OneRow("a", "k"),
+            StoreStatus::Unknown},
+           {"read, no body", ReadOf("a"), 200, "", StoreStatus::Unknown},
+           {"follow", FollowOf("a", 6), 200, OneRow("a", "k"),
+            StoreStatus::Done},
+           {"follow, other table", FollowOf("a", 6), 200, OneRow("b", "k"),
+            StoreStatus::Unknown},
+           {"follow, known row", FollowOf("a", 7), 200, OneRow("a", "k"),
+            StoreStatus::Unknown},
+           {"follow, older than what is known", FollowOf("a", 10), 200,
+            R"({"rows":[])" + ends, StoreStatus::Unknown},
+           {"write", WriteOf("a", "k", 3), 200, R"({"ver":9,"now-ms":1})",
+            StoreStatus::Done},
+           {"write, no version", WriteOf("a", "k", 3), 200, R"({"now-ms":1})",
+            StoreStatus::Unknown},
+           {"write, version not after the row's", WriteOf("a", "k", 9), 200,
+            R"({"ver":9,"now-ms":1})", StoreStatus::Unknown},
+           {"write, rows", WriteOf("a", "k", 3), 200, OneRow("a", "k"),
+            StoreStatus::Unknown},
+           {"write, conflict", WriteOf("a", "k", 3), 412, OneRow("a", "k"),
+            StoreStatus::Conflict},
+           {"write, conflict, no row", WriteOf("a", "k", 3), 412,
+            R"({"rows":[]})", StoreStatus::Conflict},
+           {"write, conflict over another row", WriteOf("a", "k", 3), 412,
+            OneRow("a", "l"), StoreStatus::Unknown},
+           {"write, conflict in another table", WriteOf("a", "k", 3), 412,
+            OneRow("b", "k"), StoreStatus::Unknown},
+           {"write, conflict although it holds", WriteOf("a", "k", 7), 412,
+            OneRow("a", "k"), StoreStatus::Unknown},
+           {"write, history gone", WriteOf("a", "k", 3), 410, "",
+            StoreStatus::Unknown}}) {
+    CAPTURE(std::string(row.name));
+    const ScriptedPeer peer([&](const ScriptedPeer::Turn& aTurn) {
+      aTurn.Send(Response(row.status, row.body));
+    });
+    asio::io_context io{1};
+    HttpRowStore store(io, AddressOf(peer.Port()));
+    const StoreReply reply = Call(io, store, row.call);
+    CHECK(reply.status == row.expected);
+    const bool used = row.expected == StoreStatus::Done ||
+                      row.expected == StoreStatus::Conflict;
+    CHECK((used || reply.rows.empty()));
+  }
+}
--- a/tools/PlatformStandIn/StoreStandIn.cpp
+++ b/tools/PlatformStandIn/StoreStandIn.cpp
@@ -209,7 +209,9 @@
         more = true;
         break;
       }
-      rows.push_back({{"key", row->first},
+      rows.push_back({{"table", aTable},
+                      {"part", ""},
+                      {"key", row->first},
                       {"value", platform::ToBase64(row->second.value)},
                       {"ver", row->second.version}});
     }
@@ -233,7 +235,8 @@
       if (row.version <= aAfter) {
         continue;
       }
-      Json item = {{"key", key}, {"ver", row.version}};
+      Json item = {
+          {"table", aTable}, {"part", ""}, {"key", key}, {"ver", row.version}};
       if (row.removed) {
         item["tombstone"] = true;
       } else {
