--- a/tests/PlatformAdapter/HttpRowStoreTest.cpp
+++ b/tests/PlatformAdapter/HttpRowStoreTest.cpp
@@ -231,3 +231,30 @@
     CHECK((used || reply.rows.empty()));
   }
 }
+
+// Guards against an answer without an end that fills the memory.
+TEST_CASE("an answer of the store is bounded") {
+  DisableLog();
+  struct Row {
+    const char* name;
+    std::string begin;
+    std::string more;
+  };
+  const std::string line = "HTTP/1.1 200 OK\r\n";
+  const std::string part(4096, ' ');
+  for (const Row& row : std::vector<Row>{
+           {"until the close", line + "\r\n", part},
+           {"length", line + "Content-Length: 999999999999\r\n\r\n", part},
+           {"chunks", line + "Transfer-Encoding: chunked\r\n\r\n",
+            "1000\r\n" + part + "\r\n"},
+           {"head", line + "X-A: ", part}}) {
+    CAPTURE(std::string(row.name));
+    asio::io_context io{1};
+    EndlessServer server(io, row.begin, row.more);
+    HttpRowStore store(io, AddressOf(server.Endpoint().port()));
+    CHECK(Call(io, store, ReadOf("a")).status == StoreStatus::Unknown);
+    CHECK(RunUntil(io, [&server] { return server.Closed() == 1; }));
+    // Includes what the buffers of the sockets hold.
+    CHECK(server.Written() < size_t{24} * 1024 * 1024);
+  }
+}
