Log and count responses that do not match their request

Cause: of a response dropped for its identifier there was one line without the state of the connection, and of bytes on a resting connection nothing. Neither was counted, so an operator could not see a target that writes responses twice.

Change: ResponseFault names the reasons. TargetService logs one line for each ("response does not match": fault, request, answered identifier cut to 64 characters, target, whether the connection was used before) and counts it in fescueline_response_faults_total{fault}. The stand-in gets FaultyLink, which carries a target's connections and writes earlier responses once more: at once or with the next request, without their identifier, or as a refusal.

Without this change the page has no such metric.

--- a/src/Http1/ConnectionPool.cpp
+++ b/src/Http1/ConnectionPool.cpp
@@ -33,8 +33,8 @@
     return;
   }
   ++this->made;
-  const auto connection =
-      std::make_shared<HttpClientConnection>(this->settings.io);
+  const auto connection = std::make_shared<HttpClientConnection>(
+      this->settings.io, this->settings.onUnasked);
   connection->Connect(this->settings.peer, this->settings.connectTimeout,
                       [connection, aDone](const std::string& aError) {
                         aDone(aError.empty() ? connection : nullptr, aError);
--- a/src/Http1/ConnectionPool.h
+++ b/src/Http1/ConnectionPool.h
@@ -30,6 +30,8 @@
     /// A connection is not used in this last part of the server's idle
     /// timeout, as its close may be on the way.
     Duration restMargin = std::chrono::seconds(1);
+    /// Told of bytes that ended a resting connection. Optional.
+    std::function<void()> onUnasked = {};
   };
 
   explicit ConnectionPool(Settings aSettings)
--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -30,12 +30,14 @@
 }
 }  // namespace
 
-HttpClientConnection::HttpClientConnection(asio::io_context& aIo)
+HttpClientConnection::HttpClientConnection(asio::io_context& aIo,
+                                           std::function<void()> aOnUnasked)
     : socket(aIo),
       connectTimer(aIo),
       reader({.kind = HttpReaderKind::Response,
               .maxHeadBytes = size_t{64} * 1024,
-              .events = this->ReaderEvents()}) {}
+              .events = this->ReaderEvents()}),
+      onUnasked(std::move(aOnUnasked)) {}
 
 HttpReader::Events HttpClientConnection::ReaderEvents() {
   return {.onHead =
@@ -89,6 +91,7 @@
                                 ClientExchangeEvents aEvents) {
   this->events = std::move(aEvents);
   this->busy = true;
+  ++this->exchanges;
   this->sent = true;
   this->keepAlive = false;
   this->accepted = false;
@@ -142,6 +145,9 @@
     while (!bytes.empty() && this->open) {
       if (!this->busy) {
         // Belongs to no request.
+        if (this->onUnasked) {
+          this->onUnasked();
+        }
         this->Close("unexpected bytes");
         return;
       }
--- a/src/Http1/HttpClientConnection.h
+++ b/src/Http1/HttpClientConnection.h
@@ -7,6 +7,7 @@
 
 #include "Core/Time.h"
 #include "Http1/HttpReader.h"
+#include "Http1/ResponseFault.h"
 
 namespace fescueline {
 
@@ -37,7 +38,9 @@
 class HttpClientConnection
     : public std::enable_shared_from_this<HttpClientConnection> {
  public:
-  explicit HttpClientConnection(asio::io_context& aIo);
+  /// aOnUnasked is told of bytes that end the connection while it rests.
+  explicit HttpClientConnection(asio::io_context& aIo,
+                                std::function<void()> aOnUnasked = {});
 
   /// Connects; aDone gets an empty text or the error.
   void Connect(const asio::ip::tcp::endpoint& aPeer, Duration aTimeout,
@@ -52,6 +55,8 @@
   bool IsOpen() const { return this->open; }
   /// Whether the connection is open and carries nothing.
   bool IsResting() const { return this->open && !this->busy; }
+  /// Whether the connection has carried a request before the present one.
+  bool UsedBefore() const { return this->exchanges > 1; }
   /// When the last exchange ended or the connection was made.
   TimePoint RestingSince() const { return this->restingSince; }
   /// How long the server keeps a resting connection, if it has said so.
@@ -72,6 +77,9 @@
   HttpReader reader;
   std::string outgoing;
   ClientExchangeEvents events;
+  std::function<void()> onUnasked;
+  /// Exchanges begun.
+  uint64_t exchanges = 0;
   bool open = false;
   bool busy = false;
   bool sent = false;
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -148,10 +148,10 @@
   const HeaderVocabulary& names = this->service.dependencies.context.headers;
   const auto echoed = FindHeader(aHead.headers, names.requestId);
   if (echoed && !this->requestId.empty() && *echoed != this->requestId) {
-    Log(LogLevel::Warning, "response of another request dropped",
-        {{"request", this->requestId},
-         {"answered", std::string(*echoed)},
-         {"target", this->service.dependencies.target.Id()}});
+    this->service.ReportFault({.fault = ResponseFault::OtherRequest,
+                               .request = this->requestId,
+                               .answered = *echoed,
+                               .usedBefore = this->connection->UsedBefore()});
     return false;
   }
   this->status = aHead.status;
--- a/src/Mesh/TargetService.cpp
+++ b/src/Mesh/TargetService.cpp
@@ -17,6 +17,9 @@
 /// Part of the slots that is used. Targets slow down when nearly full, and a
 /// new connection may take a slot for a moment.
 constexpr double kSlotShare = 0.95;
+/// Characters of a response's identifier that are logged: the target may write
+/// a longer one than any caller.
+constexpr size_t kMaxLoggedId = 64;
 
 AdmissionSettings Settings() {
   AdmissionSettings settings;
@@ -39,7 +42,12 @@
           .io = this->dependencies.context.io,
           .peer = {asio::ip::make_address(
                        this->dependencies.context.settings.target.host),
-                   this->dependencies.context.settings.target.port}})),
+                   this->dependencies.context.settings.target.port},
+          .onUnasked =
+              [this] {
+                this->ReportFault(
+                    {.fault = ResponseFault::Unasked, .usedBefore = true});
+              }})),
       pumpTimer(this->dependencies.context.io) {}
 
 void TargetService::OnTargetChanged() {
@@ -52,6 +60,17 @@
   this->ApplyBounds();
 }
 
+void TargetService::ReportFault(const FaultReport& aReport) {
+  const std::string_view fault = ToName(aReport.fault);
+  this->dependencies.context.metrics.CountResponseFault(fault);
+  Log(LogLevel::Warning, "response does not match",
+      {{"fault", std::string(fault)},
+       {"request", std::string(aReport.request)},
+       {"answered", std::string(aReport.answered.substr(0, kMaxLoggedId))},
+       {"target", this->dependencies.target.Id()},
+       {"used_before", aReport.usedBefore ? "yes" : "no"}});
+}
+
 void TargetService::ApplyBounds() {
   const LocalTargetState& target = this->dependencies.target;
   const MeshConfigPtr& config = this->dependencies.context.config.Current();
--- a/src/Mesh/TargetService.h
+++ b/src/Mesh/TargetService.h
@@ -7,6 +7,7 @@
 
 #include "Admission/AdmissionController.h"
 #include "Http1/ConnectionPool.h"
+#include "Http1/ResponseFault.h"
 #include "Mesh/LocalTargetState.h"
 #include "Mesh/MeshContext.h"
 #include "Routing/FailureShare.h"
@@ -61,6 +62,19 @@
 
   /// Why the attempt must not run; None if it may.
   Cause Check(const RequestContext& aContext, TimePoint aNow) const;
+  /// What is known of a response that did not match.
+  struct FaultReport {
+    ResponseFault fault = ResponseFault::None;
+    /// Request that waited; empty if none did.
+    std::string_view request;
+    /// Identifier in the response; empty if it has none.
+    std::string_view answered;
+    /// Whether the connection had carried another request.
+    bool usedBefore = false;
+  };
+
+  /// Counts and logs a response that did not match.
+  void ReportFault(const FaultReport& aReport);
   /// Passes the target's slots and connections on to the admission.
   void ApplyBounds();
   /// Starts and drops queued attempts.
--- a/src/Node/Metrics.cpp
+++ b/src/Node/Metrics.cpp
@@ -57,6 +57,13 @@
           .Name("fescueline_attempts_total")
           .Help("Attempts sent to targets")
           .Register(this->registry);
+  prometheus::Family<prometheus::Counter>& responseFaults =
+      prometheus::BuildCounter()
+          .Name("fescueline_response_faults_total")
+          .Help(
+              "Responses dropped and connections to the target closed because "
+              "requests and responses did not match")
+          .Register(this->registry);
   prometheus::Family<prometheus::Histogram>& latency =
       prometheus::BuildHistogram()
           .Name("fescueline_request_seconds")
@@ -112,6 +119,10 @@
   (aRetry ? this->impl->retries : this->impl->firstAttempts).Increment();
 }
 
+void Metrics::CountResponseFault(std::string_view aFault) {
+  this->impl->responseFaults.Add({{"fault", Label(aFault)}}).Increment();
+}
+
 void Metrics::SetGauge(const std::string& aName, double aValue) {
   this->impl->gauges.Add({{"value", aName}}).Set(aValue);
 }
--- a/src/Node/Metrics.h
+++ b/src/Node/Metrics.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "Core/Importance.h"
 #include "Core/Outcome.h"
@@ -28,6 +29,9 @@
                     Cause aCause);
   /// An attempt was sent to a target.
   void CountAttempt(bool aRetry);
+  /// A response was dropped or its connection closed; the name of the fault is
+  /// a constant of the caller.
+  void CountResponseFault(std::string_view aFault);
   /// Sets a gauge; the name is a constant of the caller.
   void SetGauge(const std::string& aName, double aValue);
 
--- a/tests/PlatformAdapter/MeshWorld.h
+++ b/tests/PlatformAdapter/MeshWorld.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Core/RandomSource.h"
+#include "FaultyLink.h"
 #include "Http1/HttpWriter.h"
 #include "Http1/LoopPeer.h"
 #include "Log/Log.h"
@@ -68,10 +69,17 @@
     bool frontCalls = true;
     /// Whether targets report to their nodes.
     bool targetsReport = true;
+    /// Whether a faulty link leads to each target.
+    bool faultyLinks = false;
+    /// Seed of the links.
+    uint64_t seed = 1;
   };
 
   explicit MeshWorldOf(const Settings& aSettings)
-      : store(this->io), targetsReport(aSettings.targetsReport) {
+      : store(this->io),
+        targetsReport(aSettings.targetsReport),
+        faultyLinks(aSettings.faultyLinks),
+        seed(aSettings.seed) {
     DisableLog();
     this->PutConfig(1);
     for (size_t i = 0; i < aSettings.fronts; ++i) {
@@ -127,22 +135,27 @@
         nlohmann::json{{"version", aVersion}, {"resources", resources}}.dump());
   }
 
-  /// Sends a request; the answer appears in `answers` under its id.
+  /// Sends a request; the answer appears in `answers` under its id. The caller
+  /// tells the id unless aNamed is false.
   void Send(size_t aNode, const std::string& aId, const std::string& aMethod,
-            const std::string& aPath, const std::string& aKey = "acme-key") {
+            const std::string& aPath, const std::string& aKey = "acme-key",
+            bool aNamed = true) {
     const auto connection = std::make_shared<HttpClientConnection>(this->io);
     const auto answer = std::make_shared<MeshAnswer>();
     connection->Connect(
         {asio::ip::make_address("127.0.0.1"),
          this->members[aNode].settings.listenCallers.port},
         std::chrono::seconds(1),
-        [this, connection, answer, aId, aMethod, aPath,
-         aKey](const std::string& aError) {
+        [this, connection, answer, aId, aMethod, aPath, aKey,
+         aNamed](const std::string& aError) {
           if (!aError.empty()) {
             this->answers[aId] = *answer;
             return;
           }
-          HttpHeaders headers = {{"Host", "h"}, {"X-Request-Id", aId}};
+          HttpHeaders headers = {{"Host", "h"}};
+          if (aNamed) {
+            headers.push_back({"X-Request-Id", aId});
+          }
           if (!aKey.empty()) {
             headers.push_back({"Api-Key", aKey});
           }
@@ -178,12 +191,33 @@
         this->io, [&] { return this->answers.size() >= aCount; },
         std::chrono::seconds(20));
   }
+  /// Page of the metrics of a node.
+  std::string MetricsPage(size_t aNode) {
+    const auto connection = std::make_shared<HttpClientConnection>(this->io);
+    const auto page = std::make_shared<std::string>();
+    const auto done = std::make_shared<bool>(false);
+    connection->Connect(
+        {asio::ip::make_address("127.0.0.1"),
+         this->members[aNode].settings.listenReady.port},
+        std::chrono::seconds(1), [connection, page, done](const std::string&) {
+          connection->Send(
+              WriteRequestHead("GET", "/metrics", {{"Host", "h"}}, {}), false,
+              {.onHead = [](const HttpHead&) { return true; },
+               .onBody = [page](std::string_view aPart) { *page += aPart; },
+               .onDone =
+                   [done](const ClientExchangeResult&) { *done = true; }});
+        });
+    RunUntil(this->io, [done] { return *done; });
+    return *page;
+  }
   /// Lets time pass.
   void Pass(std::chrono::milliseconds aTime) {
     RunUntil(
         this->io, [] { return false; }, aTime);
   }
   PlatformTarget& Target(size_t aNode) { return *this->members[aNode].target; }
+  /// Link to a target, if the world has faulty ones.
+  FaultyLink& Link(size_t aNode) { return *this->members[aNode].link; }
   TNode& Node(size_t aNode) { return *this->members[aNode].node; }
   size_t Size() const { return this->members.size(); }
   /// Runs of a request identifier at all targets.
@@ -205,6 +239,7 @@
     MeshSettings settings;
     std::unique_ptr<TNode> node;
     std::unique_ptr<PlatformTarget> target;
+    std::unique_ptr<FaultyLink> link;
   };
 
   /// Below the range from which connections get their ports, so that none
@@ -245,7 +280,7 @@
     member.node = std::make_unique<TNode>(this->io, settings);
     member.target = std::make_unique<PlatformTarget>(PlatformTarget::Settings{
         .io = this->io,
-        .port = settings.target.port,
+        .port = this->faultyLinks ? this->FreePort() : settings.target.port,
         .service = aService,
         .slots = aSlots,
         .work = aWork,
@@ -258,6 +293,13 @@
           this->runs.push_back(aRun);
         }});
     member.target->SetKeys({"acme-key"});
+    if (this->faultyLinks) {
+      member.link = std::make_unique<FaultyLink>(
+          FaultyLink::Settings{.io = this->io,
+                               .port = settings.target.port,
+                               .targetPort = member.target->Port(),
+                               .seed = this->seed + this->members.size()});
+    }
     this->members.push_back(std::move(member));
   }
 
@@ -272,6 +314,8 @@
   }
 
   bool targetsReport;
+  bool faultyLinks;
+  uint64_t seed;
   /// Ports that were handed out.
   std::set<uint16_t> ports;
   std::vector<Member> members;
