Close a connection on which bytes follow a response

Cause: the end of a response was reported from within the parser. The owner released the connection, which took the next request at once, and the bytes behind the response in the same read were parsed as the answer to that one.

Change: the exchange ends after the parser has returned. If bytes are left, whatever they are, the connection is closed and the result says "surplus", which TargetAttempt logs and counts.

Ruled out: handing the bytes to the next exchange, which would have to tell them from its own response.

--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -48,7 +48,8 @@
                   this->events.onBody(aPart);
                 }
               },
-          .onEnd = [this] { this->OnEnd(); }};
+          // The exchange ends only when it is known what follows the response.
+          .onEnd = [this] { this->complete = true; }};
 }
 
 void HttpClientConnection::Connect(
@@ -95,6 +96,7 @@
   this->sent = true;
   this->keepAlive = false;
   this->accepted = false;
+  this->complete = false;
   this->reader.ExpectNoBody(aNoBody);
   this->outgoing = std::move(aBytes);
   asio::async_write(this->socket, asio::buffer(this->outgoing),
@@ -134,8 +136,10 @@
   }
   if (aError) {
     // Only an orderly close can end a response without a length.
-    if (aError == asio::error::eof && this->busy && this->accepted) {
-      this->reader.FinishAtEof();
+    if (aError == asio::error::eof && this->busy && this->accepted &&
+        this->reader.FinishAtEof()) {
+      this->keepAlive = false;
+      this->EndExchange(0);
     }
     this->Close("read: " + aError.message());
     return;
@@ -152,6 +156,10 @@
         return;
       }
       bytes.remove_prefix(this->reader.Feed(bytes));
+      if (this->complete) {
+        this->EndExchange(bytes.size());
+        break;
+      }
     }
   } catch (const Error& failure) {
     this->Close(failure.what());
@@ -169,11 +177,18 @@
   return this->accepted;
 }
 
-void HttpClientConnection::OnEnd() {
+void HttpClientConnection::EndExchange(size_t aSurplus) {
+  this->complete = false;
   this->restingSince = SteadyClock().Now();
+  // What follows a response belongs to no request, and the next one must not
+  // get it.
+  const ResponseFault fault =
+      aSurplus > 0 ? ResponseFault::Surplus : ResponseFault::None;
   this->Finish({.whole = true,
                 .sent = true,
-                .reusable = this->keepAlive && this->open,
+                .reusable = this->keepAlive && this->open &&
+                            fault == ResponseFault::None,
+                .fault = fault,
                 .error = {}});
 }
 
@@ -188,6 +203,7 @@
     this->Finish({.whole = false,
                   .sent = this->sent,
                   .reusable = false,
+                  .fault = ResponseFault::None,
                   .error = aReason});
   }
 }
--- a/src/Http1/HttpClientConnection.h
+++ b/src/Http1/HttpClientConnection.h
@@ -19,6 +19,8 @@
   bool sent = false;
   /// Whether the connection can carry another request.
   bool reusable = false;
+  /// Why the connection was closed although its server keeps it.
+  ResponseFault fault = ResponseFault::None;
   /// What went wrong; empty if nothing did.
   std::string error;
 };
@@ -67,7 +69,8 @@
  private:
   HttpReader::Events ReaderEvents();
   bool OnHead(HttpHead aHead);
-  void OnEnd();
+  /// Ends the exchange behind a whole response; aSurplus bytes follow it.
+  void EndExchange(size_t aSurplus);
   void Read();
   void OnRead(const asio::error_code& aError, std::string_view aBytes);
   void Finish(const ClientExchangeResult& aResult);
@@ -89,6 +92,8 @@
   bool keepAlive = false;
   /// Whether the response in progress was accepted by onHead.
   bool accepted = false;
+  /// Whether the accepted response is whole.
+  bool complete = false;
   TimePoint restingSince{};
   std::optional<Duration> serverIdleTimeout;
 };
--- a/src/Http1/ResponseFault.h
+++ b/src/Http1/ResponseFault.h
@@ -13,15 +13,18 @@
   None,
   /// The response names another request.
   OtherRequest,
+  /// Bytes came right behind the response.
+  Surplus,
   /// Bytes came while no request waited.
   Unasked
 };
 
 template <>
 struct EnumNames<ResponseFault> {
-  static constexpr std::array<EnumName<ResponseFault>, 3> kNames{
+  static constexpr std::array<EnumName<ResponseFault>, 4> kNames{
       {{ResponseFault::None, "none"},
        {ResponseFault::OtherRequest, "other-request"},
+       {ResponseFault::Surplus, "surplus"},
        {ResponseFault::Unasked, "unasked"}}};
 };
 
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -217,6 +217,11 @@
     return;
   }
   this->JudgeTarget(aResult);
+  if (aResult.fault != ResponseFault::None) {
+    this->service.ReportFault({.fault = aResult.fault,
+                               .request = this->requestId,
+                               .usedBefore = this->connection->UsedBefore()});
+  }
   if (aResult.reusable) {
     this->service.pool->Release(this->connection);
   }
--- a/tests/Http1/HttpClientConnectionTest.cpp
+++ b/tests/Http1/HttpClientConnectionTest.cpp
@@ -85,6 +85,57 @@
   CHECK(RunUntil(pair.io, [&] { return !pair.client->IsOpen(); }));
 }
 
+struct SurplusCase {
+  const char* what;
+  std::string surplus;
+};
+
+// Guards against bytes behind a response that reach the next request: its
+// owner may send that one as soon as it hears of the end.
+TEST_CASE("bytes behind a response reach no other request") {
+  for (const SurplusCase& row : std::vector<SurplusCase>{
+           {"the same again", Answer("a", "x")},
+           {"a response without id",
+            "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"},
+           {"the next response", Answer("b", "x")},
+           {"a part of a head", "HTTP"},
+           {"no response", "garbage\r\n\r\n"},
+           {"a line end", "\r\n"}}) {
+    CAPTURE(std::string(row.what));
+    Pair pair;
+    bool reused = false;
+    bool answered = false;
+    pair.client->Send(
+        "GET / HTTP/1.1\r\nId: a\r\n\r\n", false,
+        {.onHead = [](const HttpHead&) { return true; },
+         .onBody = [](std::string_view) {},
+         .onDone =
+             [&](const ClientExchangeResult& aResult) {
+               pair.result = aResult;
+               if (!aResult.reusable) {
+                 return;
+               }
+               reused = true;
+               pair.client->Send(
+                   "GET / HTTP/1.1\r\nId: b\r\n\r\n", false,
+                   {.onHead =
+                        [&answered](const HttpHead&) {
+                          answered = true;
+                          return true;
+                        },
+                    .onBody = [](std::string_view) {},
+                    .onDone = [](const ClientExchangeResult&) {}});
+             }});
+    REQUIRE(RunUntil(pair.io, [&] { return !pair.server.received.empty(); }));
+    pair.server.Send(Answer("a", "x") + row.surplus);
+    REQUIRE(pair.WaitDone());
+    CHECK(pair.result->whole);
+    CHECK_FALSE(reused);
+    CHECK_FALSE(answered);
+    CHECK_FALSE(pair.client->IsOpen());
+  }
+}
+
 struct BrokenCase {
   const char* what;
   std::string bytes;
@@ -100,7 +151,7 @@
             "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nx", false},
            {"no answer at all", "garbage\r\n\r\n", false},
            {"until the end", "HTTP/1.1 200 OK\r\nId: a\r\n\r\nall", true}}) {
-    CAPTURE(row.what);
+    CAPTURE(std::string(row.what));
     Pair pair;
     pair.Send("a");
     if (!row.bytes.empty()) {
