Close a connection whose response came before its request was written

Cause: a target may answer before it has read a long body, keep the connection and read on later. The connection was reused: the next request replaced the buffer of the write in progress, and its bytes arrived where the rest of the body was due.

Change: a response that ends while the request is being written ends the connection ("early"). Send asserts that nothing is being written.

--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -1,5 +1,6 @@
 #include "Http1/HttpClientConnection.h"
 
+#include <cassert>
 #include <charconv>
 
 #include "Core/Error.h"
@@ -90,6 +91,7 @@
 
 void HttpClientConnection::Send(std::string aBytes, bool aNoBody,
                                 ClientExchangeEvents aEvents) {
+  assert(!this->busy && !this->writing);
   this->events = std::move(aEvents);
   this->busy = true;
   ++this->exchanges;
@@ -99,9 +101,11 @@
   this->complete = false;
   this->reader.ExpectNoBody(aNoBody);
   this->outgoing = std::move(aBytes);
+  this->writing = true;
   asio::async_write(this->socket, asio::buffer(this->outgoing),
                     [self = this->shared_from_this()](
                         const asio::error_code& aError, size_t) {
+                      self->writing = false;
                       // A server may answer before it has read the request
                       // and then close; its response may still be read.
                       if (aError && self->busy && !self->reading) {
@@ -180,10 +184,14 @@
 void HttpClientConnection::EndExchange(size_t aSurplus) {
   this->complete = false;
   this->restingSince = SteadyClock().Now();
-  // What follows a response belongs to no request, and the next one must not
-  // get it.
-  const ResponseFault fault =
-      aSurplus > 0 ? ResponseFault::Surplus : ResponseFault::None;
+  ResponseFault fault = ResponseFault::None;
+  if (aSurplus > 0) {
+    // Belongs to no request, and the next one must not get it.
+    fault = ResponseFault::Surplus;
+  } else if (this->writing) {
+    // The server reads the next bytes as the rest of this request.
+    fault = ResponseFault::Early;
+  }
   this->Finish({.whole = true,
                 .sent = true,
                 .reusable = this->keepAlive && this->open &&
--- a/src/Http1/HttpClientConnection.h
+++ b/src/Http1/HttpClientConnection.h
@@ -47,7 +47,7 @@
   /// Connects; aDone gets an empty text or the error.
   void Connect(const asio::ip::tcp::endpoint& aPeer, Duration aTimeout,
                std::function<void(const std::string&)> aDone);
-  /// Sends a whole request and reports its response.
+  /// Sends a whole request and reports its response. The connection must rest.
   void Send(std::string aBytes, bool aNoBody, ClientExchangeEvents aEvents);
   /// Stops or resumes reading the response.
   void SetPaused(bool aPaused);
@@ -87,6 +87,8 @@
   bool busy = false;
   bool sent = false;
   bool reading = false;
+  /// Whether a part of the request is not written yet.
+  bool writing = false;
   bool paused = false;
   /// Whether the response allows another request.
   bool keepAlive = false;
--- a/src/Http1/ResponseFault.h
+++ b/src/Http1/ResponseFault.h
@@ -15,16 +15,19 @@
   OtherRequest,
   /// Bytes came right behind the response.
   Surplus,
+  /// The response ended before the request was written.
+  Early,
   /// Bytes came while no request waited.
   Unasked
 };
 
 template <>
 struct EnumNames<ResponseFault> {
-  static constexpr std::array<EnumName<ResponseFault>, 4> kNames{
+  static constexpr std::array<EnumName<ResponseFault>, 5> kNames{
       {{ResponseFault::None, "none"},
        {ResponseFault::OtherRequest, "other-request"},
        {ResponseFault::Surplus, "surplus"},
+       {ResponseFault::Early, "early"},
        {ResponseFault::Unasked, "unasked"}}};
 };
 
--- a/tests/Http1/HttpClientConnectionTest.cpp
+++ b/tests/Http1/HttpClientConnectionTest.cpp
@@ -136,6 +136,34 @@
   }
 }
 
+// Guards against a next request that is written where the rest of a long one
+// is due: the server answers early, keeps the connection and reads on later.
+TEST_CASE("a response before the end of its request ends the connection") {
+  Pair pair;
+  pair.server.Pause();
+  // More than the buffers of both sockets hold.
+  const std::string body(size_t{32} << 20, 'x');
+  pair.client->Send("POST / HTTP/1.1\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body,
+                    false,
+                    {.onHead = [](const HttpHead&) { return true; },
+                     .onBody = [](std::string_view) {},
+                     .onDone =
+                         [&pair](const ClientExchangeResult& aResult) {
+                           pair.result = aResult;
+                         }});
+  pair.server.Send(Answer("a", "too long"));
+  REQUIRE(pair.WaitDone());
+  CHECK(pair.result->whole);
+  CHECK_FALSE(pair.result->reusable);
+  CHECK_FALSE(pair.client->IsOpen());
+  pair.server.Resume();
+  REQUIRE(RunUntil(pair.io, [&] { return pair.server.closed; }));
+  // Nothing but a part of that request arrived.
+  CHECK(pair.server.received.size() < body.size());
+  CHECK(pair.server.received.find("POST", 1) == std::string::npos);
+}
+
 struct BrokenCase {
   const char* what;
   std::string bytes;
--- a/tests/Http1/LoopPeer.h
+++ b/tests/Http1/LoopPeer.h
@@ -41,6 +41,12 @@
                              this->Read();
                            });
   }
+  /// Stops reading after what the next read brings, and reads on.
+  void Pause() { this->paused = true; }
+  void Resume() {
+    this->paused = false;
+    this->Read();
+  }
   void Send(const std::string& aBytes) {
     asio::write(this->socket, asio::buffer(aBytes));
   }
@@ -68,12 +74,15 @@
             return;
           }
           this->received.append(this->buffer.data(), aSize);
-          this->Read();
+          if (!this->paused) {
+            this->Read();
+          }
         });
   }
 
   asio::ip::tcp::socket socket;
   std::array<char, 4096> buffer{};
+  bool paused = false;
 };
 
 /// Whether a text occurs in another.
