Skip a response only where its end is certain and near

Cause: a response of another request was skipped by the framing that the parser guessed. A late copy of a HEAD's response, one without a length, or one whose status forbids the body that its length states, lost the framing, and bytes of it could be taken for the next response. A response to skip without end kept the node reading until the deadline, and so did interim responses. After a skipped response the connection, which is out of step, was reused.

Change: onHead returns a verdict: accept, skip or reject. The connection skips only framed responses, four of them and 1 MiB at most in an exchange; otherwise it closes ("unframed", "too-much") and the outcome is unknown. A connection that skipped one is not reused. Rejecting ends the exchange at once.

Changed check: "an answer of another request is skipped" demanded that the connection is reusable. That is the fault: more copies may follow. It now demands that it is closed; body and completeness are checked as before. The other test callbacks return the verdict in place of true and false.

--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -4,11 +4,28 @@
 #include <charconv>
 
 #include "Core/Error.h"
+#include "Http1/HttpWriter.h"
 #include "Transport/SocketRead.h"
 
 namespace fescueline {
 
 namespace {
+/// Responses to other requests that one may have to wait through. Each answers
+/// an earlier request of the connection that its server answered twice.
+constexpr size_t kMaxSkipped = 4;
+/// Bytes of such responses and of interim ones; as long as the longest body
+/// that is held for a caller. More may never end.
+constexpr size_t kMaxSkippedBytes = size_t{1} << 20;
+
+/// Whether the end of a response that answers another request is certain. It
+/// is not if that request may have been a HEAD, if the body ends with the
+/// connection, or if a length contradicts the status.
+bool IsFramed(const HttpHead& aHead, bool aHadBodiless) {
+  const bool contradicts =
+      IsBodiless(aHead.status) && aHead.length.value_or(0) > 0;
+  return aHead.keepAlive && !aHadBodiless && !contradicts;
+}
+
 /// Value of `timeout` in a Keep-Alive header, in seconds.
 std::optional<Duration> KeepAliveTimeout(const HttpHeaders& aHeaders) {
   constexpr std::string_view kParameter = "timeout=";
@@ -99,6 +116,9 @@
   this->keepAlive = false;
   this->accepted = false;
   this->complete = false;
+  this->skipped = 0;
+  this->unacceptedBytes = 0;
+  this->hadBodiless = this->hadBodiless || aNoBody;
   this->reader.ExpectNoBody(aNoBody);
   this->outgoing = std::move(aBytes);
   this->writing = true;
@@ -159,44 +179,84 @@
         this->Close("unexpected bytes");
         return;
       }
-      bytes.remove_prefix(this->reader.Feed(bytes));
+      const size_t used = this->reader.Feed(bytes);
+      bytes.remove_prefix(used);
       if (this->complete) {
         this->EndExchange(bytes.size());
         break;
       }
+      this->unacceptedBytes += this->accepted ? 0 : used;
+      if (this->giveUpReason.empty() &&
+          this->unacceptedBytes > kMaxSkippedBytes) {
+        this->fault = ResponseFault::TooMuch;
+        this->giveUpReason = "no response among too many bytes";
+      }
+      if (!this->giveUpReason.empty()) {
+        this->Close(this->giveUpReason);
+        return;
+      }
     }
   } catch (const Error& failure) {
-    this->Close(failure.what());
+    this->Close(this->giveUpReason.empty() ? failure.what()
+                                           : this->giveUpReason);
     return;
   }
   this->Read();
 }
 
 bool HttpClientConnection::OnHead(HttpHead aHead) {
-  this->keepAlive = aHead.keepAlive;
+  if (!this->giveUpReason.empty()) {
+    return false;
+  }
+  const bool headKeepAlive = aHead.keepAlive;
+  const bool framed = IsFramed(aHead, this->hadBodiless);
   if (const auto timeout = KeepAliveTimeout(aHead.headers)) {
     this->serverIdleTimeout = timeout;
   }
-  this->accepted = this->events.onHead(std::move(aHead));
-  return this->accepted;
+  switch (this->events.onHead(std::move(aHead))) {
+    case ResponseVerdict::Accept:
+      this->accepted = true;
+      this->keepAlive = headKeepAlive;
+      return true;
+    case ResponseVerdict::Skip:
+      this->fault = this->CountSkipped(framed);
+      if (this->fault != ResponseFault::None) {
+        this->giveUpReason = "response to skip";
+      }
+      return false;
+    case ResponseVerdict::Reject:
+      this->giveUpReason = "response rejected";
+      return false;
+  }
+  return false;
+}
+
+ResponseFault HttpClientConnection::CountSkipped(bool aFramed) {
+  ++this->skipped;
+  if (!aFramed) {
+    return ResponseFault::Unframed;
+  }
+  return this->skipped > kMaxSkipped ? ResponseFault::TooMuch
+                                     : ResponseFault::None;
 }
 
 void HttpClientConnection::EndExchange(size_t aSurplus) {
   this->complete = false;
   this->restingSince = SteadyClock().Now();
-  ResponseFault fault = ResponseFault::None;
   if (aSurplus > 0) {
     // Belongs to no request, and the next one must not get it.
-    fault = ResponseFault::Surplus;
+    this->fault = ResponseFault::Surplus;
   } else if (this->writing) {
     // The server reads the next bytes as the rest of this request.
-    fault = ResponseFault::Early;
+    this->fault = ResponseFault::Early;
   }
+  // After a response to another request more of them may follow.
   this->Finish({.whole = true,
                 .sent = true,
                 .reusable = this->keepAlive && this->open &&
-                            fault == ResponseFault::None,
-                .fault = fault,
+                            this->skipped == 0 &&
+                            this->fault == ResponseFault::None,
+                .fault = this->fault,
                 .error = {}});
 }
 
@@ -211,7 +271,7 @@
     this->Finish({.whole = false,
                   .sent = this->sent,
                   .reusable = false,
-                  .fault = ResponseFault::None,
+                  .fault = this->fault,
                   .error = aReason});
   }
 }
--- a/src/Http1/HttpClientConnection.h
+++ b/src/Http1/HttpClientConnection.h
@@ -11,6 +11,16 @@
 
 namespace fescueline {
 
+/// What becomes of a response.
+enum class ResponseVerdict : uint8_t {
+  /// It answers the request in progress.
+  Accept,
+  /// It answers something else; the request's own may follow.
+  Skip,
+  /// It is broken, and its connection with it.
+  Reject
+};
+
 /// How an exchange on a client connection ended.
 struct ClientExchangeResult {
   /// Whether a complete response arrived.
@@ -19,7 +29,8 @@
   bool sent = false;
   /// Whether the connection can carry another request.
   bool reusable = false;
-  /// Why the connection was closed although its server keeps it.
+  /// Why the connection was closed although its server keeps it; None if
+  /// onHead said so.
   ResponseFault fault = ResponseFault::None;
   /// What went wrong; empty if nothing did.
   std::string error;
@@ -27,9 +38,8 @@
 
 /// Events of an exchange. onDone ends it and runs once.
 struct ClientExchangeEvents {
-  /// Status and headers. False skips the response, which answers something
-  /// else, and waits for the next one.
-  std::function<bool(HttpHead)> onHead;
+  /// Status and headers of a response.
+  std::function<ResponseVerdict(HttpHead)> onHead;
   std::function<void(std::string_view)> onBody;
   std::function<void(const ClientExchangeResult&)> onDone;
 };
@@ -59,6 +69,9 @@
   bool IsResting() const { return this->open && !this->busy; }
   /// Whether the connection has carried a request before the present one.
   bool UsedBefore() const { return this->exchanges > 1; }
+  /// Whether a response can only answer the request in progress: there was no
+  /// other request, and no other response.
+  bool IsAlone() const { return !this->UsedBefore() && this->skipped == 0; }
   /// When the last exchange ended or the connection was made.
   TimePoint RestingSince() const { return this->restingSince; }
   /// How long the server keeps a resting connection, if it has said so.
@@ -69,6 +82,8 @@
  private:
   HttpReader::Events ReaderEvents();
   bool OnHead(HttpHead aHead);
+  /// Counts a response to skip; its fault if the connection is to be closed.
+  ResponseFault CountSkipped(bool aFramed);
   /// Ends the exchange behind a whole response; aSurplus bytes follow it.
   void EndExchange(size_t aSurplus);
   void Read();
@@ -96,6 +111,17 @@
   bool accepted = false;
   /// Whether the accepted response is whole.
   bool complete = false;
+  /// Responses skipped in this exchange.
+  size_t skipped = 0;
+  /// Bytes received in this exchange before a response was accepted.
+  size_t unacceptedBytes = 0;
+  /// Why the connection is closed behind the bytes being parsed; empty if it
+  /// is not.
+  std::string giveUpReason;
+  ResponseFault fault = ResponseFault::None;
+  /// Whether a request was answered without a body: a late copy of such an
+  /// answer looks as if one followed.
+  bool hadBodiless = false;
   TimePoint restingSince{};
   std::optional<Duration> serverIdleTimeout;
 };
--- a/src/Http1/ResponseFault.h
+++ b/src/Http1/ResponseFault.h
@@ -13,6 +13,10 @@
   None,
   /// The response names another request.
   OtherRequest,
+  /// A response to skip whose end is not certain.
+  Unframed,
+  /// More responses or bytes to skip than a target can owe.
+  TooMuch,
   /// Bytes came right behind the response.
   Surplus,
   /// The response ended before the request was written.
@@ -23,9 +27,11 @@
 
 template <>
 struct EnumNames<ResponseFault> {
-  static constexpr std::array<EnumName<ResponseFault>, 5> kNames{
+  static constexpr std::array<EnumName<ResponseFault>, 7> kNames{
       {{ResponseFault::None, "none"},
        {ResponseFault::OtherRequest, "other-request"},
+       {ResponseFault::Unframed, "unframed"},
+       {ResponseFault::TooMuch, "too-much"},
        {ResponseFault::Surplus, "surplus"},
        {ResponseFault::Early, "early"},
        {ResponseFault::Unasked, "unasked"}}};
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -144,7 +144,7 @@
          this->frame.body;
 }
 
-bool TargetAttempt::OnHead(HttpHead aHead) {
+ResponseVerdict TargetAttempt::OnHead(HttpHead aHead) {
   const HeaderVocabulary& names = this->service.dependencies.context.headers;
   const auto echoed = FindHeader(aHead.headers, names.requestId);
   if (echoed && !this->requestId.empty() && *echoed != this->requestId) {
@@ -152,13 +152,13 @@
                                .request = this->requestId,
                                .answered = *echoed,
                                .usedBefore = this->connection->UsedBefore()});
-    return false;
+    return ResponseVerdict::Skip;
   }
   this->status = aHead.status;
   this->declaredNotRun = FindHeader(aHead.headers, names.notRun).has_value() ||
                          aHead.status == kMisdirected;
   if (this->declaredNotRun || this->abandoned) {
-    return true;
+    return ResponseVerdict::Accept;
   }
   RemoveHopByHopHeaders(aHead.headers);
   ResponseHeadFrame head{
@@ -172,7 +172,7 @@
   }
   this->headSent = true;
   this->session->Send(head);
-  return true;
+  return ResponseVerdict::Accept;
 }
 
 void TargetAttempt::OnBody(std::string_view aPart) {
--- a/src/Mesh/TargetAttempt.h
+++ b/src/Mesh/TargetAttempt.h
@@ -39,7 +39,7 @@
 
   void SendTo(ConnectionPool::ConnectionPtr aConnection);
   std::string RequestBytes(TimePoint aNow) const;
-  bool OnHead(HttpHead aHead);
+  ResponseVerdict OnHead(HttpHead aHead);
   void OnBody(std::string_view aPart);
   void OnDone(const ClientExchangeResult& aResult);
 
--- a/src/Mesh/TargetProbe.cpp
+++ b/src/Mesh/TargetProbe.cpp
@@ -67,7 +67,7 @@
       {.onHead =
            [this, answer](const HttpHead& aHead) {
              *answer = this->Read(aHead);
-             return true;
+             return ResponseVerdict::Accept;
            },
        .onBody = [](std::string_view) {},
        .onDone =
--- a/tests/Http1/HttpClientConnectionTest.cpp
+++ b/tests/Http1/HttpClientConnectionTest.cpp
@@ -26,12 +26,14 @@
   }
 
   /// Sends a request; the answer must carry the id to be accepted.
-  void Send(const std::string& aId) {
+  void Send(const std::string& aId, const std::string& aMethod = "GET") {
     this->client->Send(
-        "GET / HTTP/1.1\r\nId: " + aId + "\r\n\r\n", false,
+        aMethod + " / HTTP/1.1\r\nId: " + aId + "\r\n\r\n", aMethod == "HEAD",
         {.onHead =
              [this, aId](const HttpHead& aHead) {
-               return FindHeader(aHead.headers, "id") == aId;
+               return FindHeader(aHead.headers, "id") == aId
+                          ? ResponseVerdict::Accept
+                          : ResponseVerdict::Skip;
              },
          .onBody = [this](std::string_view aPart) { this->body += aPart; },
          .onDone =
@@ -70,8 +72,96 @@
   pair.server.Send(Answer("a", "late") + Answer("b", "mine"));
   REQUIRE(pair.WaitDone());
   CHECK(pair.result->whole);
-  CHECK(pair.result->reusable);
   CHECK(pair.body == "mine");
+  // The server is out of step: more answers of other requests may follow.
+  CHECK_FALSE(pair.result->reusable);
+  CHECK_FALSE(pair.client->IsOpen());
+}
+
+struct UnskippableCase {
+  const char* what;
+  /// Method of the request before, and of the one in progress.
+  const char* before;
+  const char* method;
+  std::string bytes;
+  ResponseFault fault;
+};
+
+// Guards against bytes of a skipped response that are taken for the next one:
+// its end must be certain. And against a response to skip that never ends.
+TEST_CASE("an answer is skipped only where its end is certain and near") {
+  const std::string mine = Answer("b", "mine");
+  const std::string unsized = "HTTP/1.1 200 OK\r\nId: a\r\n";
+  std::string many;
+  for (int i = 0; i < 5; ++i) {
+    many += Answer("a", "late");
+  }
+  const std::string large(size_t{2} << 20, 'x');
+  std::string interim;
+  while (interim.size() < large.size()) {
+    interim += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  for (const UnskippableCase& row : std::vector<UnskippableCase>{
+           {"in progress: HEAD", "GET", "HEAD", Answer("a", "") + mine,
+            ResponseFault::Unframed},
+           // Without its body, as the server wrote it first.
+           {"before: HEAD", "HEAD", "GET",
+            unsized + "Content-Length: 150\r\n\r\n" + mine,
+            ResponseFault::Unframed},
+           {"no length", "GET", "GET", unsized + "\r\n" + mine,
+            ResponseFault::Unframed},
+           {"the last one", "GET", "GET",
+            unsized + "Content-Length: 0\r\nConnection: close\r\n\r\n" + mine,
+            ResponseFault::Unframed},
+           {"no body by its status", "GET", "GET",
+            "HTTP/1.1 304 Not Modified\r\nId: a\r\nContent-Length: 150\r\n"
+            "\r\n" +
+                mine,
+            ResponseFault::Unframed},
+           {"many", "GET", "GET", many + mine, ResponseFault::TooMuch},
+           {"long", "GET", "GET", Answer("a", large), ResponseFault::TooMuch},
+           {"endless", "GET", "GET",
+            unsized + "Transfer-Encoding: chunked\r\n\r\n200000\r\n" + large,
+            ResponseFault::TooMuch},
+           {"endless interim answers", "GET", "GET", interim,
+            ResponseFault::TooMuch}}) {
+    CAPTURE(std::string(row.what));
+    Pair pair;
+    pair.Send("a", row.before);
+    pair.server.Send(std::string_view(row.before) == "HEAD"
+                         ? unsized + "Content-Length: 150\r\n\r\n"
+                         : Answer("a", "first"));
+    REQUIRE(pair.WaitDone());
+    REQUIRE(pair.result->reusable);
+    pair.result.reset();
+    pair.body.clear();
+    pair.Send("b", row.method);
+    pair.server.SendLater(row.bytes);
+    REQUIRE(pair.WaitDone());
+    CHECK_FALSE(pair.result->whole);
+    CHECK_FALSE(pair.result->reusable);
+    CHECK(pair.result->fault == row.fault);
+    CHECK(pair.body.empty());
+    CHECK_FALSE(pair.client->IsOpen());
+  }
+}
+
+// Guards against a broken response that is waited through.
+TEST_CASE("a rejected response ends its exchange at once") {
+  Pair pair;
+  pair.client->Send(
+      "GET / HTTP/1.1\r\n\r\n", false,
+      {.onHead = [](const HttpHead&) { return ResponseVerdict::Reject; },
+       .onBody = [&pair](std::string_view aPart) { pair.body += aPart; },
+       .onDone =
+           [&pair](const ClientExchangeResult& aResult) {
+             pair.result = aResult;
+           }});
+  pair.server.Send(Answer("a", "x") + Answer("a", "y"));
+  REQUIRE(pair.WaitDone());
+  CHECK_FALSE(pair.result->whole);
+  CHECK(pair.body.empty());
+  CHECK_FALSE(pair.client->IsOpen());
 }
 
 // Guards against reuse of a connection on which bytes belong to no request.
@@ -107,7 +197,7 @@
     bool answered = false;
     pair.client->Send(
         "GET / HTTP/1.1\r\nId: a\r\n\r\n", false,
-        {.onHead = [](const HttpHead&) { return true; },
+        {.onHead = [](const HttpHead&) { return ResponseVerdict::Accept; },
          .onBody = [](std::string_view) {},
          .onDone =
              [&](const ClientExchangeResult& aResult) {
@@ -121,7 +211,7 @@
                    {.onHead =
                         [&answered](const HttpHead&) {
                           answered = true;
-                          return true;
+                          return ResponseVerdict::Accept;
                         },
                     .onBody = [](std::string_view) {},
                     .onDone = [](const ClientExchangeResult&) {}});
@@ -143,15 +233,16 @@
   pair.server.Pause();
   // More than the buffers of both sockets hold.
   const std::string body(size_t{32} << 20, 'x');
-  pair.client->Send("POST / HTTP/1.1\r\nContent-Length: " +
-                        std::to_string(body.size()) + "\r\n\r\n" + body,
-                    false,
-                    {.onHead = [](const HttpHead&) { return true; },
-                     .onBody = [](std::string_view) {},
-                     .onDone =
-                         [&pair](const ClientExchangeResult& aResult) {
-                           pair.result = aResult;
-                         }});
+  pair.client->Send(
+      "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) +
+          "\r\n\r\n" + body,
+      false,
+      {.onHead = [](const HttpHead&) { return ResponseVerdict::Accept; },
+       .onBody = [](std::string_view) {},
+       .onDone =
+           [&pair](const ClientExchangeResult& aResult) {
+             pair.result = aResult;
+           }});
   pair.server.Send(Answer("a", "too long"));
   REQUIRE(pair.WaitDone());
   CHECK(pair.result->whole);
--- a/tests/Http1/LoopPeer.h
+++ b/tests/Http1/LoopPeer.h
@@ -3,6 +3,7 @@
 #include <asio.hpp>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace fescueline::test {
@@ -50,6 +51,13 @@
   void Send(const std::string& aBytes) {
     asio::write(this->socket, asio::buffer(aBytes));
   }
+  /// Writes as the other side reads; what is left when that one closes is
+  /// dropped.
+  void SendLater(const std::string& aBytes) {
+    const auto bytes = std::make_shared<std::string>(aBytes);
+    asio::async_write(this->socket, asio::buffer(*bytes),
+                      [bytes](const asio::error_code&, size_t) {});
+  }
   void Close() {
     asio::error_code ignored;
     this->socket.close(ignored);
--- a/tests/PlatformAdapter/MeshWorld.h
+++ b/tests/PlatformAdapter/MeshWorld.h
@@ -165,7 +165,7 @@
                    [answer](HttpHead aHead) {
                      answer->status = aHead.status;
                      answer->headers = std::move(aHead.headers);
-                     return true;
+                     return ResponseVerdict::Accept;
                    },
                .onBody =
                    [answer](std::string_view aPart) { answer->body += aPart; },
@@ -202,7 +202,8 @@
         std::chrono::seconds(1), [connection, page, done](const std::string&) {
           connection->Send(
               WriteRequestHead("GET", "/metrics", {{"Host", "h"}}, {}), false,
-              {.onHead = [](const HttpHead&) { return true; },
+              {.onHead =
+                   [](const HttpHead&) { return ResponseVerdict::Accept; },
                .onBody = [page](std::string_view aPart) { *page += aPart; },
                .onDone =
                    [done](const ClientExchangeResult&) { *done = true; }});
--- a/tools/PlatformStandIn/PlatformTarget.cpp
+++ b/tools/PlatformStandIn/PlatformTarget.cpp
@@ -48,7 +48,7 @@
                       {.onHead =
                            [status](const HttpHead& aHead) {
                              *status = aHead.status;
-                             return true;
+                             return ResponseVerdict::Accept;
                            },
                        .onBody = {},
                        .onDone =
