Give a request without identifier a connection of its own

Cause: nothing ties a response to a request without an identifier, and it shared the kept connections: it got whatever response came along, and left its own to the next request.

Change: ConnectionPool::AcquireNew hands out a connection that has carried nothing; TargetAttempt uses it for such requests and does not keep it.

--- a/src/Http1/ConnectionPool.cpp
+++ b/src/Http1/ConnectionPool.cpp
@@ -14,17 +14,19 @@
          aNow - aConnection.RestingSince() <= std::min(limit, aMaxRest);
 }
 
-void ConnectionPool::Acquire(
-    Duration aMaxRest,
-    const std::function<void(ConnectionPtr, const std::string&)>& aDone) {
-  const TimePoint now = SteadyClock().Now();
+void ConnectionPool::Sweep(TimePoint aNow) {
   std::erase_if(this->resting, [&](const ConnectionPtr& aConnection) {
-    if (this->IsUsable(*aConnection, Duration::max(), now)) {
+    if (this->IsUsable(*aConnection, Duration::max(), aNow)) {
       return false;
     }
     aConnection->Close("rested too long");
     return true;
   });
+}
+
+void ConnectionPool::Acquire(Duration aMaxRest, const Done& aDone) {
+  const TimePoint now = SteadyClock().Now();
+  this->Sweep(now);
   if (!this->resting.empty() &&
       this->IsUsable(*this->resting.back(), aMaxRest, now)) {
     ConnectionPtr connection = std::move(this->resting.back());
@@ -32,6 +34,10 @@
     aDone(std::move(connection), {});
     return;
   }
+  this->AcquireNew(aDone);
+}
+
+void ConnectionPool::AcquireNew(const Done& aDone) {
   ++this->made;
   const auto connection = std::make_shared<HttpClientConnection>(
       this->settings.io, this->settings.onUnasked);
--- a/src/Http1/ConnectionPool.h
+++ b/src/Http1/ConnectionPool.h
@@ -37,11 +37,13 @@
   explicit ConnectionPool(Settings aSettings)
       : settings(std::move(aSettings)) {}
 
+  using Done = std::function<void(ConnectionPtr, const std::string&)>;
+
   /// Hands out a connection that rested for aMaxRest at most, or a new one;
   /// null with the error if that can't be made.
-  void Acquire(
-      Duration aMaxRest,
-      const std::function<void(ConnectionPtr, const std::string&)>& aDone);
+  void Acquire(Duration aMaxRest, const Done& aDone);
+  /// Hands out a connection that has carried nothing.
+  void AcquireNew(const Done& aDone);
   /// Takes a reusable connection back.
   void Release(ConnectionPtr aConnection);
   /// Closes resting connections.
@@ -50,6 +52,8 @@
   uint64_t Made() const { return this->made; }
 
  private:
+  /// Closes connections that rested too long.
+  void Sweep(TimePoint aNow);
   bool IsUsable(const HttpClientConnection& aConnection, Duration aMaxRest,
                 TimePoint aNow) const;
 
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -61,24 +61,29 @@
           self->connection->Close("deadline");
         }
       });
-  this->service.pool->Acquire(
-      this->context.idempotent ? kAnyRest : kFreshRest,
-      [self = this->shared_from_this()](
-          ConnectionPool::ConnectionPtr aConnection,
-          const std::string& aError) {
-        if (self->state != State::Connecting) {
-          if (aConnection) {
-            self->service.pool->Release(std::move(aConnection));
-          }
-          return;
-        }
-        if (!aConnection) {
-          self->Fail(Outcome::NotRun, Cause::ConnectFailed, kShedRetryAfter,
-                     aError);
-          return;
-        }
-        self->SendTo(std::move(aConnection));
-      });
+  const auto onConnection = [self = this->shared_from_this()](
+                                ConnectionPool::ConnectionPtr aConnection,
+                                const std::string& aError) {
+    if (self->state != State::Connecting) {
+      if (aConnection) {
+        self->service.pool->Release(std::move(aConnection));
+      }
+      return;
+    }
+    if (!aConnection) {
+      self->Fail(Outcome::NotRun, Cause::ConnectFailed, kShedRetryAfter,
+                 aError);
+      return;
+    }
+    self->SendTo(std::move(aConnection));
+  };
+  if (this->requestId.empty()) {
+    // Nothing else tells its response from others.
+    this->service.pool->AcquireNew(onConnection);
+  } else {
+    this->service.pool->Acquire(
+        this->context.idempotent ? kAnyRest : kFreshRest, onConnection);
+  }
 }
 
 void TargetAttempt::SendTo(ConnectionPool::ConnectionPtr aConnection) {
@@ -227,8 +232,10 @@
                                .request = this->requestId,
                                .usedBefore = this->connection->UsedBefore()});
   }
-  if (aResult.reusable) {
+  if (aResult.reusable && !this->requestId.empty()) {
     this->service.pool->Release(this->connection);
+  } else {
+    this->connection->Close("not kept");
   }
   if (this->declaredNotRun) {
     this->Fail(
--- a/tests/Http1/HttpClientConnectionTest.cpp
+++ b/tests/Http1/HttpClientConnectionTest.cpp
@@ -326,6 +326,45 @@
   CHECK(acquire(1s) == fresh);
 }
 
+namespace {
+
+/// A pool and the server that its connections lead to.
+struct PoolWorld {
+  PoolWorld() : acceptor(this->io, {asio::ip::make_address("127.0.0.1"), 0}) {}
+
+  /// The connection that the pool hands out.
+  ConnectionPool::ConnectionPtr Take() {
+    ConnectionPool::ConnectionPtr taken;
+    this->pool.Acquire(
+        1s, [&taken](ConnectionPool::ConnectionPtr aConnection,
+                     const std::string&) { taken = std::move(aConnection); });
+    REQUIRE(RunUntil(this->io, [&] { return taken != nullptr; }));
+    return taken;
+  }
+
+  asio::io_context io{1};
+  asio::ip::tcp::acceptor acceptor;
+  ConnectionPool pool{
+      {.io = this->io, .peer = this->acceptor.local_endpoint()}};
+};
+
+}  // namespace
+
+// Guards against a request without an identifier on a connection on which an
+// earlier response may still come.
+TEST_CASE("a new connection is handed out although others rest") {
+  PoolWorld world;
+  const auto first = world.Take();
+  world.pool.Release(first);
+  ConnectionPool::ConnectionPtr taken;
+  world.pool.AcquireNew(
+      [&taken](ConnectionPool::ConnectionPtr aConnection, const std::string&) {
+        taken = std::move(aConnection);
+      });
+  REQUIRE(RunUntil(world.io, [&] { return taken != nullptr; }));
+  CHECK(taken != first);
+}
+
 // Guards against a target that is gone holding up its callers.
 TEST_CASE("a connection that is refused is reported") {
   asio::io_context io{1};
--- a/tests/PlatformAdapter/RepeatedResponseTest.cpp
+++ b/tests/PlatformAdapter/RepeatedResponseTest.cpp
@@ -143,3 +143,25 @@
   CHECK(unknown > 0);
   CHECK(unknown < size_t{kPairs});
 }
+
+// Guards against a request without an identifier that gets any response which
+// comes along, or leaves its own to the next request.
+TEST_CASE("a request without an identifier shares no connection") {
+  MeshWorld world(
+      {.fronts = 1, .deeps = 0, .frontCalls = false, .faultyLinks = true});
+  world.Link(0).SetFault(
+      {.share = 1, .when = FaultyLink::When::WithNextRequest});
+  for (int i = 0; i < 10; ++i) {
+    const std::string named = fmt::format("named{}", i);
+    const std::string nameless = fmt::format("nameless{}", i);
+    world.Send(0, named, "POST", "/filing/");
+    REQUIRE(RunUntil(world.io, [&] { return world.answers.contains(named); }));
+    CHECK(world.answers[named].status == 200);
+    CheckOwn(named, world.answers[named]);
+    world.Send(0, nameless, "POST", "/filing/", "acme-key", false);
+    REQUIRE(
+        RunUntil(world.io, [&] { return world.answers.contains(nameless); }));
+    CHECK(world.answers[nameless].status == 200);
+    CHECK(world.answers[nameless].body == "answer to ");
+  }
+}
