Send a request identifier once on a connection

Cause: an earlier refusal of the same identifier cannot be told from the later response. An entry node does not offer a request twice to a target that it knows by the same reference (TargetPicker::Pick leaves out those that were tried), but that reference changes when a member's row goes and comes back, calls of a repeated run may bear the same names, and callers may repeat an identifier after a refusal.

Ruled out: remembering identifiers by node. A copy can come only on the connection that carried the request.

--- a/src/Http1/ConnectionPool.cpp
+++ b/src/Http1/ConnectionPool.cpp
@@ -24,19 +24,49 @@
   });
 }
 
-void ConnectionPool::Acquire(Duration aMaxRest, const Done& aDone) {
+ConnectionPool::ConnectionPtr ConnectionPool::TakeResting(
+    std::string_view aRequestId, Duration aMaxRest) {
   const TimePoint now = SteadyClock().Now();
   this->Sweep(now);
-  if (!this->resting.empty() &&
-      this->IsUsable(*this->resting.back(), aMaxRest, now)) {
-    ConnectionPtr connection = std::move(this->resting.back());
-    this->resting.pop_back();
+  const auto found =
+      std::find_if(this->resting.rbegin(), this->resting.rend(),
+                   [&](const ConnectionPtr& aConnection) {
+                     return this->IsUsable(*aConnection, aMaxRest, now) &&
+                            (aRequestId.empty() ||
+                             !aConnection->Carried().Contains(aRequestId));
+                   });
+  if (found == this->resting.rend()) {
+    return nullptr;
+  }
+  ConnectionPtr connection = std::move(*found);
+  this->resting.erase(std::next(found).base());
+  return connection;
+}
+
+void ConnectionPool::Acquire(Duration aMaxRest, const Done& aDone) {
+  if (ConnectionPtr connection = this->TakeResting({}, aMaxRest)) {
     aDone(std::move(connection), {});
     return;
   }
   this->AcquireNew(aDone);
 }
 
+void ConnectionPool::AcquireFor(std::string_view aRequestId, Duration aMaxRest,
+                                const Done& aDone) {
+  if (ConnectionPtr connection = this->TakeResting(aRequestId, aMaxRest)) {
+    connection->Carried().Add(aRequestId);
+    aDone(std::move(connection), {});
+    return;
+  }
+  this->AcquireNew([id = std::string(aRequestId), aDone](
+                       ConnectionPtr aConnection, const std::string& aError) {
+    if (aConnection) {
+      aConnection->Carried().Add(id);
+    }
+    aDone(std::move(aConnection), aError);
+  });
+}
+
 void ConnectionPool::AcquireNew(const Done& aDone) {
   ++this->made;
   const auto connection = std::make_shared<HttpClientConnection>(
@@ -55,6 +85,10 @@
     aConnection->Close("enough connections rest");
     return;
   }
+  if (aConnection->Carried().IsFull()) {
+    aConnection->Close("carried enough requests");
+    return;
+  }
   this->resting.push_back(std::move(aConnection));
 }
 
--- a/src/Http1/ConnectionPool.h
+++ b/src/Http1/ConnectionPool.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "Core/Time.h"
@@ -42,6 +43,10 @@
   /// Hands out a connection that rested for aMaxRest at most, or a new one;
   /// null with the error if that can't be made.
   void Acquire(Duration aMaxRest, const Done& aDone);
+  /// The same, but never one that has carried a request with this identifier:
+  /// a late copy of that response could not be told from the next one.
+  void AcquireFor(std::string_view aRequestId, Duration aMaxRest,
+                  const Done& aDone);
   /// Hands out a connection that has carried nothing.
   void AcquireNew(const Done& aDone);
   /// Takes a reusable connection back.
@@ -52,6 +57,9 @@
   uint64_t Made() const { return this->made; }
 
  private:
+  /// Takes the resting connection that was used last, among those that have
+  /// not carried the request; null if there is none.
+  ConnectionPtr TakeResting(std::string_view aRequestId, Duration aMaxRest);
   /// Closes connections that rested too long.
   void Sweep(TimePoint aNow);
   bool IsUsable(const HttpClientConnection& aConnection, Duration aMaxRest,
--- a/src/Http1/HttpClientConnection.h
+++ b/src/Http1/HttpClientConnection.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "Core/Time.h"
+#include "Http1/CarriedIds.h"
 #include "Http1/HttpReader.h"
 #include "Http1/ResponseMatch.h"
 
@@ -62,6 +63,8 @@
   /// Whether a response can only answer the request in progress: there was no
   /// other request, and no other response.
   bool IsAlone() const { return !this->UsedBefore() && this->skipped == 0; }
+  /// Identifiers of its requests, kept by the owner.
+  CarriedIds& Carried() { return this->carried; }
   /// When the last exchange ended or the connection was made.
   TimePoint RestingSince() const { return this->restingSince; }
   /// How long the server keeps a resting connection, if it has said so.
@@ -86,6 +89,7 @@
   std::string outgoing;
   ClientExchangeEvents events;
   std::function<void()> onUnasked;
+  CarriedIds carried;
   /// Exchanges begun.
   uint64_t exchanges = 0;
   bool open = false;
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -81,8 +81,9 @@
     // Nothing else tells its response from others.
     this->service.pool->AcquireNew(onConnection);
   } else {
-    this->service.pool->Acquire(
-        this->context.idempotent ? kAnyRest : kFreshRest, onConnection);
+    this->service.pool->AcquireFor(
+        this->requestId, this->context.idempotent ? kAnyRest : kFreshRest,
+        onConnection);
   }
 }
 
--- a/tests/Http1/HttpClientConnectionTest.cpp
+++ b/tests/Http1/HttpClientConnectionTest.cpp
@@ -332,12 +332,19 @@
 struct PoolWorld {
   PoolWorld() : acceptor(this->io, {asio::ip::make_address("127.0.0.1"), 0}) {}
 
-  /// The connection that the pool hands out.
-  ConnectionPool::ConnectionPtr Take() {
+  /// The connection that the pool hands out for a request; empty for none in
+  /// particular.
+  ConnectionPool::ConnectionPtr Take(const std::string& aId) {
     ConnectionPool::ConnectionPtr taken;
-    this->pool.Acquire(
-        1s, [&taken](ConnectionPool::ConnectionPtr aConnection,
-                     const std::string&) { taken = std::move(aConnection); });
+    const auto done = [&taken](ConnectionPool::ConnectionPtr aConnection,
+                               const std::string&) {
+      taken = std::move(aConnection);
+    };
+    if (aId.empty()) {
+      this->pool.Acquire(1s, done);
+    } else {
+      this->pool.AcquireFor(aId, 1s, done);
+    }
     REQUIRE(RunUntil(this->io, [&] { return taken != nullptr; }));
     return taken;
   }
@@ -354,7 +361,7 @@
 // earlier response may still come.
 TEST_CASE("a new connection is handed out although others rest") {
   PoolWorld world;
-  const auto first = world.Take();
+  const auto first = world.Take("");
   world.pool.Release(first);
   ConnectionPool::ConnectionPtr taken;
   world.pool.AcquireNew(
@@ -365,6 +372,37 @@
   CHECK(taken != first);
 }
 
+// Guards against a late response to a request that is taken for that to the
+// same request sent again.
+TEST_CASE("a request identifier goes out once on a connection") {
+  PoolWorld world;
+  const auto first = world.Take("a");
+  world.pool.Release(first);
+  CHECK(world.Take("b") == first);
+  world.pool.Release(first);
+  const auto second = world.Take("a");
+  CHECK(second != first);
+  world.pool.Release(second);
+  // Both have carried it.
+  CHECK(world.Take("a") != first);
+  CHECK(world.pool.Made() == 3);
+  CHECK(first->IsOpen());
+}
+
+// Guards against identifiers that pile up, or are forgotten, on a connection
+// that lives long.
+TEST_CASE("a connection ends before it forgets a request") {
+  PoolWorld world;
+  const auto first = world.Take("0");
+  for (size_t i = 1; i < CarriedIds::kMax; ++i) {
+    world.pool.Release(first);
+    REQUIRE(world.Take(std::to_string(i)) == first);
+  }
+  world.pool.Release(first);
+  CHECK_FALSE(first->IsOpen());
+  CHECK(world.Take("next") != first);
+}
+
 // Guards against a target that is gone holding up its callers.
 TEST_CASE("a connection that is refused is reported") {
   asio::io_context io{1};
--- a/tests/PlatformAdapter/RepeatedResponseTest.cpp
+++ b/tests/PlatformAdapter/RepeatedResponseTest.cpp
@@ -165,3 +165,28 @@
     CHECK(world.answers[nameless].body == "answer to ");
   }
 }
+
+// Guards against an earlier refusal of a request that decides the same one when
+// its caller sends it again: "not run" for a request that runs.
+TEST_CASE("an earlier refusal of the same request does not decide it") {
+  MeshWorld world(
+      {.fronts = 1, .deeps = 0, .frontCalls = false, .faultyLinks = true});
+  world.Link(0).SetFault(
+      {.share = 1, .when = FaultyLink::When::WithNextRequest});
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = fmt::format("same{}", i);
+    world.Target(0).SetShed(1);
+    world.Send(0, id, "POST", "/filing/");
+    REQUIRE(RunUntil(world.io, [&] { return world.answers.contains(id); }));
+    CHECK(world.answers[id].status == 503);
+    CHECK(world.RunsOf(id) == 0);
+    world.Target(0).SetShed(0);
+    world.answers.clear();
+    world.Send(0, id, "POST", "/filing/");
+    REQUIRE(RunUntil(world.io, [&] { return world.answers.contains(id); }));
+    CHECK(world.answers[id].status == 200);
+    CheckOwn(id, world.answers[id]);
+    CheckOnce(world, id, world.answers[id]);
+    world.answers.clear();
+  }
+}
