Close connections to a former target when they are released

Cause: a change of the target closed the resting connections only. One in use, or being made, came back into the pool of the new target.

Change: connections bear the generation of their pool, which Clear raises; Release closes those of an earlier one.

--- a/src/Http1/ConnectionPool.cpp
+++ b/src/Http1/ConnectionPool.cpp
@@ -71,6 +71,7 @@
   ++this->made;
   const auto connection = std::make_shared<HttpClientConnection>(
       this->settings.io, this->settings.onUnasked);
+  connection->SetGeneration(this->generation);
   connection->Connect(this->settings.peer, this->settings.connectTimeout,
                       [connection, aDone](const std::string& aError) {
                         aDone(aError.empty() ? connection : nullptr, aError);
@@ -81,6 +82,10 @@
   if (!aConnection->IsResting()) {
     return;
   }
+  if (aConnection->Generation() != this->generation) {
+    aConnection->Close("leads to a former server");
+    return;
+  }
   if (this->resting.size() >= this->settings.maxResting) {
     aConnection->Close("enough connections rest");
     return;
@@ -93,6 +98,7 @@
 }
 
 void ConnectionPool::Clear() {
+  ++this->generation;
   for (const ConnectionPtr& connection : this->resting) {
     connection->Close("not needed any more");
   }
--- a/src/Http1/ConnectionPool.h
+++ b/src/Http1/ConnectionPool.h
@@ -51,7 +51,8 @@
   void AcquireNew(const Done& aDone);
   /// Takes a reusable connection back.
   void Release(ConnectionPtr aConnection);
-  /// Closes resting connections.
+  /// Closes resting connections, and those in use when they are released: the
+  /// server is another one now.
   void Clear();
   /// Connections that were made.
   uint64_t Made() const { return this->made; }
@@ -68,6 +69,8 @@
   Settings settings;
   std::vector<ConnectionPtr> resting;
   uint64_t made = 0;
+  /// Grows when the server changes.
+  uint64_t generation = 0;
 };
 
 }  // namespace fescueline
--- a/src/Http1/HttpClientConnection.h
+++ b/src/Http1/HttpClientConnection.h
@@ -63,6 +63,9 @@
   /// Whether a response can only answer the request in progress: there was no
   /// other request, and no other response.
   bool IsAlone() const { return !this->UsedBefore() && this->skipped == 0; }
+  /// What its pool tells connections to different servers by.
+  void SetGeneration(uint64_t aGeneration) { this->generation = aGeneration; }
+  uint64_t Generation() const { return this->generation; }
   /// Identifiers of its requests, kept by the owner.
   CarriedIds& Carried() { return this->carried; }
   /// When the last exchange ended or the connection was made.
@@ -90,6 +93,7 @@
   ClientExchangeEvents events;
   std::function<void()> onUnasked;
   CarriedIds carried;
+  uint64_t generation = 0;
   /// Exchanges begun.
   uint64_t exchanges = 0;
   bool open = false;
--- a/tests/Http1/HttpClientConnectionTest.cpp
+++ b/tests/Http1/HttpClientConnectionTest.cpp
@@ -403,6 +403,29 @@
   CHECK(world.Take("next") != first);
 }
 
+// Guards against requests to a target on the connections of the one before it:
+// they were in use, or being made, when it changed.
+TEST_CASE("a connection to a former server does not return to the pool") {
+  PoolWorld world;
+  const auto resting = world.Take("");
+  const auto inUse = world.Take("");
+  ConnectionPool::ConnectionPtr pending;
+  world.pool.Acquire(
+      1s, [&pending](ConnectionPool::ConnectionPtr aConnection,
+                     const std::string&) { pending = std::move(aConnection); });
+  world.pool.Release(resting);
+  world.pool.Clear();
+  CHECK_FALSE(resting->IsOpen());
+  REQUIRE(RunUntil(world.io, [&] { return pending != nullptr; }));
+  for (const auto& former : {inUse, pending}) {
+    world.pool.Release(former);
+    CHECK_FALSE(former->IsOpen());
+  }
+  const auto fresh = world.Take("");
+  world.pool.Release(fresh);
+  CHECK(world.Take("") == fresh);
+}
+
 // Guards against a target that is gone holding up its callers.
 TEST_CASE("a connection that is refused is reported") {
   asio::io_context io{1};
