--- a/tests/PlatformAdapter/RepeatedResponseTest.cpp
+++ b/tests/PlatformAdapter/RepeatedResponseTest.cpp
@@ -190,3 +190,51 @@
     world.answers.clear();
   }
 }
+
+// Guards against mixes of such faults with lost, shed and failed requests that
+// no other test has. The seed of a failure is captured.
+TEST_CASE("random mixes of faulty responses break no promise") {
+  using When = FaultyLink::When;
+  RandomSource random(20261204);
+  constexpr int kRounds = 4;
+  for (int round = 0; round < kRounds; ++round) {
+    const uint64_t seed = random.Next();
+    CAPTURE(seed);
+    RandomSource mix(seed);
+    MeshWorld world({.fronts = 2,
+                     .deeps = 2,
+                     .frontCalls = false,
+                     .faultyLinks = true,
+                     .seed = seed});
+    constexpr int kSteps = 120;
+    for (int i = 0; i < kSteps; ++i) {
+      if (i % 20 == 0) {
+        for (size_t node = 0; node < world.Size(); ++node) {
+          world.Link(node).SetFault(
+              {.share = mix.Unit() * 0.6,
+               .when = mix.Below(2) == 0 ? When::AtOnce : When::WithNextRequest,
+               .withoutId = mix.Below(2) == 0,
+               .refusal = mix.Below(2) == 0,
+               .unsignedShare = mix.Unit() * 0.05});
+          world.Target(node).SetLose(mix.Unit() * 0.05);
+          world.Target(node).SetShed(mix.Unit() * 0.3);
+        }
+      }
+      world.Send(mix.Below(world.Size()), fmt::format("once{}", i), "POST",
+                 "/filing/");
+      world.Send(mix.Below(world.Size()), fmt::format("free{}", i), "GET",
+                 "/direct/");
+      world.Pass(3ms);
+    }
+    REQUIRE(world.WaitAnswers(size_t{2} * kSteps));
+    size_t served = 0;
+    for (const auto& [id, answer] : world.answers) {
+      CheckOwn(id, answer);
+      if (id.starts_with("once")) {
+        CheckOnce(world, id, answer);
+      }
+      served += answer.status == 200 ? 1 : 0;
+    }
+    CHECK(served > size_t{kSteps});
+  }
+}
