Name bytes of a target that are no response in log and metrics

Cause: a response that cannot be parsed ended its attempt with a detail text only; it was not counted with the other faults of a connection.

Change: ResponseFault::Malformed.

Measured: "bytes that are no response are reported as such" failed in its three rows without the change and passes; 28 of 28 cases of Http1Tests.

--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -197,8 +197,11 @@
       }
     }
   } catch (const Error& failure) {
-    this->Close(this->giveUpReason.empty() ? failure.what()
-                                           : this->giveUpReason);
+    if (this->giveUpReason.empty()) {
+      this->fault = ResponseFault::Malformed;
+      this->giveUpReason = failure.what();
+    }
+    this->Close(this->giveUpReason);
     return;
   }
   this->Read();
--- a/src/Http1/ResponseFault.h
+++ b/src/Http1/ResponseFault.h
@@ -17,6 +17,8 @@
   NoId,
   /// A success without the target's signature.
   Unsigned,
+  /// The bytes are no response.
+  Malformed,
   /// A response to skip whose end is not certain.
   Unframed,
   /// More responses or bytes to skip than a target can owe.
@@ -31,11 +33,12 @@
 
 template <>
 struct EnumNames<ResponseFault> {
-  static constexpr std::array<EnumName<ResponseFault>, 9> kNames{
+  static constexpr std::array<EnumName<ResponseFault>, 10> kNames{
       {{ResponseFault::None, "none"},
        {ResponseFault::OtherRequest, "other-request"},
        {ResponseFault::NoId, "no-id"},
        {ResponseFault::Unsigned, "unsigned"},
+       {ResponseFault::Malformed, "malformed"},
        {ResponseFault::Unframed, "unframed"},
        {ResponseFault::TooMuch, "too-much"},
        {ResponseFault::Surplus, "surplus"},
--- a/tests/Http1/HttpClientConnectionTest.cpp
+++ b/tests/Http1/HttpClientConnectionTest.cpp
@@ -284,6 +284,22 @@
   }
 }
 
+// Guards against bytes that are no response unseen by the operator.
+TEST_CASE("bytes that are no response are reported as such") {
+  for (const std::string bytes :
+       {"garbage\r\n\r\n", "HTTP/9 nonsense\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: x\r\n\r\n"}) {
+    CAPTURE(bytes);
+    Pair pair;
+    pair.Send("a");
+    pair.server.Send(bytes);
+    REQUIRE(pair.WaitDone());
+    CHECK_FALSE(pair.result->whole);
+    CHECK(pair.result->fault == ResponseFault::Malformed);
+    CHECK_FALSE(pair.client->IsOpen());
+  }
+}
+
 // Guards against a reset that completes a response without a length.
 TEST_CASE("a reset does not complete a response without a length") {
   Pair pair;
