--- a/src/Http1/ConnectionPool.cpp
+++ b/src/Http1/ConnectionPool.cpp
@@ -14,27 +14,64 @@
          aNow - aConnection.RestingSince() <= std::min(limit, aMaxRest);
 }
 
-void ConnectionPool::Acquire(
-    Duration aMaxRest,
-    const std::function<void(ConnectionPtr, const std::string&)>& aDone) {
-  const TimePoint now = SteadyClock().Now();
+void ConnectionPool::Sweep(TimePoint aNow) {
   std::erase_if(this->resting, [&](const ConnectionPtr& aConnection) {
-    if (this->IsUsable(*aConnection, Duration::max(), now)) {
+    if (this->IsUsable(*aConnection, Duration::max(), aNow)) {
       return false;
     }
     aConnection->Close("rested too long");
     return true;
   });
-  if (!this->resting.empty() &&
-      this->IsUsable(*this->resting.back(), aMaxRest, now)) {
-    ConnectionPtr connection = std::move(this->resting.back());
-    this->resting.pop_back();
+}
+
+ConnectionPool::ConnectionPtr ConnectionPool::TakeResting(
+    std::string_view aRequestId, Duration aMaxRest) {
+  const TimePoint now = SteadyClock().Now();
+  this->Sweep(now);
+  const auto found =
+      std::find_if(this->resting.rbegin(), this->resting.rend(),
+                   [&](const ConnectionPtr& aConnection) {
+                     return this->IsUsable(*aConnection, aMaxRest, now) &&
+                            (aRequestId.empty() ||
+                             !aConnection->Carried().Contains(aRequestId));
+                   });
+  if (found == this->resting.rend()) {
+    return nullptr;
+  }
+  ConnectionPtr connection = std::move(*found);
+  this->resting.erase(std::next(found).base());
+  return connection;
+}
+
+void ConnectionPool::Acquire(Duration aMaxRest, const Done& aDone) {
+  if (ConnectionPtr connection = this->TakeResting({}, aMaxRest)) {
+    aDone(std::move(connection), {});
+    return;
+  }
+  this->AcquireNew(aDone);
+}
+
+void ConnectionPool::AcquireFor(std::string_view aRequestId, Duration aMaxRest,
+                                const Done& aDone) {
+  if (ConnectionPtr connection = this->TakeResting(aRequestId, aMaxRest)) {
+    connection->Carried().Add(aRequestId);
     aDone(std::move(connection), {});
     return;
   }
+  this->AcquireNew([id = std::string(aRequestId), aDone](
+                       ConnectionPtr aConnection, const std::string& aError) {
+    if (aConnection) {
+      aConnection->Carried().Add(id);
+    }
+    aDone(std::move(aConnection), aError);
+  });
+}
+
+void ConnectionPool::AcquireNew(const Done& aDone) {
   ++this->made;
-  const auto connection =
-      std::make_shared<HttpClientConnection>(this->settings.io);
+  const auto connection = std::make_shared<HttpClientConnection>(
+      this->settings.io, this->settings.onUnasked);
+  connection->SetGeneration(this->generation);
   connection->Connect(this->settings.peer, this->settings.connectTimeout,
                       [connection, aDone](const std::string& aError) {
                         aDone(aError.empty() ? connection : nullptr, aError);
@@ -45,14 +82,23 @@
   if (!aConnection->IsResting()) {
     return;
   }
+  if (aConnection->Generation() != this->generation) {
+    aConnection->Close("leads to a former server");
+    return;
+  }
   if (this->resting.size() >= this->settings.maxResting) {
     aConnection->Close("enough connections rest");
     return;
   }
+  if (aConnection->Carried().IsFull()) {
+    aConnection->Close("carried enough requests");
+    return;
+  }
   this->resting.push_back(std::move(aConnection));
 }
 
 void ConnectionPool::Clear() {
+  ++this->generation;
   for (const ConnectionPtr& connection : this->resting) {
     connection->Close("not needed any more");
   }
--- a/src/Http1/HttpClientConnection.h
+++ b/src/Http1/HttpClientConnection.h
@@ -6,7 +6,9 @@
 #include <string>
 
 #include "Core/Time.h"
+#include "Http1/CarriedIds.h"
 #include "Http1/HttpReader.h"
+#include "Http1/ResponseMatch.h"
 
 namespace fescueline {
 
@@ -18,15 +20,17 @@
   bool sent = false;
   /// Whether the connection can carry another request.
   bool reusable = false;
+  /// Why the connection was closed although its server keeps it; None if
+  /// onHead said so.
+  ResponseFault fault = ResponseFault::None;
   /// What went wrong; empty if nothing did.
   std::string error;
 };
 
 /// Events of an exchange. onDone ends it and runs once.
 struct ClientExchangeEvents {
-  /// Status and headers. False skips the response, which answers something
-  /// else, and waits for the next one.
-  std::function<bool(HttpHead)> onHead;
+  /// Status and headers of a response.
+  std::function<ResponseVerdict(HttpHead)> onHead;
   std::function<void(std::string_view)> onBody;
   std::function<void(const ClientExchangeResult&)> onDone;
 };
@@ -37,12 +41,14 @@
 class HttpClientConnection
     : public std::enable_shared_from_this<HttpClientConnection> {
  public:
-  explicit HttpClientConnection(asio::io_context& aIo);
+  /// aOnUnasked is told of bytes that end the connection while it rests.
+  explicit HttpClientConnection(asio::io_context& aIo,
+                                std::function<void()> aOnUnasked = {});
 
   /// Connects; aDone gets an empty text or the error.
   void Connect(const asio::ip::tcp::endpoint& aPeer, Duration aTimeout,
                std::function<void(const std::string&)> aDone);
-  /// Sends a whole request and reports its response.
+  /// Sends a whole request and reports its response. The connection must rest.
   void Send(std::string aBytes, bool aNoBody, ClientExchangeEvents aEvents);
   /// Stops or resumes reading the response.
   void SetPaused(bool aPaused);
@@ -52,6 +58,16 @@
   bool IsOpen() const { return this->open; }
   /// Whether the connection is open and carries nothing.
   bool IsResting() const { return this->open && !this->busy; }
+  /// Whether the connection has carried a request before the present one.
+  bool UsedBefore() const { return this->exchanges > 1; }
+  /// Whether a response can only answer the request in progress: there was no
+  /// other request, and no other response.
+  bool IsAlone() const { return !this->UsedBefore() && this->skipped == 0; }
+  /// What its pool tells connections to different servers by.
+  void SetGeneration(uint64_t aGeneration) { this->generation = aGeneration; }
+  uint64_t Generation() const { return this->generation; }
+  /// Identifiers of its requests, kept by the owner.
+  CarriedIds& Carried() { return this->carried; }
   /// When the last exchange ended or the connection was made.
   TimePoint RestingSince() const { return this->restingSince; }
   /// How long the server keeps a resting connection, if it has said so.
@@ -62,7 +78,10 @@
  private:
   HttpReader::Events ReaderEvents();
   bool OnHead(HttpHead aHead);
-  void OnEnd();
+  /// Counts a response to skip; its fault if the connection is to be closed.
+  ResponseFault CountSkipped(bool aFramed);
+  /// Ends the exchange behind a whole response; aSurplus bytes follow it.
+  void EndExchange(size_t aSurplus);
   void Read();
   void OnRead(const asio::error_code& aError, std::string_view aBytes);
   void Finish(const ClientExchangeResult& aResult);
@@ -72,15 +91,35 @@
   HttpReader reader;
   std::string outgoing;
   ClientExchangeEvents events;
+  std::function<void()> onUnasked;
+  CarriedIds carried;
+  uint64_t generation = 0;
+  /// Exchanges begun.
+  uint64_t exchanges = 0;
   bool open = false;
   bool busy = false;
   bool sent = false;
   bool reading = false;
+  /// Whether a part of the request is not written yet.
+  bool writing = false;
   bool paused = false;
   /// Whether the response allows another request.
   bool keepAlive = false;
   /// Whether the response in progress was accepted by onHead.
   bool accepted = false;
+  /// Whether the accepted response is whole.
+  bool complete = false;
+  /// Responses skipped in this exchange.
+  size_t skipped = 0;
+  /// Bytes received in this exchange before a response was accepted.
+  size_t unacceptedBytes = 0;
+  /// Why the connection is closed behind the bytes being parsed; empty if it
+  /// is not.
+  std::string giveUpReason;
+  ResponseFault fault = ResponseFault::None;
+  /// Whether a request was answered without a body: a late copy of such an
+  /// answer looks as if one followed.
+  bool hadBodiless = false;
   TimePoint restingSince{};
   std::optional<Duration> serverIdleTimeout;
 };
--- /dev/null
+++ b/src/Http1/ResponseFault.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "Core/EnumNames.h"
+
+namespace fescueline {
+
+/// Why a response was dropped or a connection was closed because requests and
+/// responses on it do not match.
+enum class ResponseFault : uint8_t {
+  None,
+  /// The response names another request.
+  OtherRequest,
+  /// The response names no request and may belong to an earlier one.
+  NoId,
+  /// A success without the target's signature.
+  Unsigned,
+  /// The bytes are no response.
+  Malformed,
+  /// A response to skip whose end is not certain.
+  Unframed,
+  /// More responses or bytes to skip than a target can owe.
+  TooMuch,
+  /// Bytes came right behind the response.
+  Surplus,
+  /// The response ended before the request was written.
+  Early,
+  /// Bytes came while no request waited.
+  Unasked
+};
+
+template <>
+struct EnumNames<ResponseFault> {
+  static constexpr std::array<EnumName<ResponseFault>, 10> kNames{
+      {{ResponseFault::None, "none"},
+       {ResponseFault::OtherRequest, "other-request"},
+       {ResponseFault::NoId, "no-id"},
+       {ResponseFault::Unsigned, "unsigned"},
+       {ResponseFault::Malformed, "malformed"},
+       {ResponseFault::Unframed, "unframed"},
+       {ResponseFault::TooMuch, "too-much"},
+       {ResponseFault::Surplus, "surplus"},
+       {ResponseFault::Early, "early"},
+       {ResponseFault::Unasked, "unasked"}}};
+};
+
+}  // namespace fescueline
--- a/src/Mesh/TargetProbe.cpp
+++ b/src/Mesh/TargetProbe.cpp
@@ -73,7 +73,7 @@
       {.onHead =
            [this, answer](const HttpHead& aHead) {
              *answer = this->Read(aHead);
-             return true;
+             return ResponseVerdict::Accept;
            },
        .onBody =
            [this, connection = std::weak_ptr(aConnection),
--- a/tests/Http1/HttpClientConnectionTest.cpp
+++ b/tests/Http1/HttpClientConnectionTest.cpp
@@ -26,12 +26,14 @@
   }
 
   /// Sends a request; the answer must carry the id to be accepted.
-  void Send(const std::string& aId) {
+  void Send(const std::string& aId, const std::string& aMethod = "GET") {
     this->client->Send(
-        "GET / HTTP/1.1\r\nId: " + aId + "\r\n\r\n", false,
+        aMethod + " / HTTP/1.1\r\nId: " + aId + "\r\n\r\n", aMethod == "HEAD",
         {.onHead =
              [this, aId](const HttpHead& aHead) {
-               return FindHeader(aHead.headers, "id") == aId;
+               return FindHeader(aHead.headers, "id") == aId
+                          ? ResponseVerdict::Accept
+                          : ResponseVerdict::Skip;
              },
          .onBody = [this](std::string_view aPart) { this->body += aPart; },
          .onDone =
@@ -70,8 +72,96 @@
   pair.server.Send(Answer("a", "late") + Answer("b", "mine"));
   REQUIRE(pair.WaitDone());
   CHECK(pair.result->whole);
-  CHECK(pair.result->reusable);
   CHECK(pair.body == "mine");
+  // The server is out of step: more answers of other requests may follow.
+  CHECK_FALSE(pair.result->reusable);
+  CHECK_FALSE(pair.client->IsOpen());
+}
+
+struct UnskippableCase {
+  const char* what;
+  /// Method of the request before, and of the one in progress.
+  const char* before;
+  const char* method;
+  std::string bytes;
+  ResponseFault fault;
+};
+
+// Guards against bytes of a skipped response that are taken for the next one:
+// its end must be certain. And against a response to skip that never ends.
+TEST_CASE("an answer is skipped only where its end is certain and near") {
+  const std::string mine = Answer("b", "mine");
+  const std::string unsized = "HTTP/1.1 200 OK\r\nId: a\r\n";
+  std::string many;
+  for (int i = 0; i < 5; ++i) {
+    many += Answer("a", "late");
+  }
+  const std::string large(size_t{2} << 20, 'x');
+  std::string interim;
+  while (interim.size() < large.size()) {
+    interim += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  for (const UnskippableCase& row : std::vector<UnskippableCase>{
+           {"in progress: HEAD", "GET", "HEAD", Answer("a", "") + mine,
+            ResponseFault::Unframed},
+           // Without its body, as the server wrote it first.
+           {"before: HEAD", "HEAD", "GET",
+            unsized + "Content-Length: 150\r\n\r\n" + mine,
+            ResponseFault::Unframed},
+           {"no length", "GET", "GET", unsized + "\r\n" + mine,
+            ResponseFault::Unframed},
+           {"the last one", "GET", "GET",
+            unsized + "Content-Length: 0\r\nConnection: close\r\n\r\n" + mine,
+            ResponseFault::Unframed},
+           {"no body by its status", "GET", "GET",
+            "HTTP/1.1 304 Not Modified\r\nId: a\r\nContent-Length: 150\r\n"
+            "\r\n" +
+                mine,
+            ResponseFault::Unframed},
+           {"many", "GET", "GET", many + mine, ResponseFault::TooMuch},
+           {"long", "GET", "GET", Answer("a", large), ResponseFault::TooMuch},
+           {"endless", "GET", "GET",
+            unsized + "Transfer-Encoding: chunked\r\n\r\n200000\r\n" + large,
+            ResponseFault::TooMuch},
+           {"endless interim answers", "GET", "GET", interim,
+            ResponseFault::TooMuch}}) {
+    CAPTURE(std::string(row.what));
+    Pair pair;
+    pair.Send("a", row.before);
+    pair.server.Send(std::string_view(row.before) == "HEAD"
+                         ? unsized + "Content-Length: 150\r\n\r\n"
+                         : Answer("a", "first"));
+    REQUIRE(pair.WaitDone());
+    REQUIRE(pair.result->reusable);
+    pair.result.reset();
+    pair.body.clear();
+    pair.Send("b", row.method);
+    pair.server.SendLater(row.bytes);
+    REQUIRE(pair.WaitDone());
+    CHECK_FALSE(pair.result->whole);
+    CHECK_FALSE(pair.result->reusable);
+    CHECK(pair.result->fault == row.fault);
+    CHECK(pair.body.empty());
+    CHECK_FALSE(pair.client->IsOpen());
+  }
+}
+
+// Guards against a broken response that is waited through.
+TEST_CASE("a rejected response ends its exchange at once") {
+  Pair pair;
+  pair.client->Send(
+      "GET / HTTP/1.1\r\n\r\n", false,
+      {.onHead = [](const HttpHead&) { return ResponseVerdict::Reject; },
+       .onBody = [&pair](std::string_view aPart) { pair.body += aPart; },
+       .onDone =
+           [&pair](const ClientExchangeResult& aResult) {
+             pair.result = aResult;
+           }});
+  pair.server.Send(Answer("a", "x") + Answer("a", "y"));
+  REQUIRE(pair.WaitDone());
+  CHECK_FALSE(pair.result->whole);
+  CHECK(pair.body.empty());
+  CHECK_FALSE(pair.client->IsOpen());
 }
 
 // Guards against reuse of a connection on which bytes belong to no request.
@@ -85,6 +175,86 @@
   CHECK(RunUntil(pair.io, [&] { return !pair.client->IsOpen(); }));
 }
 
+struct SurplusCase {
+  const char* what;
+  std::string surplus;
+};
+
+// Guards against bytes behind a response that reach the next request: its
+// owner may send that one as soon as it hears of the end.
+TEST_CASE("bytes behind a response reach no other request") {
+  for (const SurplusCase& row : std::vector<SurplusCase>{
+           {"the same again", Answer("a", "x")},
+           {"a response without id",
+            "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"},
+           {"the next response", Answer("b", "x")},
+           {"a part of a head", "HTTP"},
+           {"no response", "garbage\r\n\r\n"},
+           {"a line end", "\r\n"}}) {
+    CAPTURE(std::string(row.what));
+    Pair pair;
+    bool reused = false;
+    bool answered = false;
+    pair.client->Send(
+        "GET / HTTP/1.1\r\nId: a\r\n\r\n", false,
+        {.onHead = [](const HttpHead&) { return ResponseVerdict::Accept; },
+         .onBody = [](std::string_view) {},
+         .onDone =
+             [&](const ClientExchangeResult& aResult) {
+               pair.result = aResult;
+               if (!aResult.reusable) {
+                 return;
+               }
+               reused = true;
+               pair.client->Send(
+                   "GET / HTTP/1.1\r\nId: b\r\n\r\n", false,
+                   {.onHead =
+                        [&answered](const HttpHead&) {
+                          answered = true;
+                          return ResponseVerdict::Accept;
+                        },
+                    .onBody = [](std::string_view) {},
+                    .onDone = [](const ClientExchangeResult&) {}});
+             }});
+    REQUIRE(RunUntil(pair.io, [&] { return !pair.server.received.empty(); }));
+    pair.server.Send(Answer("a", "x") + row.surplus);
+    REQUIRE(pair.WaitDone());
+    CHECK(pair.result->whole);
+    CHECK_FALSE(reused);
+    CHECK_FALSE(answered);
+    CHECK_FALSE(pair.client->IsOpen());
+  }
+}
+
+// Guards against a next request that is written where the rest of a long one
+// is due: the server answers early, keeps the connection and reads on later.
+TEST_CASE("a response before the end of its request ends the connection") {
+  Pair pair;
+  pair.server.Pause();
+  // More than the buffers of both sockets hold.
+  const std::string body(size_t{32} << 20, 'x');
+  pair.client->Send(
+      "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) +
+          "\r\n\r\n" + body,
+      false,
+      {.onHead = [](const HttpHead&) { return ResponseVerdict::Accept; },
+       .onBody = [](std::string_view) {},
+       .onDone =
+           [&pair](const ClientExchangeResult& aResult) {
+             pair.result = aResult;
+           }});
+  pair.server.Send(Answer("a", "too long"));
+  REQUIRE(pair.WaitDone());
+  CHECK(pair.result->whole);
+  CHECK_FALSE(pair.result->reusable);
+  CHECK_FALSE(pair.client->IsOpen());
+  pair.server.Resume();
+  REQUIRE(RunUntil(pair.io, [&] { return pair.server.closed; }));
+  // Nothing but a part of that request arrived.
+  CHECK(pair.server.received.size() < body.size());
+  CHECK(pair.server.received.find("POST", 1) == std::string::npos);
+}
+
 struct BrokenCase {
   const char* what;
   std::string bytes;
@@ -100,7 +270,7 @@
             "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nx", false},
            {"no answer at all", "garbage\r\n\r\n", false},
            {"until the end", "HTTP/1.1 200 OK\r\nId: a\r\n\r\nall", true}}) {
-    CAPTURE(row.what);
+    CAPTURE(std::string(row.what));
     Pair pair;
     pair.Send("a");
     if (!row.bytes.empty()) {
@@ -114,6 +284,22 @@
   }
 }
 
+// Guards against bytes that are no response unseen by the operator.
+TEST_CASE("bytes that are no response are reported as such") {
+  for (const std::string bytes :
+       {"garbage\r\n\r\n", "HTTP/9 nonsense\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: x\r\n\r\n"}) {
+    CAPTURE(bytes);
+    Pair pair;
+    pair.Send("a");
+    pair.server.Send(bytes);
+    REQUIRE(pair.WaitDone());
+    CHECK_FALSE(pair.result->whole);
+    CHECK(pair.result->fault == ResponseFault::Malformed);
+    CHECK_FALSE(pair.client->IsOpen());
+  }
+}
+
 // Guards against a reset that completes a response without a length.
 TEST_CASE("a reset does not complete a response without a length") {
   Pair pair;
@@ -156,6 +342,106 @@
   CHECK(acquire(1s) == fresh);
 }
 
+namespace {
+
+/// A pool and the server that its connections lead to.
+struct PoolWorld {
+  PoolWorld() : acceptor(this->io, {asio::ip::make_address("127.0.0.1"), 0}) {}
+
+  /// The connection that the pool hands out for a request; empty for none in
+  /// particular.
+  ConnectionPool::ConnectionPtr Take(const std::string& aId) {
+    ConnectionPool::ConnectionPtr taken;
+    const auto done = [&taken](ConnectionPool::ConnectionPtr aConnection,
+                               const std::string&) {
+      taken = std::move(aConnection);
+    };
+    if (aId.empty()) {
+      this->pool.Acquire(1s, done);
+    } else {
+      this->pool.AcquireFor(aId, 1s, done);
+    }
+    REQUIRE(RunUntil(this->io, [&] { return taken != nullptr; }));
+    return taken;
+  }
+
+  asio::io_context io{1};
+  asio::ip::tcp::acceptor acceptor;
+  ConnectionPool pool{
+      {.io = this->io, .peer = this->acceptor.local_endpoint()}};
+};
+
+}  // namespace
+
+// Guards against a request without an identifier on a connection on which an
+// earlier response may still come.
+TEST_CASE("a new connection is handed out although others rest") {
+  PoolWorld world;
+  const auto first = world.Take("");
+  world.pool.Release(first);
+  ConnectionPool::ConnectionPtr taken;
+  world.pool.AcquireNew(
+      [&taken](ConnectionPool::ConnectionPtr aConnection, const std::string&) {
+        taken = std::move(aConnection);
+      });
+  REQUIRE(RunUntil(world.io, [&] { return taken != nullptr; }));
+  CHECK(taken != first);
+}
+
+// Guards against a late response to a request that is taken for that to the
+// same request sent again.
+TEST_CASE("a request identifier goes out once on a connection") {
+  PoolWorld world;
+  const auto first = world.Take("a");
+  world.pool.Release(first);
+  CHECK(world.Take("b") == first);
+  world.pool.Release(first);
+  const auto second = world.Take("a");
+  CHECK(second != first);
+  world.pool.Release(second);
+  // Both have carried it.
+  CHECK(world.Take("a") != first);
+  CHECK(world.pool.Made() == 3);
+  CHECK(first->IsOpen());
+}
+
+// Guards against identifiers that pile up, or are forgotten, on a connection
+// that lives long.
+TEST_CASE("a connection ends before it forgets a request") {
+  PoolWorld world;
+  const auto first = world.Take("0");
+  for (size_t i = 1; i < CarriedIds::kMax; ++i) {
+    world.pool.Release(first);
+    REQUIRE(world.Take(std::to_string(i)) == first);
+  }
+  world.pool.Release(first);
+  CHECK_FALSE(first->IsOpen());
+  CHECK(world.Take("next") != first);
+}
+
+// Guards against requests to a target on the connections of the one before it:
+// they were in use, or being made, when it changed.
+TEST_CASE("a connection to a former server does not return to the pool") {
+  PoolWorld world;
+  const auto resting = world.Take("");
+  const auto inUse = world.Take("");
+  ConnectionPool::ConnectionPtr pending;
+  world.pool.Acquire(
+      1s, [&pending](ConnectionPool::ConnectionPtr aConnection,
+                     const std::string&) { pending = std::move(aConnection); });
+  world.pool.Release(resting);
+  world.pool.Clear();
+  CHECK_FALSE(resting->IsOpen());
+  REQUIRE(RunUntil(world.io, [&] { return pending != nullptr; }));
+  for (const auto& former : {inUse, pending}) {
+    world.pool.Release(former);
+    CHECK_FALSE(former->IsOpen());
+  }
+  const auto fresh = world.Take("");
+  world.pool.Release(fresh);
+  CHECK(world.Take("") == fresh);
+}
+
 // Guards against a target that is gone holding up its callers.
 TEST_CASE("a connection that is refused is reported") {
   asio::io_context io{1};
