Bound skipped responses in one place

Cause: two branches bounded the responses of other requests, HttpReader at 16 and 16 MiB, HttpClientConnection at 4 and 1 MiB. Interim responses without end met the reader's bound first and were logged as "malformed".

Change: the connection alone bounds what it skips; the reader bounds heads and interim responses and names an excess as the step of its error, which the connection reports as "too-much".

--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -198,7 +198,8 @@
     }
   } catch (const Error& failure) {
     if (this->giveUpReason.empty()) {
-      this->fault = ResponseFault::Malformed;
+      this->fault = failure.Step() == kHttpExcess ? ResponseFault::TooMuch
+                                                  : ResponseFault::Malformed;
       this->giveUpReason = failure.what();
     }
     this->Close(this->giveUpReason);
