Use no answer of the table service whose head broke off

Cause: libcurl reports success if the connection closes within the head, so the status line alone counted: an absent record, a put that was stored or refused, a transaction that was refused although it may have been applied. Ruled out: answers with a body; the short body was malformed already. Change: HeadTracker follows the head up to its empty line, for HttpSession as for HttpClient. Without it reads are unavailable, and the outcome of writes is unknown. Heads and trailers are bounded to 64 KiB. Measured: "HTTP: an answer cut at any byte is not used" cuts eight answers at every byte.

--- a/src/Platform/HttpSession.cpp
+++ b/src/Platform/HttpSession.cpp
@@ -6,6 +6,8 @@
 #include <charconv>
 #include <new>
 
+#include "Core/HeadTracker.h"
+
 namespace fescueline {
 
 namespace {
@@ -21,6 +23,8 @@
   HttpReply reply;
   /// Limit of the body.
   size_t maxBytes = 0;
+  /// Head of the answer.
+  HeadTracker head = {};
 };
 
 /// Header list of libcurl.
@@ -42,6 +46,9 @@
 size_t ReceiveHeader(char* aBytes, size_t aSize, size_t aCount,
                      void* aReceiver) {
   const std::string_view line(aBytes, aSize * aCount);
+  if (!static_cast<Receiver*>(aReceiver)->head.AddLine(line)) {
+    return 0;
+  }
   if (line.size() > kTagHeader.size() &&
       curl_strnequal(aBytes, kTagHeader.data(), kTagHeader.size()) != 0) {
     const size_t open = line.find('"');
@@ -161,6 +168,9 @@
   if (code != CURLE_OK) {
     this->ThrowTransferError(aCall, code);
   }
+  if (!receiver.head.IsComplete()) {
+    this->ThrowTransferError(aCall, CURLE_PARTIAL_FILE);
+  }
   long status = 0;
   curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
   receiver.reply.status = static_cast<int>(status);
--- a/src/Transport/HttpClient.cpp
+++ b/src/Transport/HttpClient.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Core/Error.h"
+#include "Core/HeadTracker.h"
 
 namespace fescueline {
 
@@ -15,10 +16,6 @@
 
 constexpr int kPollMilliseconds = 1000;
 constexpr long kMaxIdleConnections = 64;
-/// Longest head of a response with its interim responses and trailers, in
-/// bytes; the same as HttpClientConnection accepts.
-constexpr size_t kMaxHeadBytes = size_t{64} * 1024;
-constexpr long kFirstFinalStatus = 200;
 
 struct CurlEasyDeleter {
   void operator()(CURL* aHandle) const { curl_easy_cleanup(aHandle); }
@@ -74,7 +71,7 @@
   void Finish(CURLcode aCode) {
     HttpTransferResult result;
     // libcurl reports success if the connection closes within the head.
-    if (aCode == CURLE_OK && this->headComplete) {
+    if (aCode == CURLE_OK && this->head.IsComplete()) {
       this->ReportHead();
       result.whole = true;
       result.mayHaveBeenSent = true;
@@ -165,40 +162,37 @@
                          void* aSelf) {
     auto* self = static_cast<Transfer*>(aSelf);
     const std::string_view line(aData, aSize * aCount);
-    self->headBytes += line.size();
-    if (self->headBytes > kMaxHeadBytes) {
+    const bool isTrailer = self->head.IsComplete();
+    if (!self->head.AddLine(line)) {
       self->failure = "head of the response is too long";
       return 0;  // libcurl ends the transfer with CURLE_WRITE_ERROR
     }
-    return self->AddHeaderLine(line) ? line.size() : 0;
+    if (isTrailer) {
+      return line.size();
+    }
+    if (self->head.IsComplete()) {
+      return self->CheckIdentity() ? line.size() : 0;
+    }
+    self->AddHeaderLine(line);
+    return line.size();
   }
 
-  /// False if the response belongs to another request.
-  bool AddHeaderLine(std::string_view aLine) {
+  void AddHeaderLine(std::string_view aLine) {
     constexpr std::string_view kSpace = " \t\r\n";
-    const bool isEnd = aLine == "\r\n" || aLine == "\n";
     aLine = aLine.substr(0, aLine.find_last_not_of(kSpace) + 1);
-    if (this->headComplete) {
-      return true;  // a trailer
-    }
     if (aLine.starts_with("HTTP/")) {
       this->headers.clear();  // an interim (1xx) response came before
-      return true;
-    }
-    if (isEnd) {
-      this->headComplete = this->Status() >= kFirstFinalStatus;
-      return !this->headComplete || this->CheckIdentity();
+      return;
     }
     const size_t colon = aLine.find(':');
     if (colon == std::string_view::npos) {
-      return true;
+      return;
     }
     std::string_view value = aLine.substr(colon + 1);
     value.remove_prefix(
         std::min(value.size(), value.find_first_not_of(kSpace)));
     this->headers.push_back(
         {std::string(aLine.substr(0, colon)), std::string(value)});
-    return true;
   }
 
   /// False if the response names another request. Lets the connection be used
@@ -213,7 +207,6 @@
         continue;
       }
       if (header.value != this->request.identity->value) {
-        this->headComplete = false;
         this->failure = "response belongs to another request";
         return false;
       }
@@ -228,7 +221,7 @@
   static size_t OnBody(char* aData, size_t aSize, size_t aCount, void* aSelf) {
     auto* self = static_cast<Transfer*>(aSelf);
     const size_t bytes = aSize * aCount;
-    if (!self->headComplete) {
+    if (!self->head.IsComplete()) {
       self->failure = "body without a complete head";
       return 0;
     }
@@ -247,18 +240,13 @@
       return;
     }
     this->headReported = true;
+    long status = 0;
     curl_off_t length = -1;
+    curl_easy_getinfo(this->easy.get(), CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(this->easy.get(), CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
                       &length);
-    this->handlers.onHead(static_cast<int>(this->Status()),
-                          std::move(this->headers), length);
-  }
-
-  /// Status of the head that arrived last; 0 if there is none.
-  long Status() const {
-    long status = 0;
-    curl_easy_getinfo(this->easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    return status;
+    this->handlers.onHead(static_cast<int>(status), std::move(this->headers),
+                          length);
   }
 
   std::string ErrorText(CURLcode aCode) const {
@@ -285,12 +273,10 @@
   int sends = 0;
   /// Whether `maySend` stopped the request.
   bool stopped = false;
-  /// Whether the head of the final response is complete.
-  bool headComplete = false;
+  /// Heads of the response.
+  HeadTracker head;
   /// Whether onHead was called.
   bool headReported = false;
-  /// Bytes of heads and trailers so far.
-  size_t headBytes = 0;
   /// Why a callback ended the transfer; empty if none did.
   std::string failure;
   /// Response headers so far.
--- a/tests/Platform/HttpStoreTest.cpp
+++ b/tests/Platform/HttpStoreTest.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <asio.hpp>
+#include <functional>
 #include <vector>
 
 #include "Core/ScopeGuard.h"
@@ -241,3 +242,45 @@
   HttpTableStore store = standIn.OpenTable("config");
   CHECK(store.Transact({"", {}, {{"a", "1"}}}) == Committed(1));
 }
+
+// Guards against an answer that breaks off in its head and counts: a record
+// that seems absent, a write that seems refused or done.
+TEST_CASE("HTTP: an answer cut at any byte is not used") {
+  const std::string committed = Reply(
+      200,
+      R"({"status":"committed","version":1,"conflict_key":"","conflict_version":0})");
+  const std::string stored =
+      "HTTP/1.1 200 X\r\nETag: \"t\"\r\nContent-Length: 0\r\n\r\n";
+  struct Row {
+    const char* name;
+    std::string answer;
+    std::function<void(const ScriptedServer&)> call;
+    Failure failure;
+  };
+  const auto transact = [](const ScriptedServer& aServer) {
+    OpenScripted(aServer).Transact({"t", {}, {{"a", "1"}}});
+  };
+  const auto get = [](const ScriptedServer& aServer) {
+    static_cast<void>(OpenScripted(aServer).Get("a"));
+  };
+  const auto put = [](const ScriptedServer& aServer) {
+    HttpObjectStore({.baseUrl = aServer.BaseUrl(), .totalTimeout = 2s})
+        .Put("a", "1", {.mustNotExist = true});
+  };
+  for (const Row& row : std::vector<Row>{
+           {"transact, committed", committed, transact, kUnknown},
+           {"transact, refused", Reply(400, ""), transact, kUnknown},
+           {"transact, throttled", Reply(429, ""), transact, kUnknown},
+           {"transact, down", Reply(503, ""), transact, kUnknown},
+           {"get, absent", Reply(404, ""), get, kUnavailable},
+           {"put, stored", stored, put, kUnknown},
+           {"put, exists", Reply(412, ""), put, kUnknown},
+           {"put, refused", Reply(403, ""), put, kUnknown}}) {
+    CAPTURE(std::string(row.name));
+    for (size_t size = 0; size < row.answer.size(); ++size) {
+      CAPTURE(size);
+      const ScriptedServer server(row.answer.substr(0, size));
+      CHECK(FailureOf([&] { row.call(server); }) == row.failure);
+    }
+  }
+}
