Give each call to the table service a connection of its own

Cause: answers of the table service do not name their call. A copy of an answer that came late on a kept connection answered the next call: a transaction was reported as committed that had failed. Ruled out: reads of one key and of changes, which check what they get. Change: each call makes a connection, which also keeps libcurl from sending a call again. HttpCall::repeatable has no use any more. Measured: "HTTP: an answer that is written again answers no other call". Conclusion: a call takes one more round trip to the table service.

--- a/src/Platform/HttpObjectStore.cpp
+++ b/src/Platform/HttpObjectStore.cpp
@@ -50,8 +50,7 @@
                 .verb = HttpVerb::Put,
                 .path = PathOf(aKey),
                 .headers = {"Content-Type: application/octet-stream"},
-                .body = aBytes,
-                .repeatable = false};
+                .body = aBytes};
   if (aCondition.matchTag.has_value()) {
     call.headers.push_back(
         fmt::format("If-Match: \"{}\"", *aCondition.matchTag));
--- a/src/Platform/HttpObjectStore.h
+++ b/src/Platform/HttpObjectStore.h
@@ -21,7 +21,7 @@
                 const PutCondition& aCondition);
 
  private:
-  /// Connection to the server.
+  /// Client of the server.
   HttpSession session;
 };
 
--- a/src/Platform/HttpSession.cpp
+++ b/src/Platform/HttpSession.cpp
@@ -133,9 +133,11 @@
                    Milliseconds(this->options.connectTimeout));
   curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS,
                    Milliseconds(this->options.totalTimeout));
-  // libcurl sends a request again when a reused connection closes before the
-  // answer, so a write that must not be repeated gets a new connection.
-  curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, aCall.repeatable ? 0L : 1L);
+  // Answers do not say which call they belong to, so a copy that came late
+  // would answer the next call on a connection. libcurl would also send a
+  // request again when a reused connection closes before the answer.
+  curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, 1L);
   curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, ReceiveBody);
   curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, ReceiveHeader);
   if (aCall.verb != HttpVerb::Get) {
--- a/src/Platform/HttpSession.h
+++ b/src/Platform/HttpSession.h
@@ -28,8 +28,6 @@
   std::vector<std::string> headers = {};
   /// Request body; unused for GET.
   std::string body = {};
-  /// Whether receiving the request twice has the same effect as once.
-  bool repeatable = true;
 };
 
 /// Answer of the platform.
@@ -42,8 +40,9 @@
   std::string body = {};
 };
 
-/// Blocking HTTP client of one server on a libcurl easy handle. It uses no
-/// proxy, follows no redirect and sends no Expect header. One thread at a time.
+/// Blocking HTTP client of one server on a libcurl easy handle. Each call has a
+/// connection of its own. It uses no proxy, follows no redirect and sends no
+/// Expect header. One thread at a time.
 class HttpSession {
  public:
   struct Options {
@@ -79,7 +78,7 @@
 
   /// Server and limits.
   Options options;
-  /// libcurl easy handle, which keeps its connection between calls.
+  /// libcurl easy handle.
   std::unique_ptr<void, HandleDeleter> handle;
 };
 
--- a/src/Platform/HttpTableStore.cpp
+++ b/src/Platform/HttpTableStore.cpp
@@ -40,8 +40,7 @@
   HttpCall call{.step = kTransact,
                 .verb = HttpVerb::Post,
                 .path = this->root + "/transact",
-                .headers = {"Content-Type: application/json"},
-                .repeatable = !aTransaction.token.empty()};
+                .headers = {"Content-Type: application/json"}};
   call.body = Convert(this->session, Failure::Unavailable, kTransact,
                       [&] { return TableCodec::Encode(aTransaction); });
   const HttpReply reply = this->session.Perform(call);
--- a/tests/Platform/HttpStoreTest.cpp
+++ b/tests/Platform/HttpStoreTest.cpp
@@ -12,6 +12,7 @@
 #include "Platform/ScriptedServer.h"
 #include "Platform/StandInProcess.h"
 #include "Platform/StoreContract.h"
+#include "Transport/ScriptedPeer.h"
 
 using namespace fescueline;
 using namespace fescueline::test;
@@ -284,3 +285,25 @@
     }
   }
 }
+
+// Guards against an answer that the service writes once more, late, and that
+// is taken for the one to the next call.
+TEST_CASE("HTTP: an answer that is written again answers no other call") {
+  const std::string committed = Reply(
+      200,
+      R"({"status":"committed","version":1,"conflict_key":"","conflict_version":0})");
+  const std::string conflict = Reply(
+      200,
+      R"({"status":"conflict","version":1,"conflict_key":"b","conflict_version":1})");
+  size_t calls = 0;
+  const ScriptedPeer server([&](const ScriptedPeer::Turn& aTurn) {
+    if (aTurn.request > 0) {
+      aTurn.Send(committed);
+    }
+    aTurn.Send(calls++ == 0 ? committed : conflict);
+  });
+  HttpTableStore store(
+      {.http = {.baseUrl = server.Url("")}, .table = "config"});
+  CHECK(store.Transact({"t1", {}, {{"a", "1"}}}) == Committed(1));
+  CHECK(store.Transact({"t2", {{"b", 0}}, {{"b", "1"}}}).conflictKey == "b");
+}
