Report a change as lost if its answer broke off in its head

Cause: libcurl reports success if the connection closes within the head, so `ctl` took the status line alone for the node's answer: accepted, refused or in conflict. Change: CtlClient follows the head with HeadTracker; without its empty line the answer is lost, and the change can be repeated with its token. Measured: "an answer cut at any byte is lost" cuts five answers at every byte. CtlTests pass (8 cases).

--- a/src/Ctl/CtlClient.cpp
+++ b/src/Ctl/CtlClient.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "Core/Error.h"
+#include "Core/HeadTracker.h"
 
 namespace fescueline {
 
@@ -50,6 +51,11 @@
   return bytes;
 }
 
+size_t TrackHead(char* aData, size_t aSize, size_t aCount, void* aHead) {
+  const std::string_view line(aData, aSize * aCount);
+  return static_cast<HeadTracker*>(aHead)->AddLine(line) ? line.size() : 0;
+}
+
 bool IsBeforeSending(CURLcode aCode) {
   return aCode == CURLE_COULDNT_CONNECT || aCode == CURLE_COULDNT_RESOLVE_HOST;
 }
@@ -109,7 +115,13 @@
     curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE,
                      static_cast<long>(aRequest.body.size()));
   }
-  const CURLcode code = curl_easy_perform(curl);
+  HeadTracker head;
+  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &TrackHead);
+  curl_easy_setopt(curl, CURLOPT_HEADERDATA, &head);
+  CURLcode code = curl_easy_perform(curl);
+  if (code == CURLE_OK && !head.IsComplete()) {
+    code = CURLE_PARTIAL_FILE;
+  }
   if (code != CURLE_OK) {
     response.delivery =
         IsBeforeSending(code) ? CtlDelivery::NotSent : CtlDelivery::Lost;
