--- a/tests/Platform/HttpStoreTest.cpp
+++ b/tests/Platform/HttpStoreTest.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <asio.hpp>
+#include <functional>
 #include <vector>
 
 #include "Core/ScopeGuard.h"
@@ -11,6 +12,7 @@
 #include "Platform/ScriptedServer.h"
 #include "Platform/StandInProcess.h"
 #include "Platform/StoreContract.h"
+#include "Transport/ScriptedPeer.h"
 
 using namespace fescueline;
 using namespace fescueline::test;
@@ -241,3 +243,67 @@
   HttpTableStore store = standIn.OpenTable("config");
   CHECK(store.Transact({"", {}, {{"a", "1"}}}) == Committed(1));
 }
+
+// Guards against an answer that breaks off in its head and counts: a record
+// that seems absent, a write that seems refused or done.
+TEST_CASE("HTTP: an answer cut at any byte is not used") {
+  const std::string committed = Reply(
+      200,
+      R"({"status":"committed","version":1,"conflict_key":"","conflict_version":0})");
+  const std::string stored =
+      "HTTP/1.1 200 X\r\nETag: \"t\"\r\nContent-Length: 0\r\n\r\n";
+  struct Row {
+    const char* name;
+    std::string answer;
+    std::function<void(const ScriptedServer&)> call;
+    Failure failure;
+  };
+  const auto transact = [](const ScriptedServer& aServer) {
+    OpenScripted(aServer).Transact({"t", {}, {{"a", "1"}}});
+  };
+  const auto get = [](const ScriptedServer& aServer) {
+    static_cast<void>(OpenScripted(aServer).Get("a"));
+  };
+  const auto put = [](const ScriptedServer& aServer) {
+    HttpObjectStore({.baseUrl = aServer.BaseUrl(), .totalTimeout = 2s})
+        .Put("a", "1", {.mustNotExist = true});
+  };
+  for (const Row& row : std::vector<Row>{
+           {"transact, committed", committed, transact, kUnknown},
+           {"transact, refused", Reply(400, ""), transact, kUnknown},
+           {"transact, throttled", Reply(429, ""), transact, kUnknown},
+           {"transact, down", Reply(503, ""), transact, kUnknown},
+           {"get, absent", Reply(404, ""), get, kUnavailable},
+           {"put, stored", stored, put, kUnknown},
+           {"put, exists", Reply(412, ""), put, kUnknown},
+           {"put, refused", Reply(403, ""), put, kUnknown}}) {
+    CAPTURE(std::string(row.name));
+    for (size_t size = 0; size < row.answer.size(); ++size) {
+      CAPTURE(size);
+      const ScriptedServer server(row.answer.substr(0, size));
+      CHECK(FailureOf([&] { row.call(server); }) == row.failure);
+    }
+  }
+}
+
+// Guards against an answer that the service writes once more, late, and that
+// is taken for the one to the next call.
+TEST_CASE("HTTP: an answer that is written again answers no other call") {
+  const std::string committed = Reply(
+      200,
+      R"({"status":"committed","version":1,"conflict_key":"","conflict_version":0})");
+  const std::string conflict = Reply(
+      200,
+      R"({"status":"conflict","version":1,"conflict_key":"b","conflict_version":1})");
+  size_t calls = 0;
+  const ScriptedPeer server([&](const ScriptedPeer::Turn& aTurn) {
+    if (aTurn.request > 0) {
+      aTurn.Send(committed);
+    }
+    aTurn.Send(calls++ == 0 ? committed : conflict);
+  });
+  HttpTableStore store(
+      {.http = {.baseUrl = server.Url("")}, .table = "config"});
+  CHECK(store.Transact({"t1", {}, {{"a", "1"}}}) == Committed(1));
+  CHECK(store.Transact({"t2", {{"b", 0}}, {{"b", "1"}}}).conflictKey == "b");
+}
