Replace a connection that cannot carry a repeated identifier

Cause: an identifier goes out once on a connection, so a caller that repeats one left another resting connection at the target with each request, up to the 64 that are kept.

Change: if only connections rest that have carried the identifier, the new connection replaces the one that was used last.

--- a/src/Http1/ConnectionPool.cpp
+++ b/src/Http1/ConnectionPool.cpp
@@ -28,19 +28,27 @@
     std::string_view aRequestId, Duration aMaxRest) {
   const TimePoint now = SteadyClock().Now();
   this->Sweep(now);
+  const auto usable = [&](const ConnectionPtr& aConnection) {
+    return this->IsUsable(*aConnection, aMaxRest, now);
+  };
+  const auto fits = [&](const ConnectionPtr& aConnection) {
+    return usable(aConnection) &&
+           (aRequestId.empty() || !aConnection->Carried().Contains(aRequestId));
+  };
   const auto found =
-      std::find_if(this->resting.rbegin(), this->resting.rend(),
-                   [&](const ConnectionPtr& aConnection) {
-                     return this->IsUsable(*aConnection, aMaxRest, now) &&
-                            (aRequestId.empty() ||
-                             !aConnection->Carried().Contains(aRequestId));
-                   });
-  if (found == this->resting.rend()) {
-    return nullptr;
+      std::find_if(this->resting.rbegin(), this->resting.rend(), fits);
+  if (found != this->resting.rend()) {
+    ConnectionPtr connection = std::move(*found);
+    this->resting.erase(std::next(found).base());
+    return connection;
   }
-  ConnectionPtr connection = std::move(*found);
-  this->resting.erase(std::next(found).base());
-  return connection;
+  if (!this->resting.empty() && usable(this->resting.back())) {
+    // Replaced, or a caller that repeats an identifier would leave one more
+    // connection with each request.
+    this->resting.back()->Close("carried the request before");
+    this->resting.pop_back();
+  }
+  return nullptr;
 }
 
 void ConnectionPool::Acquire(Duration aMaxRest, const Done& aDone) {
