--- a/src/Http1/HttpClientConnection.h
+++ b/src/Http1/HttpClientConnection.h
@@ -78,8 +78,6 @@
  private:
   HttpReader::Events ReaderEvents();
   bool OnHead(HttpHead aHead);
-  /// Counts a response to skip; its fault if the connection is to be closed.
-  ResponseFault CountSkipped(bool aFramed);
   /// Ends the exchange behind a whole response; aSurplus bytes follow it.
   void EndExchange(size_t aSurplus);
   void Read();
@@ -111,8 +109,6 @@
   bool complete = false;
   /// Responses skipped in this exchange.
   size_t skipped = 0;
-  /// Bytes received in this exchange before a response was accepted.
-  size_t unacceptedBytes = 0;
   /// Why the connection is closed behind the bytes being parsed; empty if it
   /// is not.
   std::string giveUpReason;
--- a/src/Http1/ResponseFault.h
+++ b/src/Http1/ResponseFault.h
@@ -17,12 +17,10 @@
   NoId,
   /// A success without the target's signature.
   Unsigned,
-  /// The bytes are no response.
+  /// The bytes are no response, or the reader's bounds end it.
   Malformed,
   /// A response to skip whose end is not certain.
   Unframed,
-  /// More responses or bytes to skip than a target can owe.
-  TooMuch,
   /// Bytes came right behind the response.
   Surplus,
   /// The response ended before the request was written.
@@ -33,14 +31,13 @@
 
 template <>
 struct EnumNames<ResponseFault> {
-  static constexpr std::array<EnumName<ResponseFault>, 10> kNames{
+  static constexpr std::array<EnumName<ResponseFault>, 9> kNames{
       {{ResponseFault::None, "none"},
        {ResponseFault::OtherRequest, "other-request"},
        {ResponseFault::NoId, "no-id"},
        {ResponseFault::Unsigned, "unsigned"},
        {ResponseFault::Malformed, "malformed"},
        {ResponseFault::Unframed, "unframed"},
-       {ResponseFault::TooMuch, "too-much"},
        {ResponseFault::Surplus, "surplus"},
        {ResponseFault::Early, "early"},
        {ResponseFault::Unasked, "unasked"}}};
