--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -192,8 +192,7 @@
     }
   } catch (const Error& failure) {
     if (this->giveUpReason.empty()) {
-      this->fault = failure.Step() == kHttpExcess ? ResponseFault::TooMuch
-                                                  : ResponseFault::Malformed;
+      this->fault = ResponseFault::Malformed;
       this->giveUpReason = failure.what();
     }
     this->Close(this->giveUpReason);
--- a/src/Http1/HttpReader.cpp
+++ b/src/Http1/HttpReader.cpp
@@ -63,11 +63,7 @@
     };
     callbacks.on_body = [](http_parser* aParser, const char* aData,
                            size_t aSize) {
-      HttpReader& reader = Of(aParser);
-      if (!reader.skipped) {
-        reader.settings.events.onBody({aData, aSize});
-      }
-      return kContinueParsing;
+      return Of(aParser).OnBody({aData, aSize});
     };
     callbacks.on_message_complete = [](http_parser* aParser) {
       return Of(aParser).OnMessageComplete();
@@ -89,18 +85,13 @@
 
 int HttpReader::CheckHeadSize() {
   if (this->headBytes > this->settings.maxHeadBytes) {
-    this->SetExcess("head too large");
+    this->fault = "head too large";
   } else if (this->fields > this->settings.maxFields) {
-    this->SetExcess("too many fields");
+    this->fault = "too many fields";
   }
   return this->fault.empty() ? kContinueParsing : kStopParsing;
 }
 
-void HttpReader::SetExcess(std::string_view aFault) {
-  this->fault = aFault;
-  this->excess = true;
-}
-
 void HttpReader::AppendValue(std::string_view aBytes) {
   this->lastWasValue = true;
   this->head.headers.back().value.append(aBytes);
@@ -181,7 +172,7 @@
     // An interim response; the final one follows.
     this->skipped = true;
     if (++this->interimCount > this->settings.maxInterim) {
-      this->SetExcess("too many interim responses");
+      this->fault = "too many interim responses";
       return kStopParsing;
     }
     return kNoBodyFollows;
@@ -190,9 +181,29 @@
                         (this->noBody || IsBodiless(this->head.status));
   this->skipped = !this->settings.events.onHead(std::move(this->head));
   this->interimCount = 0;
+  if (!this->skipped) {
+    this->skippedCount = 0;
+    this->skippedBytes = 0;
+  } else if (++this->skippedCount > this->settings.maxSkipped) {
+    this->fault = "too many responses of other requests";
+    return kStopParsing;
+  }
   return bodiless ? kNoBodyFollows : kContinueParsing;
 }
 
+int HttpReader::OnBody(std::string_view aBytes) {
+  if (!this->skipped) {
+    this->settings.events.onBody(aBytes);
+    return kContinueParsing;
+  }
+  this->skippedBytes += aBytes.size();
+  if (this->skippedBytes > this->settings.maxSkippedBytes) {
+    this->fault = "response of another request without end";
+    return kStopParsing;
+  }
+  return kContinueParsing;
+}
+
 int HttpReader::OnMessageComplete() {
   this->messageDone = true;
   this->inMessage = false;
@@ -231,7 +242,7 @@
   const auto error = HTTP_PARSER_ERRNO(&this->parser);
   if (error != HPE_OK) {
     throw Error(
-        this->excess ? kHttpExcess : "http.parse", "",
+        "http.parse", "",
         this->fault.empty() ? http_errno_description(error) : this->fault);
   }
   const bool partEnded = inHead ? this->headDone : this->messageDone;
--- a/src/Http1/HttpReader.h
+++ b/src/Http1/HttpReader.h
@@ -32,9 +32,6 @@
   bool readsChunks = false;
 };
 
-/// Step of the Error over a message with more than its reader allows.
-inline constexpr std::string_view kHttpExcess = "http.excess";
-
 /// Which side's messages a reader parses.
 enum class HttpReaderKind : uint8_t { Request, Response };
 
@@ -64,6 +61,13 @@
     /// Most interim responses before a final one. A server that reports its
     /// progress every few seconds sends fewer within any deadline.
     size_t maxInterim = 100;
+    /// Most responses that are skipped before one is accepted. A connection
+    /// carries one request at a time, so that only a few can come late.
+    size_t maxSkipped = 16;
+    /// Most body bytes of skipped responses, which are read to get past them:
+    /// one long response costs less than a new connection and request, and a
+    /// body without end must not take the processor from other requests.
+    uint64_t maxSkippedBytes = uint64_t{16} << 20;
     Events events;
   };
 
@@ -72,8 +76,7 @@
   HttpReader& operator=(const HttpReader&) = delete;
 
   /// Parses bytes up to the end of the current message and returns how many
-  /// were used. Throws Error if they are no HTTP message, or more than the
-  /// settings allow (step kHttpExcess).
+  /// were used. Throws Error if they are no HTTP message.
   size_t Feed(std::string_view aBytes);
   /// Reports the end of input; true if that ends a message properly.
   bool FinishAtEof();
@@ -99,10 +102,9 @@
   std::string_view FaultOfHead();
   /// Drops white space around names and values; why they are refused.
   std::string_view FaultOfFields();
+  int OnBody(std::string_view aBytes);
   /// Tells the parser to stop once the head or the trailers are too large.
   int CheckHeadSize();
-  /// Refuses the message for being more than the settings allow.
-  void SetExcess(std::string_view aFault);
 
   Settings settings;
   http_parser parser{};
@@ -111,8 +113,6 @@
   HttpLineChecker lines;
   /// Why the message is refused; empty if it is not.
   std::string_view fault;
-  /// Whether it is more than the settings allow.
-  bool excess = false;
   /// Bytes of the head so far.
   size_t headBytes = 0;
   /// Fields of the head and the trailers so far.
@@ -125,8 +125,10 @@
   bool noBody = false;
   /// Whether the current response is not reported.
   bool skipped = false;
-  /// Interim responses since the last final one.
+  /// What was skipped since the last response that was accepted.
   size_t interimCount = 0;
+  size_t skippedCount = 0;
+  uint64_t skippedBytes = 0;
   /// Whether the bytes that were parsed last completed a head or a message.
   bool headDone = false;
   bool messageDone = false;
