--- a/src/Http1/ConnectionPool.h
+++ b/src/Http1/ConnectionPool.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "Core/Time.h"
@@ -30,30 +31,47 @@
     /// A connection is not used in this last part of the server's idle
     /// timeout, as its close may be on the way.
     Duration restMargin = std::chrono::seconds(1);
+    /// Told of bytes that ended a resting connection. Optional.
+    std::function<void()> onUnasked = {};
   };
 
   explicit ConnectionPool(Settings aSettings)
       : settings(std::move(aSettings)) {}
 
+  using Done = std::function<void(ConnectionPtr, const std::string&)>;
+
   /// Hands out a connection that rested for aMaxRest at most, or a new one;
   /// null with the error if that can't be made.
-  void Acquire(
-      Duration aMaxRest,
-      const std::function<void(ConnectionPtr, const std::string&)>& aDone);
+  void Acquire(Duration aMaxRest, const Done& aDone);
+  /// The same, but never one that has carried a request with this identifier:
+  /// a late copy of that response could not be told from the next one. If only
+  /// such rest, the new connection replaces one of them.
+  void AcquireFor(std::string_view aRequestId, Duration aMaxRest,
+                  const Done& aDone);
+  /// Hands out a connection that has carried nothing.
+  void AcquireNew(const Done& aDone);
   /// Takes a reusable connection back.
   void Release(ConnectionPtr aConnection);
-  /// Closes resting connections.
+  /// Closes resting connections, and those in use when they are released: the
+  /// server is another one now.
   void Clear();
   /// Connections that were made.
   uint64_t Made() const { return this->made; }
 
  private:
+  /// Takes the resting connection that was used last, among those that have
+  /// not carried the request; null if there is none.
+  ConnectionPtr TakeResting(std::string_view aRequestId, Duration aMaxRest);
+  /// Closes connections that rested too long.
+  void Sweep(TimePoint aNow);
   bool IsUsable(const HttpClientConnection& aConnection, Duration aMaxRest,
                 TimePoint aNow) const;
 
   Settings settings;
   std::vector<ConnectionPtr> resting;
   uint64_t made = 0;
+  /// Grows when the server changes.
+  uint64_t generation = 0;
 };
 
 }  // namespace fescueline
--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -1,13 +1,31 @@
 #include "Http1/HttpClientConnection.h"
 
+#include <cassert>
 #include <charconv>
 
 #include "Core/Error.h"
+#include "Http1/HttpWriter.h"
 #include "Transport/SocketRead.h"
 
 namespace fescueline {
 
 namespace {
+/// Responses to other requests that one may have to wait through. Each answers
+/// an earlier request of the connection that its server answered twice.
+constexpr size_t kMaxSkipped = 4;
+/// Body bytes of such responses; as long as the longest body that is held for a
+/// caller. More may never end.
+constexpr uint64_t kMaxSkippedBytes = uint64_t{1} << 20;
+
+/// Whether the end of a response that answers another request is certain. It
+/// is not if that request may have been a HEAD, if the body ends with the
+/// connection, or if a length contradicts the status.
+bool IsFramed(const HttpHead& aHead, bool aHadBodiless) {
+  const bool contradicts =
+      IsBodiless(aHead.status) && aHead.length.value_or(0) > 0;
+  return aHead.keepAlive && !aHadBodiless && !contradicts;
+}
+
 /// Value of `timeout` in a Keep-Alive header, in seconds.
 std::optional<Duration> KeepAliveTimeout(const HttpHeaders& aHeaders) {
   constexpr std::string_view kParameter = "timeout=";
@@ -30,12 +48,16 @@
 }
 }  // namespace
 
-HttpClientConnection::HttpClientConnection(asio::io_context& aIo)
+HttpClientConnection::HttpClientConnection(asio::io_context& aIo,
+                                           std::function<void()> aOnUnasked)
     : socket(aIo),
       connectTimer(aIo),
       reader({.kind = HttpReaderKind::Response,
               .maxHeadBytes = size_t{64} * 1024,
-              .events = this->ReaderEvents()}) {}
+              .maxSkipped = kMaxSkipped,
+              .maxSkippedBytes = kMaxSkippedBytes,
+              .events = this->ReaderEvents()}),
+      onUnasked(std::move(aOnUnasked)) {}
 
 HttpReader::Events HttpClientConnection::ReaderEvents() {
   return {.onHead =
@@ -46,7 +68,8 @@
                   this->events.onBody(aPart);
                 }
               },
-          .onEnd = [this] { this->OnEnd(); }};
+          // The exchange ends only when it is known what follows the response.
+          .onEnd = [this] { this->complete = true; }};
 }
 
 void HttpClientConnection::Connect(
@@ -87,16 +110,23 @@
 
 void HttpClientConnection::Send(std::string aBytes, bool aNoBody,
                                 ClientExchangeEvents aEvents) {
+  assert(!this->busy && !this->writing);
   this->events = std::move(aEvents);
   this->busy = true;
+  ++this->exchanges;
   this->sent = true;
   this->keepAlive = false;
   this->accepted = false;
+  this->complete = false;
+  this->skipped = 0;
+  this->hadBodiless = this->hadBodiless || aNoBody;
   this->reader.ExpectNoBody(aNoBody);
   this->outgoing = std::move(aBytes);
+  this->writing = true;
   asio::async_write(this->socket, asio::buffer(this->outgoing),
                     [self = this->shared_from_this()](
                         const asio::error_code& aError, size_t) {
+                      self->writing = false;
                       // A server may answer before it has read the request
                       // and then close; its response may still be read.
                       if (aError && self->busy && !self->reading) {
@@ -131,8 +161,10 @@
   }
   if (aError) {
     // Only an orderly close can end a response without a length.
-    if (aError == asio::error::eof && this->busy && this->accepted) {
-      this->reader.FinishAtEof();
+    if (aError == asio::error::eof && this->busy && this->accepted &&
+        this->reader.FinishAtEof()) {
+      this->keepAlive = false;
+      this->EndExchange(0);
     }
     this->Close("read: " + aError.message());
     return;
@@ -142,32 +174,78 @@
     while (!bytes.empty() && this->open) {
       if (!this->busy) {
         // Belongs to no request.
+        if (this->onUnasked) {
+          this->onUnasked();
+        }
         this->Close("unexpected bytes");
         return;
       }
       bytes.remove_prefix(this->reader.Feed(bytes));
+      if (this->complete) {
+        this->EndExchange(bytes.size());
+        break;
+      }
+      if (!this->giveUpReason.empty()) {
+        this->Close(this->giveUpReason);
+        return;
+      }
     }
   } catch (const Error& failure) {
-    this->Close(failure.what());
+    if (this->giveUpReason.empty()) {
+      this->fault = ResponseFault::Malformed;
+      this->giveUpReason = failure.what();
+    }
+    this->Close(this->giveUpReason);
     return;
   }
   this->Read();
 }
 
 bool HttpClientConnection::OnHead(HttpHead aHead) {
-  this->keepAlive = aHead.keepAlive;
+  if (!this->giveUpReason.empty()) {
+    return false;
+  }
+  const bool headKeepAlive = aHead.keepAlive;
+  const bool framed = IsFramed(aHead, this->hadBodiless);
   if (const auto timeout = KeepAliveTimeout(aHead.headers)) {
     this->serverIdleTimeout = timeout;
   }
-  this->accepted = this->events.onHead(std::move(aHead));
-  return this->accepted;
+  switch (this->events.onHead(std::move(aHead))) {
+    case ResponseVerdict::Accept:
+      this->accepted = true;
+      this->keepAlive = headKeepAlive;
+      return true;
+    case ResponseVerdict::Skip:
+      ++this->skipped;
+      if (!framed) {
+        this->fault = ResponseFault::Unframed;
+        this->giveUpReason = "response to skip";
+      }
+      return false;
+    case ResponseVerdict::Reject:
+      this->giveUpReason = "response rejected";
+      return false;
+  }
+  return false;
 }
 
-void HttpClientConnection::OnEnd() {
+void HttpClientConnection::EndExchange(size_t aSurplus) {
+  this->complete = false;
   this->restingSince = SteadyClock().Now();
+  if (aSurplus > 0) {
+    // Belongs to no request, and the next one must not get it.
+    this->fault = ResponseFault::Surplus;
+  } else if (this->writing) {
+    // The server reads the next bytes as the rest of this request.
+    this->fault = ResponseFault::Early;
+  }
+  // After a response to another request more of them may follow.
   this->Finish({.whole = true,
                 .sent = true,
-                .reusable = this->keepAlive && this->open,
+                .reusable = this->keepAlive && this->open &&
+                            this->skipped == 0 &&
+                            this->fault == ResponseFault::None,
+                .fault = this->fault,
                 .error = {}});
 }
 
@@ -182,6 +260,7 @@
     this->Finish({.whole = false,
                   .sent = this->sent,
                   .reusable = false,
+                  .fault = this->fault,
                   .error = aReason});
   }
 }
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -65,24 +65,30 @@
           self->connection->Close("deadline");
         }
       });
-  this->service.pool->Acquire(
-      this->context.idempotent ? kAnyRest : kFreshRest,
-      [self = this->shared_from_this()](
-          ConnectionPool::ConnectionPtr aConnection,
-          const std::string& aError) {
-        if (self->state != State::Connecting) {
-          if (aConnection) {
-            self->service.pool->Release(std::move(aConnection));
-          }
-          return;
-        }
-        if (!aConnection) {
-          self->Fail(Outcome::NotRun, Cause::ConnectFailed, kShedRetryAfter,
-                     aError);
-          return;
-        }
-        self->SendTo(std::move(aConnection));
-      });
+  const auto onConnection = [self = this->shared_from_this()](
+                                ConnectionPool::ConnectionPtr aConnection,
+                                const std::string& aError) {
+    if (self->state != State::Connecting) {
+      if (aConnection) {
+        self->service.pool->Release(std::move(aConnection));
+      }
+      return;
+    }
+    if (!aConnection) {
+      self->Fail(Outcome::NotRun, Cause::ConnectFailed, kShedRetryAfter,
+                 aError);
+      return;
+    }
+    self->SendTo(std::move(aConnection));
+  };
+  if (this->requestId.empty()) {
+    // Nothing else tells its response from others.
+    this->service.pool->AcquireNew(onConnection);
+  } else {
+    this->service.pool->AcquireFor(
+        this->requestId, this->context.idempotent ? kAnyRest : kFreshRest,
+        onConnection);
+  }
 }
 
 void TargetAttempt::SendTo(ConnectionPool::ConnectionPtr aConnection) {
@@ -148,21 +154,26 @@
          this->frame.body;
 }
 
-bool TargetAttempt::OnHead(HttpHead aHead) {
+ResponseVerdict TargetAttempt::OnHead(HttpHead aHead) {
   const HeaderVocabulary& names = this->service.dependencies.context.headers;
-  const auto echoed = FindHeader(aHead.headers, names.requestId);
-  if (echoed && !this->requestId.empty() && *echoed != this->requestId) {
-    Log(LogLevel::Warning, "response of another request dropped",
-        {{"request", this->requestId},
-         {"answered", std::string(*echoed)},
-         {"target", this->service.dependencies.target.Id()}});
-    return false;
+  const ResponseMatch match =
+      MatchResponse(aHead, {.idField = names.requestId,
+                            .signatureField = names.signature,
+                            .requestId = this->requestId,
+                            .alone = this->connection->IsAlone()});
+  if (match.verdict != ResponseVerdict::Accept) {
+    this->service.ReportFault(
+        {.fault = match.fault,
+         .request = this->requestId,
+         .answered = FindHeader(aHead.headers, names.requestId).value_or(""),
+         .usedBefore = this->connection->UsedBefore()});
+    return match.verdict;
   }
   this->status = aHead.status;
   this->declaredNotRun = FindHeader(aHead.headers, names.notRun).has_value() ||
                          aHead.status == kMisdirected;
   if (this->declaredNotRun || this->abandoned) {
-    return true;
+    return ResponseVerdict::Accept;
   }
   RemoveHopByHopHeaders(aHead.headers);
   ResponseHeadFrame head{
@@ -176,7 +187,7 @@
   }
   this->headSent = true;
   this->session->Send(head);
-  return true;
+  return ResponseVerdict::Accept;
 }
 
 void TargetAttempt::OnBody(std::string_view aPart) {
@@ -241,8 +252,15 @@
     return;
   }
   this->JudgeTarget(aResult);
-  if (aResult.reusable) {
+  if (aResult.fault != ResponseFault::None) {
+    this->service.ReportFault({.fault = aResult.fault,
+                               .request = this->requestId,
+                               .usedBefore = this->connection->UsedBefore()});
+  }
+  if (aResult.reusable && !this->requestId.empty()) {
     this->service.pool->Release(this->connection);
+  } else {
+    this->connection->Close("not kept");
   }
   if (this->declaredNotRun) {
     this->Fail(
--- a/src/Platform/HttpSession.cpp
+++ b/src/Platform/HttpSession.cpp
@@ -6,6 +6,8 @@
 #include <charconv>
 #include <new>
 
+#include "Core/HeadTracker.h"
+
 namespace fescueline {
 
 namespace {
@@ -21,6 +23,8 @@
   HttpReply reply;
   /// Limit of the body.
   size_t maxBytes = 0;
+  /// Head of the answer.
+  HeadTracker head = {};
 };
 
 /// Header list of libcurl.
@@ -42,6 +46,9 @@
 size_t ReceiveHeader(char* aBytes, size_t aSize, size_t aCount,
                      void* aReceiver) {
   const std::string_view line(aBytes, aSize * aCount);
+  if (!static_cast<Receiver*>(aReceiver)->head.AddLine(line)) {
+    return 0;
+  }
   if (line.size() > kTagHeader.size() &&
       curl_strnequal(aBytes, kTagHeader.data(), kTagHeader.size()) != 0) {
     const size_t open = line.find('"');
@@ -126,9 +133,11 @@
                    Milliseconds(this->options.connectTimeout));
   curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS,
                    Milliseconds(this->options.totalTimeout));
-  // libcurl sends a request again when a reused connection closes before the
-  // answer, so a write that must not be repeated gets a new connection.
-  curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, aCall.repeatable ? 0L : 1L);
+  // Answers do not say which call they belong to, so a copy that came late
+  // would answer the next call on a connection. libcurl would also send a
+  // request again when a reused connection closes before the answer.
+  curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, 1L);
   curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, ReceiveBody);
   curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, ReceiveHeader);
   if (aCall.verb != HttpVerb::Get) {
@@ -161,6 +170,9 @@
   if (code != CURLE_OK) {
     this->ThrowTransferError(aCall, code);
   }
+  if (!receiver.head.IsComplete()) {
+    this->ThrowTransferError(aCall, CURLE_PARTIAL_FILE);
+  }
   long status = 0;
   curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
   receiver.reply.status = static_cast<int>(status);
--- a/src/Transport/HttpClient.cpp
+++ b/src/Transport/HttpClient.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Core/Error.h"
+#include "Core/HeadTracker.h"
 
 namespace fescueline {
 
@@ -69,12 +70,13 @@
 
   void Finish(CURLcode aCode) {
     HttpTransferResult result;
-    if (aCode == CURLE_OK) {
+    // libcurl reports success if the connection closes within the head.
+    if (aCode == CURLE_OK && this->head.IsComplete()) {
       this->ReportHead();
       result.whole = true;
       result.mayHaveBeenSent = true;
     } else {
-      result.error = curl_easy_strerror(aCode);
+      result.error = this->ErrorText(aCode);
       result.timedOut = aCode == CURLE_OPERATION_TIMEDOUT;
       result.mayHaveBeenSent = this->sends > 0;
       result.stopped = this->stopped;
@@ -110,6 +112,9 @@
     this->Set(CURLOPT_PREREQDATA, this);
     if (this->request.freshConnection) {
       this->Set(CURLOPT_FRESH_CONNECT, 1L);
+    }
+    // Allowed again by a response that repeats the identity.
+    if (this->request.freshConnection || this->request.identity) {
       this->Set(CURLOPT_FORBID_REUSE, 1L);
     }
     if (this->request.method == "HEAD") {
@@ -155,15 +160,26 @@
 
   static size_t OnHeader(char* aData, size_t aSize, size_t aCount,
                          void* aSelf) {
-    static_cast<Transfer*>(aSelf)->AddHeaderLine(
-        std::string_view(aData, aSize * aCount));
-    return aSize * aCount;
+    auto* self = static_cast<Transfer*>(aSelf);
+    const std::string_view line(aData, aSize * aCount);
+    const bool isTrailer = self->head.IsComplete();
+    if (!self->head.AddLine(line)) {
+      self->failure = "head of the response is too long";
+      return 0;  // libcurl ends the transfer with CURLE_WRITE_ERROR
+    }
+    if (isTrailer) {
+      return line.size();
+    }
+    if (self->head.IsComplete()) {
+      return self->CheckIdentity() ? line.size() : 0;
+    }
+    self->AddHeaderLine(line);
+    return line.size();
   }
 
   void AddHeaderLine(std::string_view aLine) {
-    while (!aLine.empty() && (aLine.back() == '\r' || aLine.back() == '\n')) {
-      aLine.remove_suffix(1);
-    }
+    constexpr std::string_view kSpace = " \t\r\n";
+    aLine = aLine.substr(0, aLine.find_last_not_of(kSpace) + 1);
     if (aLine.starts_with("HTTP/")) {
       this->headers.clear();  // an interim (1xx) response came before
       return;
@@ -173,16 +189,42 @@
       return;
     }
     std::string_view value = aLine.substr(colon + 1);
-    while (!value.empty() && value.front() == ' ') {
-      value.remove_prefix(1);
-    }
+    value.remove_prefix(
+        std::min(value.size(), value.find_first_not_of(kSpace)));
     this->headers.push_back(
         {std::string(aLine.substr(0, colon)), std::string(value)});
   }
 
+  /// False if the response names another request. Lets the connection be used
+  /// again if it names this one.
+  bool CheckIdentity() {
+    if (!this->request.identity) {
+      return true;
+    }
+    bool repeated = false;
+    for (const HttpHeader& header : this->headers) {
+      if (!EqualHeaderName(header.name, this->request.identity->name)) {
+        continue;
+      }
+      if (header.value != this->request.identity->value) {
+        this->failure = "response belongs to another request";
+        return false;
+      }
+      repeated = true;
+    }
+    if (repeated && !this->request.freshConnection) {
+      this->Set(CURLOPT_FORBID_REUSE, 0L);
+    }
+    return true;
+  }
+
   static size_t OnBody(char* aData, size_t aSize, size_t aCount, void* aSelf) {
     auto* self = static_cast<Transfer*>(aSelf);
     const size_t bytes = aSize * aCount;
+    if (!self->head.IsComplete()) {
+      self->failure = "body without a complete head";
+      return 0;
+    }
     self->ReportHead();
     if (self->limited && self->credit <= 0) {
       self->paused = true;
@@ -207,6 +249,14 @@
                           length);
   }
 
+  std::string ErrorText(CURLcode aCode) const {
+    if (!this->failure.empty()) {
+      return this->failure;
+    }
+    return aCode == CURLE_OK ? "connection closed within the head"
+                             : curl_easy_strerror(aCode);
+  }
+
   /// Number of the transfer.
   uint64_t number;
   /// What is sent; libcurl points into it.
@@ -223,8 +273,12 @@
   int sends = 0;
   /// Whether `maySend` stopped the request.
   bool stopped = false;
+  /// Heads of the response.
+  HeadTracker head;
   /// Whether onHead was called.
   bool headReported = false;
+  /// Why a callback ended the transfer; empty if none did.
+  std::string failure;
   /// Response headers so far.
   HttpHeaders headers;
   /// Request headers for libcurl; must outlive `easy`.
--- a/tests/Http1/LoopPeer.h
+++ b/tests/Http1/LoopPeer.h
@@ -3,6 +3,7 @@
 #include <asio.hpp>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace fescueline::test {
@@ -58,9 +59,22 @@
                              this->Read();
                            });
   }
+  /// Stops reading after what the next read brings, and reads on.
+  void Pause() { this->paused = true; }
+  void Resume() {
+    this->paused = false;
+    this->Read();
+  }
   void Send(const std::string& aBytes) {
     asio::write(this->socket, asio::buffer(aBytes));
   }
+  /// Writes as the other side reads; what is left when that one closes is
+  /// dropped.
+  void SendLater(const std::string& aBytes) {
+    const auto bytes = std::make_shared<std::string>(aBytes);
+    asio::async_write(this->socket, asio::buffer(*bytes),
+                      [bytes](const asio::error_code&, size_t) {});
+  }
   void Close() {
     asio::error_code ignored;
     this->socket.close(ignored);
@@ -88,12 +102,15 @@
             return;
           }
           this->received.append(this->buffer.data(), aSize);
-          this->Read();
+          if (!this->paused) {
+            this->Read();
+          }
         });
   }
 
   asio::ip::tcp::socket socket;
   std::array<char, 4096> buffer{};
+  bool paused = false;
 };
 
 /// Whether a text occurs in another.
--- /dev/null
+++ b/tests/PlatformAdapter/RepeatedResponseTest.cpp
@@ -0,0 +1,240 @@
+#include <doctest/doctest.h>
+
+#include "PlatformAdapter/MeshWorld.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct RepeatCase {
+  const char* what;
+  FaultyLink::Fault fault;
+};
+
+const std::vector<RepeatCase>& RepeatCases() {
+  using When = FaultyLink::When;
+  static const std::vector<RepeatCase> sCases = {
+      {"again at once", {.share = 0.4, .when = When::AtOnce}},
+      {"again, late", {.share = 0.4, .when = When::WithNextRequest}},
+      {"without id, at once",
+       {.share = 0.4, .when = When::AtOnce, .withoutId = true}},
+      {"without id, late",
+       {.share = 0.4, .when = When::WithNextRequest, .withoutId = true}},
+      {"refusal at once",
+       {.share = 0.4, .when = When::AtOnce, .refusal = true}},
+      {"refusal, late",
+       {.share = 0.4, .when = When::WithNextRequest, .refusal = true}},
+      {"refusal without id, at once",
+       {.share = 0.4,
+        .when = When::AtOnce,
+        .withoutId = true,
+        .refusal = true}},
+      {"refusal without id, late",
+       {.share = 0.4,
+        .when = When::WithNextRequest,
+        .withoutId = true,
+        .refusal = true}}};
+  return sCases;
+}
+
+/// Checks what the caller of a request that may run once was told.
+void CheckOnce(const MeshWorld& aWorld, const std::string& aId,
+               const MeshAnswer& aAnswer) {
+  CAPTURE(aId);
+  CAPTURE(aAnswer.status);
+  CHECK(aWorld.RunsOf(aId) <= 1);
+  if (aAnswer.status == 503 || aAnswer.status == 429) {
+    CHECK(aWorld.RunsOf(aId) == 0);
+  }
+}
+
+/// Checks that a success is that of the request.
+void CheckOwn(const std::string& aId, const MeshAnswer& aAnswer) {
+  CAPTURE(aId);
+  if (aAnswer.status == 200) {
+    CHECK(aAnswer.whole);
+    CHECK(aAnswer.body == "answer to " + aId);
+    CHECK(aAnswer.Header("X-Server-Signature") == "s-" + aId);
+    CHECK(aAnswer.Header("X-Request-Id") == aId);
+  }
+}
+
+/// Whether a node counts responses with that fault.
+bool CountsFault(MeshWorld& aWorld, size_t aNode, ResponseFault aFault) {
+  return Contains(
+      aWorld.MetricsPage(aNode),
+      fmt::format("fescueline_response_faults_total{{fault=\"{}\"}}",
+                  ToName(aFault)));
+}
+
+}  // namespace
+
+// Guards against a target that writes responses twice unseen by its operator.
+TEST_CASE("responses that do not match are counted") {
+  MeshWorld world(
+      {.fronts = 1, .deeps = 0, .frontCalls = false, .faultyLinks = true});
+  CHECK_FALSE(CountsFault(world, 0, ResponseFault::OtherRequest));
+  world.Link(0).SetFault(
+      {.share = 1, .when = FaultyLink::When::WithNextRequest});
+  world.Call(0, "GET", "/lookup/");
+  world.Call(0, "GET", "/lookup/");
+  CHECK(CountsFault(world, 0, ResponseFault::OtherRequest));
+}
+
+// Guards against a response that answers another request than its own: a
+// foreign success, "not run" for a request that runs, and a second run.
+TEST_CASE("an earlier response that is written once more decides no request") {
+  for (const RepeatCase& row : RepeatCases()) {
+    CAPTURE(std::string(row.what));
+    MeshWorld world({.frontCalls = false, .faultyLinks = true});
+    for (size_t node = 0; node < world.Size(); ++node) {
+      world.Link(node).SetFault(row.fault);
+    }
+    constexpr int kPairs = 60;
+    for (int i = 0; i < kPairs; ++i) {
+      world.Send(i % world.Size(), fmt::format("once{}", i), "POST",
+                 "/filing/");
+      world.Send(i % world.Size(), fmt::format("free{}", i), "GET", "/direct/");
+      world.Pass(4ms);
+    }
+    REQUIRE(world.WaitAnswers(size_t{2} * kPairs));
+    uint64_t copies = 0;
+    for (size_t node = 0; node < world.Size(); ++node) {
+      copies += world.Link(node).Copies();
+    }
+    CHECK(copies > 0);
+    for (const auto& [id, answer] : world.answers) {
+      CheckOwn(id, answer);
+      if (id.starts_with("once")) {
+        CheckOnce(world, id, answer);
+      }
+      // The request's own response follows in each case.
+      CAPTURE(id);
+      CHECK(answer.status == 200);
+    }
+  }
+}
+
+// Guards against a success that the target has not signed.
+TEST_CASE("a success without its signature reaches no caller") {
+  MeshWorld world({.frontCalls = false, .faultyLinks = true});
+  for (size_t node = 0; node < world.Size(); ++node) {
+    world.Link(node).SetFault({.unsignedShare = 0.3});
+  }
+  constexpr int kPairs = 40;
+  for (int i = 0; i < kPairs; ++i) {
+    world.Send(i % world.Size(), fmt::format("once{}", i), "POST", "/filing/");
+    world.Send(i % world.Size(), fmt::format("free{}", i), "GET", "/direct/");
+    world.Pass(4ms);
+  }
+  REQUIRE(world.WaitAnswers(size_t{2} * kPairs));
+  size_t unknown = 0;
+  for (const auto& [id, answer] : world.answers) {
+    CheckOwn(id, answer);
+    CAPTURE(id);
+    CHECK((answer.status == 200 || answer.status == 502));
+    unknown += answer.status == 502 ? 1 : 0;
+    if (id.starts_with("once")) {
+      CheckOnce(world, id, answer);
+    }
+  }
+  CHECK(unknown > 0);
+  CHECK(unknown < size_t{kPairs});
+}
+
+// Guards against a request without an identifier that gets any response which
+// comes along, or leaves its own to the next request.
+TEST_CASE("a request without an identifier shares no connection") {
+  MeshWorld world(
+      {.fronts = 1, .deeps = 0, .frontCalls = false, .faultyLinks = true});
+  world.Link(0).SetFault(
+      {.share = 1, .when = FaultyLink::When::WithNextRequest});
+  for (int i = 0; i < 10; ++i) {
+    const std::string named = fmt::format("named{}", i);
+    const std::string nameless = fmt::format("nameless{}", i);
+    world.Send(0, named, "POST", "/filing/");
+    REQUIRE(RunUntil(world.io, [&] { return world.answers.contains(named); }));
+    CHECK(world.answers[named].status == 200);
+    CheckOwn(named, world.answers[named]);
+    world.Send(0, nameless, "POST", "/filing/", "acme-key", false);
+    REQUIRE(
+        RunUntil(world.io, [&] { return world.answers.contains(nameless); }));
+    CHECK(world.answers[nameless].status == 200);
+    CHECK(world.answers[nameless].body == "answer to ");
+  }
+}
+
+// Guards against an earlier refusal of a request that decides the same one when
+// its caller sends it again: "not run" for a request that runs.
+TEST_CASE("an earlier refusal of the same request does not decide it") {
+  MeshWorld world(
+      {.fronts = 1, .deeps = 0, .frontCalls = false, .faultyLinks = true});
+  world.Link(0).SetFault(
+      {.share = 1, .when = FaultyLink::When::WithNextRequest});
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = fmt::format("same{}", i);
+    world.Target(0).SetShed(1);
+    world.Send(0, id, "POST", "/filing/");
+    REQUIRE(RunUntil(world.io, [&] { return world.answers.contains(id); }));
+    CHECK(world.answers[id].status == 503);
+    CHECK(world.RunsOf(id) == 0);
+    world.Target(0).SetShed(0);
+    world.answers.clear();
+    world.Send(0, id, "POST", "/filing/");
+    REQUIRE(RunUntil(world.io, [&] { return world.answers.contains(id); }));
+    CHECK(world.answers[id].status == 200);
+    CheckOwn(id, world.answers[id]);
+    CheckOnce(world, id, world.answers[id]);
+    world.answers.clear();
+  }
+}
+
+// Guards against mixes of such faults with lost, shed and failed requests that
+// no other test has. The seed of a failure is captured.
+TEST_CASE("random mixes of faulty responses break no promise") {
+  using When = FaultyLink::When;
+  RandomSource random(20261204);
+  constexpr int kRounds = 4;
+  for (int round = 0; round < kRounds; ++round) {
+    const uint64_t seed = random.Next();
+    CAPTURE(seed);
+    RandomSource mix(seed);
+    MeshWorld world({.fronts = 2,
+                     .deeps = 2,
+                     .frontCalls = false,
+                     .faultyLinks = true,
+                     .seed = seed});
+    constexpr int kSteps = 120;
+    for (int i = 0; i < kSteps; ++i) {
+      if (i % 20 == 0) {
+        for (size_t node = 0; node < world.Size(); ++node) {
+          world.Link(node).SetFault(
+              {.share = mix.Unit() * 0.6,
+               .when = mix.Below(2) == 0 ? When::AtOnce : When::WithNextRequest,
+               .withoutId = mix.Below(2) == 0,
+               .refusal = mix.Below(2) == 0,
+               .unsignedShare = mix.Unit() * 0.05});
+          world.Target(node).SetLose(mix.Unit() * 0.05);
+          world.Target(node).SetShed(mix.Unit() * 0.3);
+        }
+      }
+      world.Send(mix.Below(world.Size()), fmt::format("once{}", i), "POST",
+                 "/filing/");
+      world.Send(mix.Below(world.Size()), fmt::format("free{}", i), "GET",
+                 "/direct/");
+      world.Pass(3ms);
+    }
+    REQUIRE(world.WaitAnswers(size_t{2} * kSteps));
+    size_t served = 0;
+    for (const auto& [id, answer] : world.answers) {
+      CheckOwn(id, answer);
+      if (id.starts_with("once")) {
+        CheckOnce(world, id, answer);
+      }
+      served += answer.status == 200 ? 1 : 0;
+    }
+    CHECK(served > size_t{kSteps});
+  }
+}
