Refuse a head within a head, and unnamed responses on kept connections

Change: a response whose reason or field holds a status line is malformed; HttpClient refuses a response without the identity on a connection that it has used before.

--- a/src/Http1/HttpReader.cpp
+++ b/src/Http1/HttpReader.cpp
@@ -31,6 +31,7 @@
     callbacks.on_message_begin = [](http_parser* aParser) {
       HttpReader& reader = Of(aParser);
       reader.head = HttpHead{};
+      reader.reason.clear();
       reader.headBytes = 0;
       reader.fields = 0;
       reader.lastWasValue = false;
@@ -46,6 +47,13 @@
       reader.headBytes += aSize;
       return reader.CheckHeadSize();
     };
+    callbacks.on_status = [](http_parser* aParser, const char* aData,
+                             size_t aSize) {
+      HttpReader& reader = Of(aParser);
+      reader.reason.append(aData, aSize);
+      reader.headBytes += aSize;
+      return reader.CheckHeadSize();
+    };
     callbacks.on_header_field = [](http_parser* aParser, const char* aData,
                                    size_t aSize) {
       HttpReader& reader = Of(aParser);
@@ -107,6 +115,9 @@
     if (status < kFirstStatus || status == kSwitchingProtocols) {
       return "unexpected status";
     }
+    if (HoldsStatusLine(this->reason)) {
+      return "head within a head";
+    }
     return this->FaultOfFields();
   }
   const bool hasBody = (this->parser.flags & F_CHUNKED) != 0 ||
@@ -129,6 +140,9 @@
     if (this->settings.kind == HttpReaderKind::Response) {
       // RFC 9112, section 5.1: dropped from responses, refused in requests.
       field.name.erase(field.name.find_last_not_of(kBlank) + 1);
+      if (HoldsStatusLine(field.value)) {
+        return "head within a head";
+      }
     }
     if (field.name.find_first_of(kBlank) != std::string::npos) {
       return "white space in a field name";
--- a/src/Http1/HttpReader.h
+++ b/src/Http1/HttpReader.h
@@ -110,6 +110,8 @@
   http_parser parser{};
   /// Head being collected.
   HttpHead head;
+  /// Reason phrase of a response.
+  std::string reason;
   HttpLineChecker lines;
   /// Why the message is refused; empty if it is not.
   std::string_view fault;
--- a/src/Transport/HttpClient.cpp
+++ b/src/Transport/HttpClient.cpp
@@ -170,6 +170,10 @@
     if (isTrailer) {
       return line.size();
     }
+    if (HoldsStatusLine(line.substr(1))) {
+      self->failure = "head within a head";
+      return 0;
+    }
     if (self->head.IsComplete()) {
       return self->CheckIdentity() ? line.size() : 0;
     }
@@ -195,8 +199,8 @@
         {std::string(aLine.substr(0, colon)), std::string(value)});
   }
 
-  /// False if the response names another request. Lets the connection be used
-  /// again if it names this one.
+  /// False if the response may answer another request. Lets the connection be
+  /// used again if it names this one.
   bool CheckIdentity() {
     if (!this->request.identity) {
       return true;
@@ -212,6 +216,13 @@
       }
       repeated = true;
     }
+    long made = 0;
+    curl_easy_getinfo(this->easy.get(), CURLINFO_NUM_CONNECTS, &made);
+    if (!repeated && made == 0) {
+      // Its server repeated the identity of the request before.
+      this->failure = "response names no request on a kept connection";
+      return false;
+    }
     if (repeated && !this->request.freshConnection) {
       this->Set(CURLOPT_FORBID_REUSE, 0L);
     }
--- a/src/Transport/HttpMessage.cpp
+++ b/src/Transport/HttpMessage.cpp
@@ -90,6 +90,21 @@
   }
 }
 
+bool HoldsStatusLine(std::string_view aText) {
+  constexpr std::string_view kName = "HTTP/1.";
+  constexpr size_t kRest = 5;  // "1 200"
+  const auto isDigit = [](char aByte) { return aByte >= '0' && aByte <= '9'; };
+  for (size_t at = aText.find(kName); at != std::string_view::npos;
+       at = aText.find(kName, at + 1)) {
+    const std::string_view rest = aText.substr(at + kName.size(), kRest);
+    if (rest.size() == kRest && isDigit(rest[0]) && rest[1] == ' ' &&
+        std::all_of(rest.begin() + 2, rest.end(), isDigit)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::string_view PathOf(std::string_view aTarget) {
   return aTarget.substr(0, aTarget.find_first_of("?#"));
 }
--- a/src/Transport/HttpMessage.h
+++ b/src/Transport/HttpMessage.h
@@ -57,6 +57,10 @@
 /// 7.6.1), those that `Connection` names, and framing fields.
 void RemoveHopByHopHeaders(HttpHeaders& aHeaders);
 
+/// Whether a status line begins within the text of a head's line: the sender
+/// broke off there and went on with another head, whose fields follow.
+bool HoldsStatusLine(std::string_view aText);
+
 /// Path of a request target, without the query.
 std::string_view PathOf(std::string_view aTarget);
 
--- a/tests/Mesh/MergedResponseTest.cpp
+++ b/tests/Mesh/MergedResponseTest.cpp
@@ -60,7 +60,7 @@
 
 }  // namespace
 
-// Failing. Pattern: a target begins to write an earlier response once more
+// Pattern: a target begins to write an earlier response once more
 // where the next one is expected, stops within its head and goes on with the
 // response that is due. Guards against the status or the fields of the one with
 // the identifier of the other: "not run" for a request that runs, and a
@@ -99,7 +99,7 @@
   }
 }
 
-// Failing. Pattern: a target stops within the head of its response and writes
+// Pattern: a target stops within the head of its response and writes
 // all of it once more. Guards against a response with fields of both.
 TEST_CASE("a head that is begun again is not joined") {
   size_t cut = 0;
--- a/tests/Transport/UnnamedResponseTest.cpp
+++ b/tests/Transport/UnnamedResponseTest.cpp
@@ -25,7 +25,7 @@
 }
 }  // namespace
 
-// Failing. Guards against a response, or the beginning of one, that names no
+// Guards against a response, or the beginning of one, that names no
 // request and comes where the second response of a kept connection is due: a
 // foreign body, or a refusal of a request that runs.
 TEST_CASE("what names no request answers none on a kept connection") {
