Go by the first identifier of a request everywhere

Cause: of several identifier fields the entry node took the first and the target's node the last. A target that echoes the first one got each of its responses skipped, and the caller waited until its deadline.

Change: the target's node takes the first one too.

Measured: "a request with two identifiers goes by the first one" got 504 before and 200 now.

--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -47,9 +47,11 @@
       timer(aService.dependencies.context.io) {
   const std::string& name =
       this->service.dependencies.context.headers.requestId;
+  // The first one, as at the entry node.
   for (const HeaderWire& header : this->frame.headers) {
     if (EqualHeaderName(header.name, name)) {
       this->requestId = header.value;
+      break;
     }
   }
 }
