Let the stand-in break responses off behind a proper head

Cause: a lost response of the stand-in began with a 200 without identifier and signature, which no target sends.

Change: the stand-in writes the head that the protocol asks for, then breaks off. The test is unchanged.

Measured: the test passes; the other process-operations tests, Http1Tests, MeshTests and PlatformAdapterTests too.

--- a/tools/PlatformStandIn/PlatformTarget.cpp
+++ b/tools/PlatformStandIn/PlatformTarget.cpp
@@ -207,18 +207,18 @@
 
 void PlatformTarget::Answer(const HttpExchangePtr& aExchange, int aStatus) {
   const std::string requestId = Header(aExchange->Request(), "X-Request-Id");
+  const HttpHeaders headers = {
+      {"X-Request-Id", requestId},
+      {"X-Server-Signature", "s-" + requestId},
+      {"X-Server-Load",
+       fmt::format("{},{},{}", this->running, this->waiting.size(),
+                   this->settings.slots)}};
+  const std::string body = "answer to " + requestId;
   if (ThreadRandom().Unit() < this->loseShare) {
-    aExchange->StartStream(aStatus, {}, 1);
+    aExchange->StartStream(aStatus, headers, body.size());
     aExchange->EndStream(false);
   } else {
-    aExchange->Respond(
-        {.status = aStatus,
-         .headers = {{"X-Request-Id", requestId},
-                     {"X-Server-Signature", "s-" + requestId},
-                     {"X-Server-Load",
-                      fmt::format("{},{},{}", this->running,
-                                  this->waiting.size(), this->settings.slots)}},
-         .body = "answer to " + requestId});
+    aExchange->Respond({.status = aStatus, .headers = headers, .body = body});
   }
   this->End();
 }
