--- a/tests/Mesh/TargetProbeTest.cpp
+++ b/tests/Mesh/TargetProbeTest.cpp
@@ -154,10 +154,15 @@
     std::string begin;
     std::string endless;
   };
+  std::string interim;
+  while (interim.size() < kKiB) {
+    interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
   const std::string ready = "HTTP/1.1 200 OK\r\nX-Id: t1\r\nX-Load: 1,0,9\r\n";
   for (const Row& row : std::vector<Row>{
            {"head", ready, "X-More: " + std::string(kKiB, 'x') + "\r\n"},
            {"name of a header", ready, std::string(kKiB, 'x')},
+           {"interim responses", interim, interim},
            {"body without a length", ready + "\r\n", std::string(kKiB, 'x')},
            {"body with a length",
             ready + "Content-Length: 999999999999\r\n\r\n",
