Decide in a class of its own whether an attempt may be repeated

Change: RepeatPolicy decides without sockets, clock or state; EntryCall asks it and then the bounds on repeats, in the order as before.

--- a/src/Mesh/EntryCall.cpp
+++ b/src/Mesh/EntryCall.cpp
@@ -8,14 +8,12 @@
 #include "Log/Log.h"
 #include "Mesh/CallerRequest.h"
 #include "Mesh/CallerResponse.h"
+#include "Mesh/RepeatPolicy.h"
 #include "Node/ThresholdMessages.h"
 
 namespace fescueline {
 
 namespace {
-/// Nodes that a request is offered to while none has run it. Each offer costs
-/// a round trip, and after three full targets a fourth is rarely free.
-constexpr size_t kMaxOffers = 4;
 /// Time that a request waits for a token of its organisation's rate while no
 /// issuer answers: an eighth of the usual latency objective, and as long as a
 /// fleet that restarts takes to have an issuer again.
@@ -26,21 +24,14 @@
 constexpr Duration kReturnTime = std::chrono::milliseconds(15);
 /// Timeout of requests that state none.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(10);
-/// Least time that is worth another attempt.
-constexpr Duration kWorthRepeating = std::chrono::milliseconds(20);
 constexpr Duration kStaleRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration kRateRetryAfter = std::chrono::milliseconds(1000);
 constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(300);
 constexpr int kFirstServerError = 500;
-/// Status of a target that ran a request and failed.
-constexpr int kOwnFailure = 500;
 /// Retries of a caller's request over its whole chain of calls, and of a call
 /// whose parent is not known.
 constexpr uint32_t kChainRetries = 4;
 constexpr uint32_t kOrphanRetries = 1;
-/// Share of the allowed repeats for requests that have run and make calls: each
-/// makes its calls again, which count as repeats at every service further down.
-constexpr double kRerunShare = 0.35;
 
 std::string Milliseconds(Duration aDuration) {
   return fmt::format("{:.1f}", ToSeconds(aDuration) * 1000);
@@ -440,36 +431,33 @@
 
 bool EntryCall::MayRepeatFailure() {
   const TimePoint now = SteadyClock().Now();
-  // A failure that has taken long comes from further down, where another run
-  // would only add load; so does one while the path is overloaded.
-  const bool quick = now - this->startedAt < this->Remaining(now);
   const bool calm =
       this->context.thresholds.Lowest(this->route->name, this->shareOf, now)
           .IsOpen();
-  return this->response.Status() == kOwnFailure && quick && calm &&
+  return RepeatPolicy::IsWorthwhile({.status = this->response.Status(),
+                                     .age = now - this->startedAt,
+                                     .remaining = this->Remaining(now),
+                                     .overloaded = !calm}) &&
          this->MayRepeat(Outcome::Ran, Cause::TargetFailed);
 }
 
 bool EntryCall::MayRepeat(Outcome aOutcome, Cause aCause) {
   const TimePoint now = SteadyClock().Now();
-  if (this->Remaining(now) < kWorthRepeating ||
-      this->tried.size() >= kMaxOffers || aCause == Cause::DeadlineExpired ||
-      aCause == Cause::UnknownKey) {
-    return false;
-  }
-  if (aOutcome == Outcome::NotRun && aCause != Cause::TargetShed) {
-    return true;
-  }
-  if (aOutcome != Outcome::NotRun && !this->route->idempotent) {
-    return false;
-  }
-  const bool makesCalls =
-      this->service.routesWithCalls.contains(this->route->name);
-  const double share =
-      aOutcome == Outcome::NotRun || !makesCalls ? 1.0 : kRerunShare;
-  return this->arrivals < this->route->maxTargets &&
-         this->service.RetriesOf(this->chosenService).TryRetry(now, share) &&
-         this->budget->SpendRetry();
+  const RepeatDecision decision = RepeatPolicy::Decide(
+      {.outcome = aOutcome,
+       .cause = aCause,
+       .remaining = this->Remaining(now),
+       .offers = this->tried.size(),
+       .arrivals = this->arrivals,
+       .maxTargets = this->route->maxTargets,
+       .idempotent = this->route->idempotent,
+       .makesCalls =
+           this->service.routesWithCalls.contains(this->route->name)});
+  if (!decision.allowed || !decision.share) {
+    return decision.allowed;
+  }
+  RetryRatio& retries = this->service.RetriesOf(this->chosenService);
+  return retries.TryRetry(now, *decision.share) && this->budget->SpendRetry();
 }
 
 void EntryCall::EndAttempt(CallResult aResult, uint32_t aUnspentRetries) {
--- /dev/null
+++ b/tests/Mesh/RepeatPolicyTest.cpp
@@ -0,0 +1,135 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "Mesh/RepeatPolicy.h"
+
+using namespace fescueline;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A failure that may be repeated wherever its outcome and cause allow it.
+FailedAttempt Failed(Outcome aOutcome, Cause aCause) {
+  return {.outcome = aOutcome,
+          .cause = aCause,
+          .remaining = 1s,
+          .offers = 1,
+          .arrivals = 1,
+          .maxTargets = 2,
+          .idempotent = true,
+          .makesCalls = false};
+}
+
+FailedAttempt With(FailedAttempt aFailed, void (*aChange)(FailedAttempt&)) {
+  aChange(aFailed);
+  return aFailed;
+}
+
+/// What may be used up for a repeat.
+enum class Cost : uint8_t { Refused, None, Whole, Part };
+
+Cost CostOf(const RepeatDecision& aDecision) {
+  if (!aDecision.allowed) {
+    return Cost::Refused;
+  }
+  if (!aDecision.share) {
+    return Cost::None;
+  }
+  return *aDecision.share < 1.0 ? Cost::Part : Cost::Whole;
+}
+
+struct RepeatCase {
+  std::string name;
+  FailedAttempt failed;
+  Cost cost;
+};
+
+}  // namespace
+
+// Guards against a repeat that could run a payment twice, that cannot help, or
+// that escapes the bounds on repeats.
+TEST_CASE("which attempts may be repeated and what counts as a repeat") {
+  const FailedAttempt refused = Failed(Outcome::NotRun, Cause::ConnectFailed);
+  const FailedAttempt shed = Failed(Outcome::NotRun, Cause::TargetShed);
+  const FailedAttempt lost = Failed(Outcome::Unknown, Cause::ConnectionLost);
+  const FailedAttempt failed = Failed(Outcome::Ran, Cause::TargetFailed);
+  const auto once = [](FailedAttempt& aFailed) { aFailed.idempotent = false; };
+  const auto calls = [](FailedAttempt& aFailed) { aFailed.makesCalls = true; };
+  const auto reached = [](FailedAttempt& aFailed) { aFailed.arrivals = 2; };
+  const auto offered = [](FailedAttempt& aFailed) { aFailed.offers = 4; };
+  const auto late = [](FailedAttempt& aFailed) { aFailed.remaining = 19ms; };
+  const std::vector<RepeatCase> cases = {
+      {"not run", refused, Cost::None},
+      {"not run, overloaded", Failed(Outcome::NotRun, Cause::Overloaded),
+       Cost::None},
+      {"not run, once only", With(refused, once), Cost::None},
+      {"not run, makes calls", With(refused, calls), Cost::None},
+      {"not run, enough reached a target", With(refused, reached), Cost::None},
+      {"not run, just enough time",
+       With(refused, [](FailedAttempt& aFailed) { aFailed.remaining = 20ms; }),
+       Cost::None},
+      {"not run, too late", With(refused, late), Cost::Refused},
+      {"not run, past the deadline",
+       With(refused, [](FailedAttempt& aFailed) { aFailed.remaining = -1s; }),
+       Cost::Refused},
+      {"not run, the last offer",
+       With(refused, [](FailedAttempt& aFailed) { aFailed.offers = 3; }),
+       Cost::None},
+      {"not run, offered often enough", With(refused, offered), Cost::Refused},
+      {"not run, expired", Failed(Outcome::NotRun, Cause::DeadlineExpired),
+       Cost::Refused},
+      {"not run, key withdrawn", Failed(Outcome::NotRun, Cause::UnknownKey),
+       Cost::Refused},
+      {"shed", shed, Cost::Whole},
+      {"shed, once only", With(shed, once), Cost::Whole},
+      {"shed, makes calls", With(shed, calls), Cost::Whole},
+      {"shed, enough reached a target", With(shed, reached), Cost::Refused},
+      {"shed, too late", With(shed, late), Cost::Refused},
+      {"shed, offered often enough", With(shed, offered), Cost::Refused},
+      {"lost", lost, Cost::Whole},
+      {"lost, once only", With(lost, once), Cost::Refused},
+      {"lost, makes calls", With(lost, calls), Cost::Part},
+      {"lost, enough reached a target", With(lost, reached), Cost::Refused},
+      {"lost, too late", With(lost, late), Cost::Refused},
+      {"lost, expired", Failed(Outcome::Unknown, Cause::DeadlineExpired),
+       Cost::Refused},
+      {"failed", failed, Cost::Whole},
+      {"failed, once only", With(failed, once), Cost::Refused},
+      {"failed, makes calls", With(failed, calls), Cost::Part},
+      {"failed, enough reached a target", With(failed, reached),
+       Cost::Refused}};
+  for (const RepeatCase& row : cases) {
+    CAPTURE(row.name);
+    CHECK(CostOf(RepeatPolicy::Decide(row.failed)) == row.cost);
+  }
+}
+
+// Guards against runs that are repeated where the failure comes from further
+// down, which multiplies the load there.
+TEST_CASE("which answered failures are worth another run") {
+  struct Case {
+    std::string name;
+    AnsweredFailure failure;
+    bool worthwhile;
+  };
+  for (const Case& row : std::vector<Case>{
+           {"quick", {.status = 500, .age = 10ms, .remaining = 90ms}, true},
+           {"slow", {.status = 500, .age = 60ms, .remaining = 40ms}, false},
+           {"half the time",
+            {.status = 500, .age = 50ms, .remaining = 50ms},
+            false},
+           {"on an overloaded path",
+            {.status = 500, .age = 10ms, .remaining = 90ms, .overloaded = true},
+            false},
+           {"of a service further down",
+            {.status = 502, .age = 10ms, .remaining = 90ms},
+            false},
+           {"unavailable",
+            {.status = 503, .age = 10ms, .remaining = 90ms},
+            false}}) {
+    CAPTURE(row.name);
+    CHECK(RepeatPolicy::IsWorthwhile(row.failure) == row.worthwhile);
+  }
+}
