Move what a request is and how it is reported out of EntryCall

Cause: EntryCall.cpp had 567 lines and did four jobs: classify a request, make the frames of its attempts, follow an attempt, and tell how it ended. Change: EntryRequest holds route, organisation, deadline and what a call inherits, and makes the frames; RequestReporter writes the log lines, metrics and refusals. Neither knows EntryCall. Behaviour is unchanged.

--- a/src/Mesh/EntryCall.cpp
+++ b/src/Mesh/EntryCall.cpp
@@ -1,13 +1,8 @@
 #include "Mesh/EntryCall.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <utility>
 
-#include "Log/Log.h"
-#include "Mesh/CallerRequest.h"
-#include "Mesh/CallerResponse.h"
 #include "Mesh/RepeatPolicy.h"
 #include "Node/ThresholdMessages.h"
 
@@ -18,12 +13,6 @@
 /// issuer answers: an eighth of the usual latency objective, and as long as a
 /// fleet that restarts takes to have an issuer again.
 constexpr Duration kRateWait = std::chrono::milliseconds(250);
-/// Taken off the deadline that targets get, for the way back.
-/// Longer than the period of the target's queue, so that the refusal of a
-/// request that expires there, which has not run, still arrives in time.
-constexpr Duration kReturnTime = std::chrono::milliseconds(15);
-/// Timeout of requests that state none.
-constexpr Duration kDefaultTimeout = std::chrono::seconds(10);
 constexpr Duration kStaleRetryAfter = std::chrono::milliseconds(500);
 constexpr Duration kRateRetryAfter = std::chrono::milliseconds(1000);
 constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(300);
@@ -32,10 +21,6 @@
 /// whose parent is not known.
 constexpr uint32_t kChainRetries = 4;
 constexpr uint32_t kOrphanRetries = 1;
-
-std::string Milliseconds(Duration aDuration) {
-  return fmt::format("{:.1f}", ToSeconds(aDuration) * 1000);
-}
 }  // namespace
 
 EntryCall::EntryCall(EntryService& aService, HttpExchangePtr aExchange)
@@ -43,8 +28,8 @@
       context(aService.dependencies.context),
       exchange(std::move(aExchange)),
       response(this->exchange, this->exchange->Request().method == "HEAD"),
-      config(this->context.config.Current()),
-      startedAt(SteadyClock().Now()),
+      request(this->context, this->exchange->Request()),
+      reporter(this->context, this->request),
       timer(this->context.io) {
   ++this->service.open;
 }
@@ -52,39 +37,22 @@
 EntryCall::~EntryCall() { --this->service.open; }
 
 void EntryCall::Start() {
-  const HttpRequest& request = this->exchange->Request();
-  const HeaderVocabulary& names = this->context.headers;
-  this->requestId = FindHeader(request.headers, names.requestId).value_or("");
-  this->target = request.target;
-  if (!this->config) {
-    this->Refuse(Outcome::NotRun, Cause::StaleKnowledge, kStaleRetryAfter);
-    return;
-  }
-  this->deadline = this->startedAt + kDefaultTimeout;
-  if (const auto timeout = TimeoutOf(request.headers, names)) {
-    this->deadline = this->startedAt + *timeout;
-  }
-  if (!this->Route() || !this->Authenticate()) {
+  if (const Cause cause = this->request.Classify(); cause != Cause::None) {
+    this->Refuse(
+        Outcome::NotRun, cause,
+        cause == Cause::StaleKnowledge ? kStaleRetryAfter : Duration::zero());
     return;
   }
-  this->importance =
-      this->config->ImportanceOf(*this->route, this->organisation);
-  this->rootId = Id128::Generate();
-  if (this->organisation != nullptr) {
-    this->shareOf = this->organisation->name;
+  this->parent = this->context.running.ParentOf(this->request.Id());
+  if (this->parent) {
+    this->request.Inherit(*this->parent);
   }
-  if (const auto running = this->context.running.ParentOf(this->requestId)) {
-    this->Inherit(running);
-  }
-  this->headers =
-      TargetHeaders(std::move(this->exchange->Request().headers), names,
-                    this->context.settings.service, this->OrganisationName());
   this->exchange->OnAbort([weak = this->weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->OnCallerGone();
     }
   });
-  this->timer.expires_at(this->deadline);
+  this->timer.expires_at(this->request.Deadline());
   this->timer.async_wait(
       [self = this->shared_from_this()](const asio::error_code& aError) {
         if (!aError) {
@@ -96,9 +64,11 @@
     return;
   }
   const bool refusedFurtherDown =
-      !this->parent && this->context.thresholds.ShouldRefuse(
-                           this->route->name, this->shareOf, this->importance,
-                           RootHash(this->rootId), this->startedAt);
+      !this->parent &&
+      this->context.thresholds.ShouldRefuse(
+          this->request.Route()->name, this->request.ShareOf(),
+          this->request.GetImportance(), RootHash(this->request.RootId()),
+          this->request.StartedAt());
   if (refusedFurtherDown) {
     this->Refuse(Outcome::NotRun, Cause::Overloaded, kOverloadRetryAfter);
     return;
@@ -106,30 +76,14 @@
   this->AdmitByRate();
 }
 
-std::string EntryCall::OrganisationName() const {
-  return this->organisation == nullptr ? "" : this->organisation->name;
-}
-
-void EntryCall::Inherit(const RunningAttemptPtr& aParent) {
-  const RequestContext& root = aParent->Context();
-  this->parent = aParent;
-  this->rootId = root.rootId;
-  this->shareOf = root.organisation;
-  this->importance = root.importance;
-  this->depth = root.depth + 1;
-  this->ofRepeat = root.repeated;
-  this->deadline = std::min(this->deadline, aParent->Deadline());
-}
-
 bool EntryCall::BeginBudget() {
+  const TimePoint startedAt = this->request.StartedAt();
   if (!this->parent) {
-    const bool isCall =
-        this->requestId.find('.') != std::string::npos && this->route->open;
     this->budget = std::make_shared<RunningAttempt>(
         RequestContext{},
-        RunningAttempt::Times{.rootStart = this->startedAt,
-                              .deadline = this->deadline},
-        isCall ? kOrphanRetries : kChainRetries);
+        RunningAttempt::Times{.rootStart = startedAt,
+                              .deadline = this->request.Deadline()},
+        this->request.IsCall() ? kOrphanRetries : kChainRetries);
     return true;
   }
   this->budget = this->parent;
@@ -139,59 +93,19 @@
           self->OnCallerGone();
         }
       },
-      this->startedAt);
+      startedAt);
   return this->callNumber != 0;
 }
 
-bool EntryCall::Route() {
-  const HttpRequest& request = this->exchange->Request();
-  this->route =
-      this->config->FindRoute(HostOf(request.headers), PathOf(request.target));
-  if (this->route != nullptr) {
-    this->deadline =
-        std::min(this->deadline, this->startedAt + this->route->timeout);
-    return true;
-  }
-  // A node that lags behind may not know the route yet.
-  if (this->context.IsFresh()) {
-    this->Refuse(Outcome::NotRun, Cause::NoRoute);
-  } else {
-    this->Refuse(Outcome::NotRun, Cause::StaleKnowledge, kStaleRetryAfter);
-  }
-  return false;
-}
-
-bool EntryCall::Authenticate() {
-  if (this->route->open || !this->config->HasOrganisations()) {
-    return true;
-  }
-  const auto key =
-      FindHeader(this->exchange->Request().headers, this->context.headers.key);
-  if (!this->context.IsFresh()) {
-    this->Refuse(Outcome::NotRun, Cause::StaleKnowledge, kStaleRetryAfter);
-    return false;
-  }
-  if (!key || key->empty()) {
-    this->Refuse(Outcome::NotRun, Cause::NoKey);
-    return false;
-  }
-  this->organisation = this->config->FindByKey(std::string(*key));
-  if (this->organisation == nullptr) {
-    this->Refuse(Outcome::NotRun, Cause::UnknownKey);
-    return false;
-  }
-  this->keyHash = AsBytes(Sha256(*key));
-  return true;
-}
-
 void EntryCall::AdmitByRate() {
-  if (this->organisation == nullptr) {
+  if (this->request.Organisation() == nullptr) {
     this->TryNext();
     return;
   }
+  const TimePoint startedAt = this->request.StartedAt();
   this->service.dependencies.grants.Admit(
-      this->organisation->name, this->startedAt,
-      std::min(this->startedAt + kRateWait, this->deadline),
+      this->request.OrganisationName(), startedAt,
+      std::min(startedAt + kRateWait, this->request.Deadline()),
       [self = this->shared_from_this()](bool aAdmitted) {
         if (self->finished) {
           return;
@@ -208,15 +122,14 @@
 void EntryCall::TryNext() {
   const TimePoint now = SteadyClock().Now();
   if (this->attemptNumber == 0) {
-    const std::string& chosen = this->service.ServiceFor(*this->route);
-    RetryRatio& retries = this->service.RetriesOf(chosen);
+    this->request.SetService(this->service.ServiceFor(*this->request.Route()));
+    RetryRatio& retries = this->service.RetriesOf(this->request.Service());
     retries.OnFirst(now);
-    if (this->ofRepeat) {
+    if (this->request.IsOfRepeat()) {
       retries.OnRepeat(now);
     }
-    this->chosenService = chosen;
   }
-  auto choice = this->service.dependencies.fleet.Pick(this->chosenService,
+  auto choice = this->service.dependencies.fleet.Pick(this->request.Service(),
                                                       this->tried, now);
   if (!choice) {
     this->Refuse(this->mayHaveRun ? Outcome::Unknown : Outcome::NotRun,
@@ -237,31 +150,12 @@
                               this->tried.back(), now),
                           .stream = 0};
   this->context.metrics.CountAttempt(number > 1);
-  RequestContext sent;
-  sent.organisation = this->shareOf;
-  sent.keyHash = this->keyHash;
-  sent.rootId = this->rootId;
-  sent.depth = this->depth;
-  sent.repeated = this->ofRepeat || this->arrivals > 0;
-  sent.attemptId = Id128::Generate();
-  sent.route = this->route->name;
-  sent.service = this->chosenService;
-  sent.importance = this->importance;
-  sent.idempotent = this->route->idempotent;
-  sent.open = this->organisation == nullptr;
-  sent.remaining =
-      std::max(Duration::zero(), this->Remaining(now) - kReturnTime);
-  sent.age = now - this->startedAt;
-  sent.configVersion = this->config->Version();
-  const HttpRequest& request = this->exchange->Request();
   this->attempt->granted = this->budget->GrantForCall();
-  RequestFrame frame{
-      .context = SignContext(sent, this->service.dependencies.fleetSecret),
-      .retries = this->attempt->granted,
-      .method = request.method,
-      .target = this->target,
-      .headers = this->headers,
-      .body = request.body};
+  RequestFrame frame = this->request.Frame(
+      {.repeated = this->arrivals > 0,
+       .retries = this->attempt->granted,
+       .fleetSecret = this->service.dependencies.fleetSecret},
+      now);
   // Events of an attempt that has been given up are ignored.
   const auto guard = [weak = this->weak_from_this(), number](auto aFunction) {
     const auto self = weak.lock();
@@ -313,11 +207,8 @@
 }
 
 void EntryCall::OnUnfit(std::string_view aWhat) {
-  Log(LogLevel::Error, "peer sent what fits no response",
-      {{"request", this->requestId},
-       {"peer", this->attempt->choice.node},
-       {"part", std::string(aWhat)},
-       {"status", std::to_string(this->response.Status())}});
+  this->reporter.Unfit(this->attempt->choice.node, aWhat,
+                       this->response.Status());
   this->attempt->choice.client->Cancel(this->attempt->stream);
   this->OnFailed(Outcome::Unknown, Cause::ConnectionLost, {});
 }
@@ -336,7 +227,7 @@
   if (this->response.IsStreamed()) {
     this->EndAttempt(CallResult::Answered, aFrame.unspentRetries);
     this->response.EndStream(true);
-    this->CountServed();
+    this->reporter.Served(this->response.Status());
     this->Finish();
     return;
   }
@@ -345,7 +236,8 @@
                    aFrame.unspentRetries);
   ++this->arrivals;
   if (failed && this->MayRepeatFailure()) {
-    this->LogRepeat(Outcome::Ran, Cause::TargetFailed);
+    this->reporter.Repeated(Outcome::Ran, Cause::TargetFailed,
+                            this->attemptNumber);
     this->failure = this->response.Take();
     this->mayHaveRun = true;
     this->TryNext();
@@ -354,25 +246,19 @@
   this->DeliverBuffered();
 }
 
-void EntryCall::CountServed() {
-  this->context.metrics.CountServed(this->OrganisationName(), this->importance,
-                                    this->response.Status(),
-                                    SteadyClock().Now() - this->startedAt);
-}
-
 void EntryCall::DeliverBuffered() {
-  this->CountServed();
+  this->reporter.Served(this->response.Status());
   this->response.Deliver();
   this->Finish();
 }
 
 void EntryCall::LearnThresholds(const std::vector<ThresholdWire>& aThresholds) {
   // Thresholds of a call belong to the path of the request that makes it.
-  const std::string& path =
-      this->parent ? this->parent->Context().route : this->route->name;
+  const std::string& path = this->parent ? this->parent->Context().route
+                                         : this->request.Route()->name;
   for (const ThresholdWire& wire : aThresholds) {
-    if (wire.service != this->chosenService) {
-      this->service.routesWithCalls.insert(this->route->name);
+    if (wire.service != this->request.Service()) {
+      this->service.routesWithCalls.insert(this->request.Route()->name);
     }
   }
   this->context.thresholds.Learn(this->attempt->choice.node, path,
@@ -412,7 +298,7 @@
     return;
   }
   if (this->MayRepeat(aOutcome, aCause)) {
-    this->LogRepeat(aOutcome, aCause);
+    this->reporter.Repeated(aOutcome, aCause, this->attemptNumber);
     this->TryNext();
     return;
   }
@@ -420,23 +306,15 @@
                aRetryAfter);
 }
 
-void EntryCall::LogRepeat(Outcome aOutcome, Cause aCause) const {
-  Log(LogLevel::Info, "request repeated",
-      {{"request", this->requestId},
-       {"service", this->chosenService},
-       {"outcome", std::string(ToName(aOutcome))},
-       {"cause", std::string(ToName(aCause))},
-       {"attempt", std::to_string(this->attemptNumber)}});
-}
-
 bool EntryCall::MayRepeatFailure() {
   const TimePoint now = SteadyClock().Now();
   const bool calm =
-      this->context.thresholds.Lowest(this->route->name, this->shareOf, now)
+      this->context.thresholds
+          .Lowest(this->request.Route()->name, this->request.ShareOf(), now)
           .IsOpen();
   return RepeatPolicy::IsWorthwhile({.status = this->response.Status(),
-                                     .age = now - this->startedAt,
-                                     .remaining = this->Remaining(now),
+                                     .age = now - this->request.StartedAt(),
+                                     .remaining = this->request.Remaining(now),
                                      .overloaded = !calm}) &&
          this->MayRepeat(Outcome::Ran, Cause::TargetFailed);
 }
@@ -446,17 +324,17 @@
   const RepeatDecision decision = RepeatPolicy::Decide(
       {.outcome = aOutcome,
        .cause = aCause,
-       .remaining = this->Remaining(now),
+       .remaining = this->request.Remaining(now),
        .offers = this->tried.size(),
        .arrivals = this->arrivals,
-       .maxTargets = this->route->maxTargets,
-       .idempotent = this->route->idempotent,
-       .makesCalls =
-           this->service.routesWithCalls.contains(this->route->name)});
+       .maxTargets = this->request.Route()->maxTargets,
+       .idempotent = this->request.Route()->idempotent,
+       .makesCalls = this->service.routesWithCalls.contains(
+           this->request.Route()->name)});
   if (!decision.allowed || !decision.share) {
     return decision.allowed;
   }
-  RetryRatio& retries = this->service.RetriesOf(this->chosenService);
+  RetryRatio& retries = this->service.RetriesOf(this->request.Service());
   return retries.TryRetry(now, *decision.share) && this->budget->SpendRetry();
 }
 
@@ -471,9 +349,7 @@
 
 void EntryCall::BreakOff(std::string_view aEvent, Cause aCause) {
   this->response.EndStream(false);
-  this->context.metrics.CountRefusal(this->OrganisationName(), this->importance,
-                                     aCause);
-  this->LogEnd(aEvent, Outcome::Ran, aCause);
+  this->reporter.Unserved(aEvent, Outcome::Ran, aCause, this->attemptNumber);
   this->Finish();
 }
 
@@ -503,7 +379,7 @@
     this->attempt->choice.client->Cancel(this->attempt->stream);
     this->EndAttempt(CallResult::Cancelled);
   }
-  this->LogEnd("caller gone", Outcome::Unknown, Cause::Cancelled);
+  this->reporter.CallerGone(this->attemptNumber);
   this->Finish();
 }
 
@@ -511,30 +387,16 @@
   if (this->finished) {
     return;
   }
-  const std::string organisationName = this->OrganisationName();
   if (this->charged && aOutcome == Outcome::NotRun && this->arrivals == 0) {
-    this->service.dependencies.grants.Return(organisationName,
+    this->service.dependencies.grants.Return(this->request.OrganisationName(),
                                              SteadyClock().Now());
   }
-  this->context.metrics.CountRefusal(organisationName, this->importance,
-                                     aCause);
-  this->LogEnd("request refused", aOutcome, aCause);
-  const bool comeBack = aOutcome == Outcome::NotRun && this->route != nullptr &&
-                        aRetryAfter > Duration::zero();
-  HttpResponse response = CallerRefusal(
-      aOutcome, aCause,
-      comeBack ? std::optional(ComeBackAfter(
-                     aRetryAfter, this->Remaining(SteadyClock().Now()),
-                     ThreadRandom().Unit()))
-               : std::nullopt);
-  if (this->failure) {
-    // What the target itself said is worth more than our own words.
-    response = std::move(*this->failure);
-  } else if (!this->requestId.empty()) {
-    response.headers.push_back(
-        {this->context.headers.requestId, this->requestId});
-  }
-  this->exchange->Respond(std::move(response));
+  this->reporter.Unserved("request refused", aOutcome, aCause,
+                          this->attemptNumber);
+  // What the target itself said is worth more than our own words.
+  this->exchange->Respond(
+      this->failure ? std::move(*this->failure)
+                    : this->reporter.Refusal(aOutcome, aCause, aRetryAfter));
   this->Finish();
 }
 
@@ -547,21 +409,4 @@
   this->EndAttempt(CallResult::Cancelled);
 }
 
-void EntryCall::LogEnd(std::string_view aEvent, Outcome aOutcome,
-                       Cause aCause) const {
-  Log(LogLevel::Info, aEvent,
-      {{"request", this->requestId},
-       {"organisation", this->OrganisationName()},
-       {"route", this->route == nullptr ? "" : this->route->name},
-       {"service", this->chosenService},
-       {"outcome", std::string(ToName(aOutcome))},
-       {"cause", std::string(ToName(aCause))},
-       {"attempts", std::to_string(this->attemptNumber)},
-       {"age_ms", Milliseconds(SteadyClock().Now() - this->startedAt)},
-       {"left_ms", Milliseconds(this->deadline - SteadyClock().Now())},
-       {"config", std::to_string(this->context.config.Version())},
-       {"config_age_ms",
-        Milliseconds(this->context.config.Age(BootClock::now()))}});
-}
-
 }  // namespace fescueline
--- a/src/Mesh/EntryCall.h
+++ b/src/Mesh/EntryCall.h
@@ -6,10 +6,11 @@
 #include <string>
 #include <vector>
 
+#include "Mesh/EntryRequest.h"
 #include "Mesh/EntryService.h"
+#include "Mesh/RequestReporter.h"
 #include "Mesh/ResponseRelay.h"
 #include "Node/RunningAttempt.h"
-#include "Transport/RequestContext.h"
 
 namespace fescueline {
 
@@ -36,13 +37,8 @@
     uint32_t unspent = 0;
   };
 
-  /// Takes over what the request that makes this call has.
-  void Inherit(const RunningAttemptPtr& aParent);
   /// Finds the retries that the request may use; false if its parent ended.
   bool BeginBudget();
-  /// Checks route and key; false if the request was refused.
-  bool Route();
-  bool Authenticate();
   void AdmitByRate();
   void TryNext();
   void Send(MeshFleet::Choice aChoice);
@@ -67,44 +63,21 @@
   void OnCallerGone();
   void Refuse(Outcome aOutcome, Cause aCause, Duration aRetryAfter = {});
   void DeliverBuffered();
-  void CountServed();
-  /// Empty for a route that needs no key, and as long as the key is unknown.
-  std::string OrganisationName() const;
   void Finish();
-  Duration Remaining(TimePoint aNow) const { return this->deadline - aNow; }
-  void LogRepeat(Outcome aOutcome, Cause aCause) const;
-  void LogEnd(std::string_view aEvent, Outcome aOutcome, Cause aCause) const;
 
   EntryService& service;
   MeshContext& context;
   HttpExchangePtr exchange;
   /// Passes the response of the present attempt on.
   ResponseRelay response;
-  MeshConfigPtr config;
-  const MeshRoute* route = nullptr;
-  const MeshOrganisation* organisation = nullptr;
-  std::string requestId;
-  std::string target;
-  /// Service that the request goes to.
-  std::string chosenService;
+  EntryRequest request;
+  RequestReporter reporter;
   /// Request of the local target that makes this call; null for a caller's.
   RunningAttemptPtr parent;
   /// Number of the call at its parent.
   uint64_t callNumber = 0;
   /// Holder of the retries of the whole chain.
   RunningAttemptPtr budget;
-  /// Organisation for shares and thresholds; that of the root for a call.
-  std::string shareOf;
-  Id128 rootId;
-  uint32_t depth = 0;
-  /// Whether the request that makes this call runs as a repeat.
-  bool ofRepeat = false;
-  Importance importance = Importance::Normal;
-  std::string keyHash;
-  /// Headers for the target.
-  std::vector<HeaderWire> headers;
-  TimePoint startedAt;
-  TimePoint deadline;
   asio::steady_timer timer;
   /// Whether a token of the organisation's rate was spent.
   bool charged = false;
--- /dev/null
+++ b/src/Mesh/EntryRequest.cpp
@@ -0,0 +1,128 @@
+#include "Mesh/EntryRequest.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Mesh/CallerRequest.h"
+
+namespace fescueline {
+
+namespace {
+/// Taken off the deadline that targets get, for the way back.
+/// Longer than the period of the target's queue, so that the refusal of a
+/// request that expires there, which has not run, still arrives in time.
+constexpr Duration kReturnTime = std::chrono::milliseconds(15);
+/// Timeout of requests that state none.
+constexpr Duration kDefaultTimeout = std::chrono::seconds(10);
+}  // namespace
+
+EntryRequest::EntryRequest(const MeshContext& aContext, HttpRequest& aReceived)
+    : context(aContext),
+      received(aReceived),
+      config(aContext.config.Current()),
+      id(FindHeader(aReceived.headers, aContext.headers.requestId)
+             .value_or("")),
+      startedAt(SteadyClock().Now()) {}
+
+Cause EntryRequest::Classify() {
+  if (!this->config) {
+    return Cause::StaleKnowledge;
+  }
+  const HeaderVocabulary& names = this->context.headers;
+  this->deadline = this->startedAt + kDefaultTimeout;
+  if (const auto timeout = TimeoutOf(this->received.headers, names)) {
+    this->deadline = this->startedAt + *timeout;
+  }
+  Cause cause = this->FindRoute();
+  if (cause == Cause::None) {
+    cause = this->Authenticate();
+  }
+  if (cause != Cause::None) {
+    return cause;
+  }
+  this->importance =
+      this->config->ImportanceOf(*this->route, this->organisation);
+  this->rootId = Id128::Generate();
+  this->shareOf = this->OrganisationName();
+  this->headers = TargetHeaders(std::move(this->received.headers), names,
+                                this->context.settings.service, this->shareOf);
+  return Cause::None;
+}
+
+Cause EntryRequest::FindRoute() {
+  this->route = this->config->FindRoute(HostOf(this->received.headers),
+                                        PathOf(this->received.target));
+  if (this->route == nullptr) {
+    // A node that lags behind may not know the route yet.
+    return this->context.IsFresh() ? Cause::NoRoute : Cause::StaleKnowledge;
+  }
+  this->deadline =
+      std::min(this->deadline, this->startedAt + this->route->timeout);
+  return Cause::None;
+}
+
+Cause EntryRequest::Authenticate() {
+  if (this->route->open || !this->config->HasOrganisations()) {
+    return Cause::None;
+  }
+  if (!this->context.IsFresh()) {
+    return Cause::StaleKnowledge;
+  }
+  const auto key =
+      FindHeader(this->received.headers, this->context.headers.key);
+  if (!key || key->empty()) {
+    return Cause::NoKey;
+  }
+  this->organisation = this->config->FindByKey(std::string(*key));
+  if (this->organisation == nullptr) {
+    return Cause::UnknownKey;
+  }
+  this->keyHash = AsBytes(Sha256(*key));
+  return Cause::None;
+}
+
+void EntryRequest::Inherit(const RunningAttempt& aParent) {
+  const RequestContext& root = aParent.Context();
+  this->rootId = root.rootId;
+  this->shareOf = root.organisation;
+  this->importance = root.importance;
+  this->depth = root.depth + 1;
+  this->ofRepeat = root.repeated;
+  this->deadline = std::min(this->deadline, aParent.Deadline());
+}
+
+RequestFrame EntryRequest::Frame(const AttemptTerms& aTerms,
+                                 TimePoint aNow) const {
+  RequestContext sent;
+  sent.organisation = this->shareOf;
+  sent.keyHash = this->keyHash;
+  sent.rootId = this->rootId;
+  sent.depth = this->depth;
+  sent.repeated = this->ofRepeat || aTerms.repeated;
+  sent.attemptId = Id128::Generate();
+  sent.route = this->route->name;
+  sent.service = this->service;
+  sent.importance = this->importance;
+  sent.idempotent = this->route->idempotent;
+  sent.open = this->organisation == nullptr;
+  sent.remaining =
+      std::max(Duration::zero(), this->Remaining(aNow) - kReturnTime);
+  sent.age = aNow - this->startedAt;
+  sent.configVersion = this->config->Version();
+  return {.context = SignContext(sent, aTerms.fleetSecret),
+          .retries = aTerms.retries,
+          .method = this->received.method,
+          .target = this->received.target,
+          .headers = this->headers,
+          .body = this->received.body};
+}
+
+bool EntryRequest::IsCall() const {
+  return this->id.find('.') != std::string::npos && this->route->open;
+}
+
+std::string EntryRequest::OrganisationName() const {
+  return this->organisation == nullptr ? "" : this->organisation->name;
+}
+
+}  // namespace fescueline
