Move the steps of a planned stop out of MeshNode

Change: PlannedStop decides by the owner's clock when to leave and when to end. If a node ends although its row is still there, both new cases fail.

--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -18,10 +18,6 @@
 constexpr Duration kFleetPeriod = std::chrono::milliseconds(500);
 constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(300);
 constexpr Duration kStopPeriod = std::chrono::milliseconds(50);
-/// Callers learn from two questions, a second apart, that a node is not ready.
-constexpr Duration kCallersLeave = std::chrono::milliseconds(2600);
-/// Part of the stop limit that is left for the end itself.
-constexpr Duration kEndMargin = std::chrono::milliseconds(800);
 /// Rows of nodes that were silent for this long are removed. Longer than the
 /// outages that a node comes back from, since a removed node has to write
 /// its row again.
@@ -161,7 +157,18 @@
                            this->OnFleetRows(aRows, false);
                          },
                      .onConfirmed = [](BootTime) {},
-                     .gather = kFleetGather}) {
+                     .gather = kFleetGather}),
+      stop({.limit = [this] { return this->settings.stopLimit; },
+            .isIdle =
+                [this] {
+                  return this->entryService.Open() == 0 &&
+                         this->targetService.Open() == 0;
+                },
+            .leave =
+                [this](std::function<void()> aDone) {
+                  this->publisher.Leave(std::move(aDone));
+                },
+            .end = [this] { this->End(); }}) {
   this->Listen();
 }
 
@@ -272,7 +279,7 @@
 }
 
 bool MeshNode::IsReady() const {
-  return !this->stopping && this->config.Current() && this->wasFresh;
+  return !this->stop.HasBegun() && this->config.Current() && this->wasFresh;
 }
 
 void MeshNode::OnReadyRequest(const HttpExchangePtr& aExchange) {
@@ -415,7 +422,7 @@
 
 void MeshNode::ProbeTarget() {
   const MeshConfigPtr& now = this->config.Current();
-  if (!now || this->stopping || !this->target.IsUnheard()) {
+  if (!now || this->stop.HasBegun() || !this->target.IsUnheard()) {
     return;
   }
   if (const MeshService* service = now->FindService(this->settings.service)) {
@@ -435,7 +442,7 @@
 }
 
 void MeshNode::RemoveUnreachable() {
-  if (!this->fleetFollower.IsUp() || this->stopping) {
+  if (!this->fleetFollower.IsUp() || this->stop.HasBegun()) {
     return;
   }
   for (const StoredRow& row :
@@ -464,32 +471,15 @@
 }
 
 void MeshNode::Stop() {
-  if (this->stopping) {
+  if (!this->stop.Begin(SteadyClock().Now())) {
     return;
   }
-  this->stopping = true;
-  this->stopSince = SteadyClock().Now();
   Log(LogLevel::Info, "node stopping", {{"node", this->self.nodeId}});
   this->targetService.Stop();
   this->peerServer->PushState();
   this->callers->CloseAfterResponses();
   this->tokens.Release();
-  this->Every(kStopPeriod, [this] { this->TryEnd(this->stopSince); });
-}
-
-void MeshNode::TryEnd(TimePoint aStopSince) {
-  const Duration since = SteadyClock().Now() - aStopSince;
-  if (since >= kCallersLeave && !this->leaving) {
-    this->leaving = true;
-    this->publisher.Leave([this] { this->left = true; });
-  }
-  // Looked at after the row is gone: requests may arrive until the very end.
-  const bool idle =
-      this->entryService.Open() == 0 && this->targetService.Open() == 0;
-  const bool late = since >= this->settings.stopLimit - kEndMargin;
-  if (late || (idle && this->left)) {
-    this->End();
-  }
+  this->Every(kStopPeriod, [this] { this->stop.Tick(SteadyClock().Now()); });
 }
 
 void MeshNode::End() {
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -11,6 +11,7 @@
 #include "Mesh/MeshContext.h"
 #include "Mesh/MeshFleet.h"
 #include "Mesh/MeshPorts.h"
+#include "Mesh/PlannedStop.h"
 #include "Mesh/TableFollower.h"
 #include "Mesh/TargetProbe.h"
 #include "Mesh/TargetService.h"
@@ -60,7 +61,6 @@
   /// went silent.
   bool DoubtsMembers();
   void RemoveUnreachable();
-  void TryEnd(TimePoint aStopSince);
   void End();
   PeerServer::Handlers PeerHandlers();
 
@@ -83,18 +83,14 @@
   MemberPublisher publisher;
   TableFollower configFollower;
   TableFollower fleetFollower;
+  PlannedStop stop;
   std::unique_ptr<PeerServer> peerServer;
   std::unique_ptr<LoopHttpServer> callers;
   std::unique_ptr<LoopHttpServer> ready;
   std::unique_ptr<LoopHttpServer> reports;
-  bool stopping = false;
-  /// Whether the removal of this node's row was sent, and has ended.
-  bool leaving = false;
-  bool left = false;
   /// Whether the configuration was ever fresh in this process.
   bool wasFresh = false;
   bool lastReady = false;
-  TimePoint stopSince{};
 };
 
 }  // namespace fescueline
--- /dev/null
+++ b/tests/Mesh/PlannedStopTest.cpp
@@ -0,0 +1,80 @@
+#include <doctest/doctest.h>
+
+#include "Mesh/PlannedStop.h"
+
+using namespace fescueline;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A stop, and the node as it sees it.
+struct StoppingNode {
+  /// Lets the time pass in the steps of a node's loop.
+  void Run(Duration aTime) {
+    for (const TimePoint end = this->clock.now + aTime;
+         this->clock.now < end && !this->ended;) {
+      this->clock.Advance(50ms);
+      this->stop.Tick(this->clock.Now());
+    }
+  }
+
+  ManualClock clock;
+  Duration limit = 20s;
+  bool idle = true;
+  std::function<void()> onLeft;
+  size_t leaves = 0;
+  bool ended = false;
+  PlannedStop stop{{.limit = [this] { return this->limit; },
+                    .isIdle = [this] { return this->idle; },
+                    .leave =
+                        [this](std::function<void()> aDone) {
+                          ++this->leaves;
+                          this->onLeft = std::move(aDone);
+                        },
+                    .end = [this] { this->ended = true; }}};
+};
+
+}  // namespace
+
+// Guards against a node that is gone while callers still send to it, and
+// against one that ends with requests in flight.
+TEST_CASE("a stopping node leaves behind its callers and ends when idle") {
+  StoppingNode node;
+  node.Run(5s);
+  CHECK(node.leaves == 0);
+  REQUIRE(node.stop.Begin(node.clock.Now()));
+  CHECK_FALSE(node.stop.Begin(node.clock.Now()));
+  node.Run(2500ms);
+  CHECK(node.leaves == 0);
+  node.Run(5s);
+  CHECK(node.leaves == 1);
+  // The row is still there.
+  CHECK_FALSE(node.ended);
+  node.idle = false;
+  node.onLeft();
+  node.Run(5s);
+  CHECK_FALSE(node.ended);
+  node.idle = true;
+  node.Run(50ms);
+  CHECK(node.ended);
+  CHECK(node.leaves == 1);
+}
+
+// Guards against a node that never ends because of one request or of a store
+// that does not answer, and is killed.
+TEST_CASE("a stopping node ends before its time is up") {
+  for (const bool idle : {true, false}) {
+    CAPTURE(idle);
+    StoppingNode node;
+    node.idle = idle;
+    REQUIRE(node.stop.Begin(node.clock.Now()));
+    node.Run(10s);
+    CHECK_FALSE(node.ended);
+    // Shortened by a reload.
+    node.limit = 15s;
+    node.Run(4100ms);
+    CHECK_FALSE(node.ended);
+    node.Run(200ms);
+    CHECK(node.ended);
+  }
+}
