Keep one copy of the entry node and of member rows in the tests

Cause: TargetPath.h and EntryCallTest.cpp built the same entry node; MeshFleetStateTest.cpp wrote the same row three times. Change: EntrySide.h and MemberRows.h; no check is changed.

--- a/tests/Mesh/EntryCallTest.cpp
+++ b/tests/Mesh/EntryCallTest.cpp
@@ -6,9 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "Http1/LoopHttpServer.h"
 #include "Http1/LoopPeer.h"
-#include "Mesh/EntryService.h"
+#include "Mesh/EntrySide.h"
 #include "Transport/PeerServer.h"
 
 using namespace fescueline;
@@ -107,28 +106,16 @@
                  const std::string& aRequest =
                      "GET /x HTTP/1.1\r\nHost: h\r\nX-Id: a\r\n\r\n")
       : first(this->io, "n1", aScript), second(this->io, "n2", aScript) {
-    this->config.Apply("any");
-    uint64_t version = 0;
-    for (ScriptedNode* node : {&this->first, &this->second}) {
-      const std::string name = node == &this->first ? "n1" : "n2";
-      const MeshMember member{.node = name,
-                              .incarnation = Id128::Generate(),
-                              .dataCentre = "d1",
-                              .region = "r1",
-                              .service = "fees",
-                              .peers = {"127.0.0.1", node->server.Port()}};
-      this->fleet.OnChanges({{.key = std::string(kMeshMemberPrefix) + name,
-                              .value = EncodeMeshMember(member),
-                              .version = ++version}});
-    }
-    REQUIRE(RunUntil(this->io,
-                     [this] { return this->fleet.UsableTargets() == 2; }));
-    this->callers.Start();
-    this->caller.Connect(this->callers.Port());
+    this->entry.AddMember("n1", this->first.server.Port());
+    this->entry.AddMember("n2", this->second.server.Port());
+    REQUIRE(RunUntil(
+        this->io, [this] { return this->entry.fleet.UsableTargets() == 2; }));
+    this->entry.callers.Start();
+    this->caller.Connect(this->entry.callers.Port());
     this->caller.Send(aRequest);
   }
   ~World() {
-    this->fleet.CloseAll();
+    this->entry.fleet.CloseAll();
     RunUntil(
         this->io, [] { return false; }, 50ms);
   }
@@ -136,7 +123,7 @@
   /// Whether the metrics page has such a line.
   bool HasMetric(const std::string& aName, const std::string& aLabel,
                  const std::string& aValue) const {
-    std::istringstream page(this->metrics.Page());
+    std::istringstream page(this->entry.metrics.Page());
     for (std::string line; std::getline(page, line);) {
       if (line.starts_with(aName) && line.ends_with(" " + aValue) &&
           line.find(aLabel) != std::string::npos) {
@@ -157,40 +144,12 @@
   }
 
   asio::io_context io{1};
-  MeshSettings settings{.node = "n0", .fleetSecret = "secret"};
-  HeaderVocabulary names{.requestId = "x-id", .timeout = "x-timeout"};
-  ConfigHolder config{OpenRoute};
-  Metrics metrics;
-  ThresholdTable thresholds{{}, 1};
-  RunningRequests running;
-  MeshContext context{.io = this->io,
-                      .settings = this->settings,
-                      .headers = this->names,
-                      .config = this->config,
-                      .metrics = this->metrics,
-                      .thresholds = this->thresholds,
-                      .running = this->running};
   ScriptedNode first;
   ScriptedNode second;
-  MeshFleet fleet{
-      {.io = this->io,
-       .self = {"n0", Id128::Generate(), "secret"},
-       .table = {.dataCentre = "d1", .region = "r1"},
-       .picker = {},
-       .onState = [](const std::string&, const StateWire&) {},
-       .onPong = [](const std::string&, const StateWire&, TimePoint) {},
-       .onMessage = [](const std::string&, const DecodedFrame&) {}}};
-  GrantHolder grants{GrantSettings{},
-                     [](const std::string&, uint32_t) { return false; }, [] {}};
-  EntryService service{{.context = this->context,
-                        .fleet = this->fleet,
-                        .grants = this->grants,
-                        .fleetSecret = "secret"}};
-  LoopHttpServer callers{{.io = this->io,
-                          .host = "127.0.0.1",
-                          .onRequest = [this](HttpExchangePtr aExchange) {
-                            this->service.OnRequest(std::move(aExchange));
-                          }}};
+  EntrySide entry{this->io,
+                  {.node = "n0", .fleetSecret = "secret"},
+                  {.requestId = "x-id", .timeout = "x-timeout"},
+                  OpenRoute};
   RawPeer caller{this->io};
 };
 
--- a/tests/Mesh/MeshFleetStateTest.cpp
+++ b/tests/Mesh/MeshFleetStateTest.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "Http1/LoopPeer.h"
+#include "Mesh/MemberRows.h"
 #include "Mesh/MeshFleet.h"
 #include "Transport/PeerServer.h"
 
@@ -49,15 +50,8 @@
 
   Fixture() {
     this->server.Start();
-    const MeshMember member{.node = "n1",
-                            .incarnation = Id128::Generate(),
-                            .dataCentre = "d1",
-                            .region = "r1",
-                            .service = "fees",
-                            .peers = {"127.0.0.1", this->server.Port()}};
-    this->fleet.OnChanges({{.key = std::string(kMeshMemberPrefix) + "n1",
-                            .value = EncodeMeshMember(member),
-                            .version = 1}});
+    this->fleet.OnChanges(
+        {MemberRow(LocalMember("n1", this->server.Port()), 1)});
     REQUIRE(RunUntil(this->io, [this] { return this->pongs > 0; }));
   }
   ~Fixture() {
@@ -121,9 +115,7 @@
                           .incarnation = Id128::Generate(),
                           .service = "fees",
                           .peers = {"127.0.0.1", port}};
-  fixture.fleet.OnChanges({{.key = std::string(kMeshMemberPrefix) + "n2",
-                            .value = EncodeMeshMember(member),
-                            .version = 2}});
+  fixture.fleet.OnChanges({MemberRow(member, 2)});
   RunUntil(
       fixture.io, [] { return false; }, 30ms);
   fixture.second = std::make_unique<PeerServer>(PeerServer::Settings{
@@ -147,22 +139,13 @@
   Fixture fixture;
   const auto client = fixture.fleet.ClientOf("n1");
   REQUIRE(client);
-  MeshMember member{.node = "n1",
-                    .incarnation = fixture.incarnation,
-                    .dataCentre = "d1",
-                    .region = "r1",
-                    .service = "fees",
-                    .peers = {"127.0.0.1", fixture.server.Port()}};
-  const auto apply = [&](uint64_t aVersion) {
-    fixture.fleet.OnChanges({{.key = std::string(kMeshMemberPrefix) + "n1",
-                              .value = EncodeMeshMember(member),
-                              .version = aVersion}});
-  };
-  apply(2);
+  MeshMember member = LocalMember("n1", fixture.server.Port());
+  member.incarnation = fixture.incarnation;
+  fixture.fleet.OnChanges({MemberRow(member, 2)});
   CHECK(fixture.fleet.ClientOf("n1") == client);
   // Another process at that address takes a connection of its own.
   member.incarnation = Id128::Generate();
-  apply(3);
+  fixture.fleet.OnChanges({MemberRow(member, 3)});
   CHECK(fixture.fleet.ClientOf("n1") != client);
 }
 
@@ -177,9 +160,7 @@
                           .incarnation = Id128::Generate(),
                           .service = "fees",
                           .peers = {"127.0.0.1", dark.local_endpoint().port()}};
-  fixture.fleet.OnChanges({{.key = std::string(kMeshMemberPrefix) + "n2",
-                            .value = EncodeMeshMember(member),
-                            .version = 2}});
+  fixture.fleet.OnChanges({MemberRow(member, 2)});
   const auto first = fixture.fleet.ClientOf("n2");
   fixture.fleet.OnPeerUp("n2");
   CHECK(fixture.fleet.ClientOf("n2") == first);
--- a/tests/Mesh/TargetPath.h
+++ b/tests/Mesh/TargetPath.h
@@ -10,10 +10,9 @@
 #include <utility>
 #include <vector>
 
-#include "Http1/LoopHttpServer.h"
 #include "Http1/LoopPeer.h"
 #include "Log/Log.h"
-#include "Mesh/EntryService.h"
+#include "Mesh/EntrySide.h"
 #include "Mesh/TargetService.h"
 #include "Transport/PeerServer.h"
 
@@ -163,7 +162,6 @@
   explicit TargetPath(OnRequest aOnRequest) : onRequest(std::move(aOnRequest)) {
     DisableLog();
     this->Accept();
-    this->config.Apply("any");
     this->target.OnReport({.id = "t1",
                            .startedAt = 1,
                            .sequence = 1,
@@ -172,21 +170,13 @@
                           SteadyClock().Now());
     this->targets.OnTargetChanged();
     this->peers.Start();
-    const MeshMember member{.node = "n1",
-                            .incarnation = Id128::Generate(),
-                            .dataCentre = "d1",
-                            .region = "r1",
-                            .service = "fees",
-                            .peers = {"127.0.0.1", this->peers.Port()}};
-    this->fleet.OnChanges({{.key = std::string(kMeshMemberPrefix) + "n1",
-                            .value = EncodeMeshMember(member),
-                            .version = 1}});
-    REQUIRE(RunPromptly(this->io,
-                        [this] { return this->fleet.UsableTargets() == 1; }));
-    this->callers.Start();
+    this->entry.AddMember("n1", this->peers.Port());
+    REQUIRE(RunPromptly(
+        this->io, [this] { return this->entry.fleet.UsableTargets() == 1; }));
+    this->entry.callers.Start();
   }
   ~TargetPath() {
-    this->fleet.CloseAll();
+    this->entry.fleet.CloseAll();
     this->peers.CloseSessions("end of the test");
     RunPromptly(
         this->io, [] { return false; }, std::chrono::milliseconds(50));
@@ -205,7 +195,7 @@
   /// A connection of a caller, which lives as long as the path.
   RawPeer& NewCaller() {
     RawPeer& caller = this->callerPeers.emplace_back(this->io);
-    caller.Connect(this->callers.Port());
+    caller.Connect(this->entry.callers.Port());
     return caller;
   }
   /// Requests that are queued or run at the target's node.
@@ -253,32 +243,23 @@
   std::deque<RawPeer> callerPeers;
   asio::ip::tcp::acceptor acceptor{this->io,
                                    {asio::ip::make_address("127.0.0.1"), 0}};
-  MeshSettings settings{
-      .node = "n0",
-      .service = "fees",
-      .target = {"127.0.0.1", this->acceptor.local_endpoint().port()},
-      .fleetSecret = "secret"};
-  HeaderVocabulary names{.requestId = "X-Id",
-                         .timeout = "X-Timeout",
-                         .key = "X-Key",
-                         .organisation = "X-Organisation",
-                         .callerService = "X-Caller",
-                         .expectedTarget = "X-Target",
-                         .notRun = "X-Not-Run"};
-  ConfigHolder config{Routes};
-  Metrics metrics;
-  ThresholdTable thresholds{{}, 1};
-  RunningRequests running;
-  MeshContext context{.io = this->io,
-                      .settings = this->settings,
-                      .headers = this->names,
-                      .config = this->config,
-                      .metrics = this->metrics,
-                      .thresholds = this->thresholds,
-                      .running = this->running};
+  EntrySide entry{
+      this->io,
+      {.node = "n0",
+       .service = "fees",
+       .target = {"127.0.0.1", this->acceptor.local_endpoint().port()},
+       .fleetSecret = "secret"},
+      {.requestId = "X-Id",
+       .timeout = "X-Timeout",
+       .key = "X-Key",
+       .organisation = "X-Organisation",
+       .callerService = "X-Caller",
+       .expectedTarget = "X-Target",
+       .notRun = "X-Not-Run"},
+      Routes};
   LocalTargetState target{
       {.service = "fees", .silentAfter = std::chrono::minutes(5)}};
-  TargetService targets{{.context = this->context,
+  TargetService targets{{.context = this->entry.context,
                          .target = this->target,
                          .fleetSecret = "secret"}};
   PeerServer peers{
@@ -310,25 +291,6 @@
                           this->targets.OnClosed(aSession);
                         },
                     .state = [this] { return this->targets.State(); }}}};
-  MeshFleet fleet{
-      {.io = this->io,
-       .self = {"n0", Id128::Generate(), "secret"},
-       .table = {.dataCentre = "d1", .region = "r1"},
-       .picker = {},
-       .onState = [](const std::string&, const StateWire&) {},
-       .onPong = [](const std::string&, const StateWire&, TimePoint) {},
-       .onMessage = [](const std::string&, const DecodedFrame&) {}}};
-  GrantHolder grants{GrantSettings{},
-                     [](const std::string&, uint32_t) { return false; }, [] {}};
-  EntryService service{{.context = this->context,
-                        .fleet = this->fleet,
-                        .grants = this->grants,
-                        .fleetSecret = "secret"}};
-  LoopHttpServer callers{{.io = this->io,
-                          .host = "127.0.0.1",
-                          .onRequest = [this](HttpExchangePtr aExchange) {
-                            this->service.OnRequest(std::move(aExchange));
-                          }}};
 };
 
 }  // namespace fescueline::test
