Keep one copy of requests with an identity in the tests

Cause: KeptConnectionTest.cpp and UnnamedResponseTest.cpp made the same request. Change: IdentifiedRequest.h; no check is changed.

--- /dev/null
+++ b/tests/Transport/IdentifiedRequest.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+
+#include "Transport/HttpClient.h"
+#include "Transport/ScriptedPeer.h"
+
+namespace fescueline::test {
+
+/// Header by which a server's responses are told apart.
+constexpr const char* kIdentity = "x-attempt";
+
+/// A request whose response must carry its identity or none.
+inline HttpTransferRequest IdentifiedRequest(const ScriptedPeer& aServer,
+                                             const std::string& aId) {
+  return {.url = aServer.Url("/" + aId),
+          .headers = {{kIdentity, aId}},
+          .timeout = std::chrono::seconds(2),
+          .identity = HttpHeader{kIdentity, aId}};
+}
+
+}  // namespace fescueline::test
--- a/tests/Transport/KeptConnectionTest.cpp
+++ b/tests/Transport/KeptConnectionTest.cpp
@@ -3,14 +3,12 @@
 #include <vector>
 
 #include "Transport/HttpFixtures.h"
-#include "Transport/ScriptedPeer.h"
+#include "Transport/IdentifiedRequest.h"
 
 using namespace fescueline;
 using namespace fescueline::test;
 
 namespace {
-constexpr const char* kIdentity = "x-attempt";
-
 /// How a server frames its responses.
 enum class Framing : uint8_t { Length, Chunked, NoBody };
 
@@ -31,14 +29,6 @@
   }
   return {};
 }
-
-HttpTransferRequest RequestOf(const ScriptedPeer& aServer,
-                              const std::string& aId) {
-  return {.url = aServer.Url("/" + aId),
-          .headers = {{kIdentity, aId}},
-          .timeout = std::chrono::seconds(2),
-          .identity = HttpHeader{kIdentity, aId}};
-}
 }  // namespace
 
 // Guards against a response that a server writes once more, at once or late,
@@ -81,8 +71,8 @@
         aTurn.Send(own);
       });
       HttpClient client;
-      CHECK(Fetch(client, RequestOf(server, "one")).result.whole);
-      const Answer second = Fetch(client, RequestOf(server, "two"));
+      CHECK(Fetch(client, IdentifiedRequest(server, "one")).result.whole);
+      const Answer second = Fetch(client, IdentifiedRequest(server, "two"));
       CAPTURE(second.status);
       CAPTURE(second.body);
       CAPTURE(second.result.error);
@@ -118,7 +108,8 @@
     });
     HttpClient client;
     for (size_t i = 0; i < kRequests; ++i) {
-      HttpTransferRequest request = RequestOf(server, "n" + std::to_string(i));
+      HttpTransferRequest request =
+          IdentifiedRequest(server, "n" + std::to_string(i));
       if (!row.identity) {
         request.identity.reset();
       }
@@ -150,7 +141,7 @@
                  "Content-Length: 1\r\n\r\nx");
     });
     HttpClient client;
-    const Answer answer = Fetch(client, RequestOf(server, "mine"));
+    const Answer answer = Fetch(client, IdentifiedRequest(server, "mine"));
     CHECK(answer.result.whole == row.whole);
     CHECK(answer.status == (row.whole ? 200 : 0));
     CHECK(answer.result.mayHaveBeenSent);
--- a/tests/Transport/UnnamedResponseTest.cpp
+++ b/tests/Transport/UnnamedResponseTest.cpp
@@ -3,26 +3,16 @@
 #include <vector>
 
 #include "Transport/HttpFixtures.h"
-#include "Transport/ScriptedPeer.h"
+#include "Transport/IdentifiedRequest.h"
 
 using namespace fescueline;
 using namespace fescueline::test;
 
 namespace {
-constexpr const char* kIdentity = "x-attempt";
-
 std::string OwnResponse(const std::string& aId) {
   return "HTTP/1.1 200 OK\r\nX-Attempt: " + aId + "\r\nX-Of: " + aId +
          "\r\nContent-Length: 3\r\n\r\n" + aId;
 }
-
-HttpTransferRequest RequestOf(const ScriptedPeer& aServer,
-                              const std::string& aId) {
-  return {.url = aServer.Url("/" + aId),
-          .headers = {{kIdentity, aId}},
-          .timeout = std::chrono::seconds(2),
-          .identity = HttpHeader{kIdentity, aId}};
-}
 }  // namespace
 
 // Guards against a response, or the beginning of one, that names no
@@ -46,8 +36,8 @@
                  OwnResponse(aTurn.Header(kIdentity)));
     });
     HttpClient client;
-    CHECK(Fetch(client, RequestOf(server, "one")).result.whole);
-    const Answer second = Fetch(client, RequestOf(server, "two"));
+    CHECK(Fetch(client, IdentifiedRequest(server, "one")).result.whole);
+    const Answer second = Fetch(client, IdentifiedRequest(server, "two"));
     CHECK(server.Connections() == 1);
     CAPTURE(second.status);
     CAPTURE(second.body);
