--- a/tests/Http1/LoopHttpServerTest.cpp
+++ b/tests/Http1/LoopHttpServerTest.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr const char* kRequest = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+
 /// A server that keeps the exchanges for the test to answer.
 struct Listener {
   explicit Listener(const CallerLimits& aLimits = {})
@@ -23,6 +25,12 @@
     this->server.Start();
   }
 
+  /// Lets a caller connect and send a request, which arrives.
+  void Receive(RawPeer& aCaller, const std::string& aRequest = kRequest) {
+    aCaller.Connect(this->server.Port());
+    aCaller.Send(aRequest);
+    REQUIRE(this->WaitExchanges(1));
+  }
   bool WaitExchanges(size_t aCount) {
     return RunUntil(this->io, [&] { return this->exchanges.size() >= aCount; });
   }
@@ -38,10 +46,8 @@
 TEST_CASE("requests of one connection are answered one after the other") {
   Listener listener;
   RawPeer caller(listener.io);
-  caller.Connect(listener.server.Port());
-  caller.Send(
-      "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
-  REQUIRE(listener.WaitExchanges(1));
+  listener.Receive(
+      caller, std::string(kRequest) + "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
   RunUntil(
       listener.io, [] { return false; }, 20ms);
   CHECK(listener.exchanges.size() == 1);
@@ -60,9 +66,7 @@
     CAPTURE(reset);
     Listener listener;
     RawPeer caller(listener.io);
-    caller.Connect(listener.server.Port());
-    caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
-    REQUIRE(listener.WaitExchanges(1));
+    listener.Receive(caller);
     bool aborted = false;
     listener.exchanges[0]->OnAbort([&aborted] { aborted = true; });
     reset ? caller.Reset() : caller.Close();
@@ -77,9 +81,7 @@
 TEST_CASE("a stream that breaks off ends without its end mark") {
   Listener listener;
   RawPeer caller(listener.io);
-  caller.Connect(listener.server.Port());
-  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
-  REQUIRE(listener.WaitExchanges(1));
+  listener.Receive(caller);
   bool written = false;
   listener.exchanges[0]->StartStream(200, {}, std::nullopt);
   listener.exchanges[0]->Write("part", [&written] { written = true; });
@@ -140,9 +142,7 @@
 TEST_CASE("a stopping server closes connections with their responses") {
   Listener listener;
   RawPeer caller(listener.io);
-  caller.Connect(listener.server.Port());
-  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
-  REQUIRE(listener.WaitExchanges(1));
+  listener.Receive(caller);
   listener.server.CloseAfterResponses();
   listener.exchanges[0]->Respond({.status = 200, .body = "last"});
   REQUIRE(RunUntil(listener.io, [&] { return caller.closed; }));
@@ -154,9 +154,7 @@
 /// Begins a streamed response to a request and waits for its first part.
 void Begin(Listener& aListener, RawPeer& aCaller, const std::string& aRequest,
            std::optional<uint64_t> aLength) {
-  aCaller.Connect(aListener.server.Port());
-  aCaller.Send(aRequest);
-  REQUIRE(aListener.WaitExchanges(1));
+  aListener.Receive(aCaller, aRequest);
   aListener.exchanges[0]->StartStream(200, {}, aLength);
   bool written = false;
   aListener.exchanges[0]->Write("part", [&written] { written = true; });
@@ -215,7 +213,7 @@
     CAPTURE(row.what);
     Listener listener;
     RawPeer caller(listener.io);
-    Begin(listener, caller, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", row.length);
+    Begin(listener, caller, kRequest, row.length);
     row.use(*listener.exchanges[0]);
     CHECK(RunUntil(
         listener.io, [&] { return caller.closed; }, 1000ms));
@@ -227,7 +225,7 @@
 TEST_CASE("an empty part does not end a response") {
   Listener listener;
   RawPeer caller(listener.io);
-  Begin(listener, caller, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", std::nullopt);
+  Begin(listener, caller, kRequest, std::nullopt);
   bool taken = false;
   listener.exchanges[0]->Write("", [&taken] { taken = true; });
   CHECK(RunUntil(listener.io, [&taken] { return taken; }));
@@ -246,7 +244,7 @@
 TEST_CASE("a response that is dropped half way breaks off") {
   Listener listener;
   RawPeer caller(listener.io);
-  Begin(listener, caller, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", std::nullopt);
+  Begin(listener, caller, kRequest, std::nullopt);
   listener.exchanges.clear();
   CHECK(RunUntil(
       listener.io, [&] { return caller.closed; }, 1000ms));
@@ -258,9 +256,7 @@
 TEST_CASE("nothing follows the end of a response") {
   Listener listener;
   RawPeer caller(listener.io);
-  caller.Connect(listener.server.Port());
-  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
-  REQUIRE(listener.WaitExchanges(1));
+  listener.Receive(caller);
   HttpExchange& first = *listener.exchanges[0];
   first.Respond({.status = 200, .body = "one"});
   // Not written yet: the exchange is still the present one.
@@ -293,9 +289,7 @@
       CAPTURE(streamed);
       Listener listener;
       RawPeer caller(listener.io);
-      caller.Connect(listener.server.Port());
-      caller.Send(row.method + " /1 HTTP/1.1\r\nHost: h\r\n\r\n");
-      REQUIRE(listener.WaitExchanges(1));
+      listener.Receive(caller, row.method + " /1 HTTP/1.1\r\nHost: h\r\n\r\n");
       if (streamed) {
         listener.exchanges[0]->StartStream(row.status, {}, 4);
         listener.exchanges[0]->Write("part", {});
--- a/tests/Http1/LoopPeer.h
+++ b/tests/Http1/LoopPeer.h
@@ -6,6 +6,8 @@
 #include <memory>
 #include <string>
 
+#include "Transport/Sockets.h"
+
 namespace fescueline::test {
 
 /// Calls aStep until the condition holds; false after the limit.
@@ -75,15 +77,9 @@
     asio::async_write(this->socket, asio::buffer(*bytes),
                       [bytes](const asio::error_code&, size_t) {});
   }
-  void Close() {
-    asio::error_code ignored;
-    this->socket.close(ignored);
-  }
+  void Close() { CloseSocket(this->socket); }
   /// Closes so that the other side sees a reset.
-  void Reset() {
-    this->socket.set_option(asio::socket_base::linger(true, 0));
-    this->Close();
-  }
+  void Reset() { ResetSocket(this->socket); }
 
   std::string received;
   bool accepted = false;
--- a/tests/Mesh/CutResponseTest.cpp
+++ b/tests/Mesh/CutResponseTest.cpp
@@ -78,6 +78,15 @@
   return aRequest.substr(at, aRequest.find("\r\n", at) - at);
 }
 
+/// Writes the beginning of a response and ends the connection.
+void SendCut(TargetConnection& aConnection, const std::string& aResponse,
+             size_t aCut, bool aReset) {
+  aConnection.Send(aResponse.substr(0, aCut),
+                   [self = aConnection.shared_from_this(), aReset] {
+                     aReset ? self->Reset() : self->Close();
+                   });
+}
+
 }  // namespace
 
 // Pattern: a target stops at any byte of its response and ends the connection,
@@ -92,10 +101,7 @@
       size_t cut = 0;
       TargetPath path(
           [&](TargetConnection& aConnection, const std::string& aRequest) {
-            const auto self = aConnection.shared_from_this();
-            aConnection.Send(
-                BytesOf(row, IdOf(aRequest)).substr(0, cut),
-                [self, reset] { reset ? self->Reset() : self->Close(); });
+            SendCut(aConnection, BytesOf(row, IdOf(aRequest)), cut, reset);
           });
       RawPeer& caller = path.NewCaller();
       const size_t size = BytesOf(row, "r100").size();
@@ -172,10 +178,7 @@
       size_t cut = 0;
       TargetPath path(
           [&](TargetConnection& aConnection, const std::string& aRequest) {
-            const auto self = aConnection.shared_from_this();
-            aConnection.Send(
-                LongResponse(row, IdOf(aRequest)).substr(0, cut),
-                [self, reset] { reset ? self->Reset() : self->Close(); });
+            SendCut(aConnection, LongResponse(row, IdOf(aRequest)), cut, reset);
           });
       const size_t size = LongResponse(row, "r1").size();
       for (const size_t at :
--- a/tests/Mesh/TargetPath.h
+++ b/tests/Mesh/TargetPath.h
@@ -15,6 +15,7 @@
 #include "Mesh/EntrySide.h"
 #include "Mesh/TargetService.h"
 #include "Transport/PeerServer.h"
+#include "Transport/Sockets.h"
 
 namespace fescueline::test {
 
@@ -56,15 +57,9 @@
       });
     });
   }
-  void Close() {
-    asio::error_code ignored;
-    this->socket.close(ignored);
-  }
+  void Close() { CloseSocket(this->socket); }
   /// Closes so that the other side sees a reset.
-  void Reset() {
-    this->socket.set_option(asio::socket_base::linger(true, 0));
-    this->Close();
-  }
+  void Reset() { ResetSocket(this->socket); }
 
   /// Whether the node has closed.
   bool closed = false;
@@ -226,17 +221,12 @@
   }
 
   void Accept() {
-    this->acceptor.async_accept(
-        [this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
-          if (aError) {
-            return;
-          }
-          aSocket.set_option(asio::ip::tcp::no_delay(true));
-          this->connections.push_back(
-              std::make_shared<TargetConnection>(std::move(aSocket)));
-          this->connections.back()->Serve(this->onRequest);
-          this->Accept();
-        });
+    AcceptEach(this->acceptor, [this](asio::ip::tcp::socket aSocket) {
+      aSocket.set_option(asio::ip::tcp::no_delay(true));
+      this->connections.push_back(
+          std::make_shared<TargetConnection>(std::move(aSocket)));
+      this->connections.back()->Serve(this->onRequest);
+    });
   }
 
   OnRequest onRequest;
--- a/tests/Platform/ScriptedServer.h
+++ b/tests/Platform/ScriptedServer.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <thread>
 
+#include "Transport/Sockets.h"
+
 namespace fescueline::test {
 
 /// Sends fixed bytes on each connection as soon as a whole request head has
@@ -31,20 +33,12 @@
 
  private:
   void Run() {
-    this->Accept();
+    AcceptEach(this->acceptor, [this](asio::ip::tcp::socket aSocket) {
+      this->Serve(std::move(aSocket));
+    });
     this->context.run();
   }
 
-  void Accept() {
-    this->acceptor.async_accept(
-        [this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
-          if (!aError) {
-            this->Serve(std::move(aSocket));
-            this->Accept();
-          }
-        });
-  }
-
   void Serve(asio::ip::tcp::socket aSocket) {
     asio::error_code error;
     std::string head;
--- a/tests/Transport/EndlessServer.h
+++ b/tests/Transport/EndlessServer.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <utility>
 
+#include "Transport/Sockets.h"
+
 namespace fescueline::test {
 
 /// Answers the first request of each connection with a begin and then the same
@@ -16,7 +18,9 @@
       : acceptor(aIo, {asio::ip::address_v4::loopback(), 0}),
         begin(std::move(aBegin)),
         text(std::move(aText)) {
-    this->Accept();
+    AcceptEach(this->acceptor, [this](asio::ip::tcp::socket aSocket) {
+      this->Serve(std::make_shared<asio::ip::tcp::socket>(std::move(aSocket)));
+    });
   }
   EndlessServer(const EndlessServer&) = delete;
 
@@ -31,23 +35,14 @@
  private:
   using SocketPtr = std::shared_ptr<asio::ip::tcp::socket>;
 
-  void Accept() {
-    this->acceptor.async_accept(
-        [this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
-          if (aError) {
-            return;
+  void Serve(const SocketPtr& aSocket) {
+    const auto head = std::make_shared<std::string>();
+    asio::async_read_until(
+        *aSocket, asio::dynamic_buffer(*head), "\r\n\r\n",
+        [this, aSocket, head](const asio::error_code& aError, size_t) {
+          if (!aError) {
+            this->Write(aSocket, this->begin);
           }
-          const auto socket =
-              std::make_shared<asio::ip::tcp::socket>(std::move(aSocket));
-          const auto head = std::make_shared<std::string>();
-          asio::async_read_until(
-              *socket, asio::dynamic_buffer(*head), "\r\n\r\n",
-              [this, socket, head](const asio::error_code& aError, size_t) {
-                if (!aError) {
-                  this->Write(socket, this->begin);
-                }
-              });
-          this->Accept();
         });
   }
 
--- a/tests/Transport/ScriptedPeer.h
+++ b/tests/Transport/ScriptedPeer.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "Transport/HttpMessage.h"
+#include "Transport/Sockets.h"
 
 namespace fescueline::test {
 
@@ -39,11 +40,7 @@
       this->socket.close(ignored);
     }
     /// Closes so that the client sees a reset.
-    void Reset() const {
-      asio::error_code ignored;
-      this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-      this->socket.close(ignored);
-    }
+    void Reset() const { ResetSocket(this->socket); }
     /// Value of a header; empty if there is none.
     std::string Header(std::string_view aName) const {
       size_t at = this->head.find("\r\n");
@@ -101,26 +98,17 @@
   };
 
   void Run() {
-    this->Accept();
+    AcceptEach(this->acceptor, [this](asio::ip::tcp::socket aSocket) {
+      Connection& connection =
+          this->connections.emplace_back(std::move(aSocket), std::thread());
+      connection.thread =
+          std::thread([this, &connection, number = this->accepted++] {
+            this->Serve(connection.socket, number);
+          });
+    });
     this->context.run();
   }
 
-  void Accept() {
-    this->acceptor.async_accept(
-        [this](const asio::error_code& aError, asio::ip::tcp::socket aSocket) {
-          if (aError) {
-            return;
-          }
-          Connection& connection =
-              this->connections.emplace_back(std::move(aSocket), std::thread());
-          connection.thread =
-              std::thread([this, &connection, number = this->accepted++] {
-                this->Serve(connection.socket, number);
-              });
-          this->Accept();
-        });
-  }
-
   void Serve(asio::ip::tcp::socket& aSocket, size_t aNumber) {
     std::string bytes;
     asio::error_code error;
