Bound skipped responses by one set of constants

Cause: HttpReader's defaults of 16 responses and 16 MiB served only a test; the connection set 4 and 1 MiB. Change: the defaults are those of the connection, which sets none. The test checks the exact number that is taken, by count and by bytes; it took a range before (4 to 39 responses, 20 to 199 interim ones) and none of its rows met the bound on bytes. With 16 and 16 MiB five rows of the new table fail; the old one passed.

--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -10,13 +10,6 @@
 namespace fescueline {
 
 namespace {
-/// Responses to other requests that one may have to wait through. Each answers
-/// an earlier request of the connection that its server answered twice.
-constexpr size_t kMaxSkipped = 4;
-/// Body bytes of such responses; as long as the longest body that is held for a
-/// caller. More may never end.
-constexpr uint64_t kMaxSkippedBytes = uint64_t{1} << 20;
-
 /// Whether the end of a response that answers another request is certain. It
 /// is not if that request may have been a HEAD, if the body ends with the
 /// connection, or if a length contradicts the status.
@@ -54,8 +47,6 @@
       connectTimer(aIo),
       reader({.kind = HttpReaderKind::Response,
               .maxHeadBytes = size_t{64} * 1024,
-              .maxSkipped = kMaxSkipped,
-              .maxSkippedBytes = kMaxSkippedBytes,
               .events = this->ReaderEvents()}),
       onUnasked(std::move(aOnUnasked)) {}
 
--- a/src/Http1/HttpReader.h
+++ b/src/Http1/HttpReader.h
@@ -61,13 +61,13 @@
     /// Most interim responses before a final one. A server that reports its
     /// progress every few seconds sends fewer within any deadline.
     size_t maxInterim = 100;
-    /// Most responses that are skipped before one is accepted. A connection
-    /// carries one request at a time, so that only a few can come late.
-    size_t maxSkipped = 16;
+    /// Most responses that are skipped before one is accepted. Each answers an
+    /// earlier request of the connection that its server answered twice.
+    size_t maxSkipped = 4;
     /// Most body bytes of skipped responses, which are read to get past them:
-    /// one long response costs less than a new connection and request, and a
-    /// body without end must not take the processor from other requests.
-    uint64_t maxSkippedBytes = uint64_t{16} << 20;
+    /// as long as the longest body that is held for a caller. More may never
+    /// end, and must not take the processor from other requests.
+    uint64_t maxSkippedBytes = uint64_t{1} << 20;
     Events events;
   };
 
--- a/tests/Http1/HttpReaderTest.cpp
+++ b/tests/Http1/HttpReaderTest.cpp
@@ -363,20 +363,23 @@
 // without end. Guards against work for a response that never comes.
 TEST_CASE("responses before the expected one are bounded") {
   const std::string interim = "HTTP/1.1 102 X\r\n\r\n";
-  const std::string other =
-      "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1000000\r\n\r\n" +
-      std::string(1'000'000, 'x');
+  const auto other = [](size_t aLength) {
+    return "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: " +
+           std::to_string(aLength) + "\r\n\r\n" + std::string(aLength, 'x');
+  };
   struct Case {
     std::string what;
     std::string bytes;
+    /// How many may come before the expected one; another is refused.
     size_t taken;
-    size_t refused;
   };
   for (const Case& row : std::vector<Case>{
-           {"interim responses", interim, 20, 200},
-           {"responses of other requests", other, 4, 40},
-           {"empty ones of other requests",
-            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 4, 40}}) {
+           {"interim responses", interim, 100},
+           {"responses of other requests", other(250'000), 4},
+           {"empty ones of other requests", other(0), 4},
+           {"long ones of other requests", other(600'000), 1},
+           {"the longest one of another request", other(size_t{1} << 20), 1},
+           {"one that is longer", other((size_t{1} << 20) + 1), 0}}) {
     CAPTURE(row.what);
     bool accepts = false;
     bool accepted = false;
@@ -403,12 +406,11 @@
     }
     size_t fed = 0;
     try {
-      for (; fed < row.refused; ++fed) {
+      for (; fed <= row.taken; ++fed) {
         reader.Feed(row.bytes);
       }
     } catch (const Error&) {
     }
-    CHECK(fed >= row.taken);
-    CHECK(fed < row.refused);
+    CHECK(fed == row.taken);
   }
 }
