Remove the connections that are taken for no request in particular

Cause: ConnectionPool::Acquire served only tests and the stand-in; targets are asked on connections taken for an identifier. Change: tests and the stand-in use AcquireFor, with an identifier for each request. The empty identifier has no meaning of its own any more.

--- a/src/Http1/ConnectionPool.cpp
+++ b/src/Http1/ConnectionPool.cpp
@@ -32,8 +32,7 @@
     return this->IsUsable(*aConnection, aMaxRest, now);
   };
   const auto fits = [&](const ConnectionPtr& aConnection) {
-    return usable(aConnection) &&
-           (aRequestId.empty() || !aConnection->Carried().Contains(aRequestId));
+    return usable(aConnection) && !aConnection->Carried().Contains(aRequestId);
   };
   const auto found =
       std::find_if(this->resting.rbegin(), this->resting.rend(), fits);
@@ -51,14 +50,6 @@
   return nullptr;
 }
 
-void ConnectionPool::Acquire(Duration aMaxRest, const Done& aDone) {
-  if (ConnectionPtr connection = this->TakeResting({}, aMaxRest)) {
-    aDone(std::move(connection), {});
-    return;
-  }
-  this->AcquireNew(aDone);
-}
-
 void ConnectionPool::AcquireFor(std::string_view aRequestId, Duration aMaxRest,
                                 const Done& aDone) {
   if (ConnectionPtr connection = this->TakeResting(aRequestId, aMaxRest)) {
--- a/src/Http1/ConnectionPool.h
+++ b/src/Http1/ConnectionPool.h
@@ -41,11 +41,10 @@
   using Done = std::function<void(ConnectionPtr, const std::string&)>;
 
   /// Hands out a connection that rested for aMaxRest at most, or a new one;
-  /// null with the error if that can't be made.
-  void Acquire(Duration aMaxRest, const Done& aDone);
-  /// The same, but never one that has carried a request with this identifier:
-  /// a late copy of that response could not be told from the next one. If only
-  /// such rest, the new connection replaces one of them.
+  /// null with the error if that can't be made. Never one that has carried a
+  /// request with this identifier: a late copy of that response could not be
+  /// told from the next one. If only such rest, the new connection replaces
+  /// one of them.
   void AcquireFor(std::string_view aRequestId, Duration aMaxRest,
                   const Done& aDone);
   /// Hands out a connection that has carried nothing.
--- a/tests/Http1/HttpClientConnectionTest.cpp
+++ b/tests/Http1/HttpClientConnectionTest.cpp
@@ -320,14 +320,16 @@
   asio::ip::tcp::acceptor acceptor(io,
                                    {asio::ip::make_address("127.0.0.1"), 0});
   ConnectionPool pool({.io = io, .peer = acceptor.local_endpoint()});
+  size_t requests = 0;
   const auto acquire = [&](Duration aMaxRest) {
     ConnectionPool::ConnectionPtr taken;
     bool done = false;
-    pool.Acquire(aMaxRest, [&](ConnectionPool::ConnectionPtr aConnection,
-                               const std::string&) {
-      taken = std::move(aConnection);
-      done = true;
-    });
+    pool.AcquireFor(
+        std::to_string(++requests), aMaxRest,
+        [&](ConnectionPool::ConnectionPtr aConnection, const std::string&) {
+          taken = std::move(aConnection);
+          done = true;
+        });
     REQUIRE(RunUntil(io, [&] { return done; }));
     return taken;
   };
@@ -351,19 +353,13 @@
 struct PoolWorld {
   PoolWorld() : acceptor(this->io, {asio::ip::make_address("127.0.0.1"), 0}) {}
 
-  /// The connection that the pool hands out for a request; empty for none in
-  /// particular.
+  /// The connection that the pool hands out for a request.
   ConnectionPool::ConnectionPtr Take(const std::string& aId) {
     ConnectionPool::ConnectionPtr taken;
-    const auto done = [&taken](ConnectionPool::ConnectionPtr aConnection,
-                               const std::string&) {
-      taken = std::move(aConnection);
-    };
-    if (aId.empty()) {
-      this->pool.Acquire(1s, done);
-    } else {
-      this->pool.AcquireFor(aId, 1s, done);
-    }
+    this->pool.AcquireFor(
+        aId, 1s,
+        [&taken](ConnectionPool::ConnectionPtr aConnection,
+                 const std::string&) { taken = std::move(aConnection); });
     REQUIRE(RunUntil(this->io, [&] { return taken != nullptr; }));
     return taken;
   }
@@ -380,7 +376,7 @@
 // earlier response may still come.
 TEST_CASE("a new connection is handed out although others rest") {
   PoolWorld world;
-  const auto first = world.Take("");
+  const auto first = world.Take("a");
   world.pool.Release(first);
   ConnectionPool::ConnectionPtr taken;
   world.pool.AcquireNew(
@@ -430,12 +426,13 @@
 // they were in use, or being made, when it changed.
 TEST_CASE("a connection to a former server does not return to the pool") {
   PoolWorld world;
-  const auto resting = world.Take("");
-  const auto inUse = world.Take("");
+  const auto resting = world.Take("a");
+  const auto inUse = world.Take("b");
   ConnectionPool::ConnectionPtr pending;
-  world.pool.Acquire(
-      1s, [&pending](ConnectionPool::ConnectionPtr aConnection,
-                     const std::string&) { pending = std::move(aConnection); });
+  world.pool.AcquireFor(
+      "c", 1s,
+      [&pending](ConnectionPool::ConnectionPtr aConnection,
+                 const std::string&) { pending = std::move(aConnection); });
   world.pool.Release(resting);
   world.pool.Clear();
   CHECK_FALSE(resting->IsOpen());
@@ -444,9 +441,9 @@
     world.pool.Release(former);
     CHECK_FALSE(former->IsOpen());
   }
-  const auto fresh = world.Take("");
+  const auto fresh = world.Take("d");
   world.pool.Release(fresh);
-  CHECK(world.Take("") == fresh);
+  CHECK(world.Take("e") == fresh);
 }
 
 // Guards against a target that is gone holding up its callers.
@@ -461,10 +458,11 @@
   ConnectionPool pool(
       {.io = io, .peer = {asio::ip::make_address("127.0.0.1"), port}});
   std::string error;
-  pool.Acquire(1s, [&](const ConnectionPool::ConnectionPtr& aConnection,
-                       const std::string& aError) {
-    CHECK(aConnection == nullptr);
-    error = aError;
-  });
+  pool.AcquireFor("a", 1s,
+                  [&](const ConnectionPool::ConnectionPtr& aConnection,
+                      const std::string& aError) {
+                    CHECK(aConnection == nullptr);
+                    error = aError;
+                  });
   CHECK(RunUntil(io, [&] { return !error.empty(); }));
 }
--- a/tools/PlatformStandIn/PlatformTarget.cpp
+++ b/tools/PlatformStandIn/PlatformTarget.cpp
@@ -32,34 +32,35 @@
 }
 
 /// Sends one request and tells the status of its answer, 0 if there is none.
-void Fetch(ConnectionPool& aPool, std::string aBytes,
+/// Others on its connection have other identifiers.
+void Fetch(ConnectionPool& aPool, std::string_view aId, std::string aBytes,
            std::function<void(int)> aDone) {
-  aPool.Acquire(Duration::max(),
-                [&aPool, bytes = std::move(aBytes), done = std::move(aDone)](
-                    const ConnectionPool::ConnectionPtr& aConnection,
-                    const std::string&) {
-                  if (!aConnection) {
-                    done(0);
-                    return;
-                  }
-                  const auto status = std::make_shared<int>(0);
-                  aConnection->Send(
-                      bytes, false,
-                      {.onHead =
-                           [status](const HttpHead& aHead) {
-                             *status = aHead.status;
-                             return ResponseVerdict::Accept;
-                           },
-                       .onBody = {},
-                       .onDone =
-                           [&aPool, aConnection, status,
-                            done](const ClientExchangeResult& aResult) {
-                             if (aResult.reusable) {
-                               aPool.Release(aConnection);
-                             }
-                             done(aResult.whole ? *status : 0);
-                           }});
-                });
+  aPool.AcquireFor(aId, Duration::max(),
+                   [&aPool, bytes = std::move(aBytes), done = std::move(aDone)](
+                       const ConnectionPool::ConnectionPtr& aConnection,
+                       const std::string&) {
+                     if (!aConnection) {
+                       done(0);
+                       return;
+                     }
+                     const auto status = std::make_shared<int>(0);
+                     aConnection->Send(
+                         bytes, false,
+                         {.onHead =
+                              [status](const HttpHead& aHead) {
+                                *status = aHead.status;
+                                return ResponseVerdict::Accept;
+                              },
+                          .onBody = {},
+                          .onDone =
+                              [&aPool, aConnection, status,
+                               done](const ClientExchangeResult& aResult) {
+                                if (aResult.reusable) {
+                                  aPool.Release(aConnection);
+                                }
+                                done(aResult.whole ? *status : 0);
+                              }});
+                   });
 }
 }  // namespace
 
@@ -119,7 +120,7 @@
         {"cold-left-ms", 0}}}}.dump();
   const bool drains = this->draining;
   const uint64_t process = this->startedAt;
-  Fetch(*this->reportPool,
+  Fetch(*this->reportPool, fmt::format("{}.{}", this->id, this->sequence),
         WriteRequestHead("POST", "/v1/Instances.Heartbeat/" + this->id,
                          {{"Host", "node"}}, {.length = body.size()}) +
             body,
@@ -196,7 +197,7 @@
   }
   const std::string child = fmt::format(
       "{}.{:x}", Header(aExchange->Request(), "X-Request-Id"), ++this->calls);
-  Fetch(*this->callPool,
+  Fetch(*this->callPool, child,
         WriteRequestHead(
             "GET", this->settings.callPath,
             {{"Host", this->settings.callHost}, {"X-Request-Id", child}}, {}),
