Pass "not run" of a target on only where the target keeps it

Cause: 408, 429 and 503 of a target were passed on unchanged although only its not-executed field, or a 421, says that it did not run the request. And such a refusal was believed after the run had made calls through this node, where the target may only pass on what it was told of one of them. The caller of a request that may run only once was told to send it again.

Change: both become outcome unknown (502 of our own) at the target's node: the first for requests that may run only once, as a safe request's promise breaks nothing; the second for all, as it counts as a run for repeats too. Log line `response does not match` with its status, faults `undeclared` and `contradicted`. How the target is judged is unchanged and tested.

--- a/src/Http1/ResponseFault.h
+++ b/src/Http1/ResponseFault.h
@@ -26,12 +26,17 @@
   /// The response ended before the request was written.
   Early,
   /// Bytes came while no request waited.
-  Unasked
+  Unasked,
+  /// The status promises that the request has not run, and the server does not
+  /// say so.
+  Undeclared,
+  /// The server says that it did not run a request which has run.
+  Contradicted
 };
 
 template <>
 struct EnumNames<ResponseFault> {
-  static constexpr std::array<EnumName<ResponseFault>, 9> kNames{
+  static constexpr std::array<EnumName<ResponseFault>, 11> kNames{
       {{ResponseFault::None, "none"},
        {ResponseFault::OtherRequest, "other-request"},
        {ResponseFault::NoId, "no-id"},
@@ -40,7 +45,9 @@
        {ResponseFault::Unframed, "unframed"},
        {ResponseFault::Surplus, "surplus"},
        {ResponseFault::Early, "early"},
-       {ResponseFault::Unasked, "unasked"}}};
+       {ResponseFault::Unasked, "unasked"},
+       {ResponseFault::Undeclared, "undeclared"},
+       {ResponseFault::Contradicted, "contradicted"}}};
 };
 
 }  // namespace fescueline
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -25,8 +25,18 @@
 /// be used again: more costs more than a new connection, and a body without end
 /// would take the processor from other requests until the deadline.
 constexpr uint64_t kMaxUnwantedBody = uint64_t{1} << 20;
+constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerError = 500;
+constexpr int kUnavailable = 503;
+
+/// Whether callers take the status for a promise that the request has not run
+/// and never will.
+bool PromisesNotRun(int aStatus) {
+  return aStatus == kRequestTimeout || aStatus == kMisdirected ||
+         aStatus == kTooManyRequests || aStatus == kUnavailable;
+}
 }  // namespace
 
 TargetAttempt::TargetAttempt(TargetService& aService,
@@ -174,7 +184,10 @@
   this->status = aHead.status;
   this->declaredNotRun = FindHeader(aHead.headers, names.notRun).has_value() ||
                          aHead.status == kMisdirected;
-  if (this->declaredNotRun || this->abandoned) {
+  // Callers of a request that may be repeated send it again in any case.
+  this->undeclaredNotRun = !this->declaredNotRun && !this->context.idempotent &&
+                           PromisesNotRun(aHead.status);
+  if (this->declaredNotRun || this->undeclaredNotRun || this->abandoned) {
     return ResponseVerdict::Accept;
   }
   RemoveHopByHopHeaders(aHead.headers);
@@ -235,6 +248,17 @@
   }
 }
 
+ResponseFault TargetAttempt::FaultOfRefusal() const {
+  if (this->undeclaredNotRun) {
+    return ResponseFault::Undeclared;
+  }
+  // A run that made calls has run in part; the target may pass on what it was
+  // told of one of them.
+  return this->declaredNotRun && this->hasChildCalls
+             ? ResponseFault::Contradicted
+             : ResponseFault::None;
+}
+
 void TargetAttempt::JudgeTarget(const ClientExchangeResult& aResult) {
   const bool ownEnd = this->abandoned || SteadyClock().Now() >= this->deadline;
   if (!aResult.whole) {
@@ -264,6 +288,16 @@
   } else {
     this->connection->Close("not kept");
   }
+  const ResponseFault fault = this->FaultOfRefusal();
+  if (fault != ResponseFault::None) {
+    this->service.ReportFault({.fault = fault,
+                               .request = this->requestId,
+                               .usedBefore = this->connection->UsedBefore(),
+                               .status = this->status});
+    this->Fail(Outcome::Unknown, Cause::TargetFailed, {},
+               fmt::format("status {}", this->status));
+    return;
+  }
   if (this->declaredNotRun) {
     this->Fail(
         Outcome::NotRun,
--- a/src/Mesh/TargetAttempt.h
+++ b/src/Mesh/TargetAttempt.h
@@ -45,6 +45,9 @@
   void OnUnwanted(std::string_view aPart);
   void OnDone(const ClientExchangeResult& aResult);
 
+  /// Why a response that promises "not run" is not believed; None if it is, or
+  /// if it promises nothing.
+  ResponseFault FaultOfRefusal() const;
   /// Counts whether the target itself failed the request.
   void JudgeTarget(const ClientExchangeResult& aResult);
 
@@ -68,6 +71,8 @@
   asio::steady_timer timer;
   /// Whether the target says that it did not run the request.
   bool declaredNotRun = false;
+  /// Whether only the status says so, of a request that may run only once.
+  bool undeclaredNotRun = false;
   bool headSent = false;
   /// Whether the run made calls, so that a failure may come from them.
   bool hasChildCalls = false;
--- a/src/Mesh/TargetService.cpp
+++ b/src/Mesh/TargetService.cpp
@@ -67,6 +67,8 @@
       {{"fault", std::string(fault)},
        {"request", std::string(aReport.request)},
        {"answered", std::string(aReport.answered.substr(0, kMaxLoggedId))},
+       {"status",
+        aReport.status == 0 ? std::string() : std::to_string(aReport.status)},
        {"target", this->dependencies.target.Id()},
        {"used_before", aReport.usedBefore ? "yes" : "no"}});
 }
--- a/src/Mesh/TargetService.h
+++ b/src/Mesh/TargetService.h
@@ -68,6 +68,8 @@
     std::string_view answered;
     /// Whether the connection had carried another request.
     bool usedBefore = false;
+    /// Status of the response; 0 if it is of no account.
+    int status = 0;
   };
 
   /// Counts and logs a response that did not match.
--- /dev/null
+++ b/tests/Mesh/NotRunPromiseTest.cpp
@@ -0,0 +1,237 @@
+#include <fmt/format.h>
+
+#include "Mesh/TargetPath.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Statuses that promise a caller that its request has not run and never will.
+const std::vector<int> kPromises = {408, 421, 429, 503};
+
+std::string IdOf(const std::string& aRequest) {
+  const size_t at = aRequest.find("X-Id: ") + 6;
+  return aRequest.substr(at, aRequest.find("\r\n", at) - at);
+}
+
+std::string Response(int aStatus, const std::string& aId,
+                     const std::string& aFields = {}) {
+  const std::string body = "of " + aId;
+  return fmt::format(
+      "HTTP/1.1 {} X\r\nX-Id: {}\r\nX-Mark: target\r\n{}Content-Length: {}"
+      "\r\n\r\n{}",
+      aStatus, aId, aFields, body.size(), body);
+}
+
+/// Sends a request and waits for the response.
+SeenResponse Call(TargetPath& aPath, RawPeer& aCaller,
+                  const std::string& aRequest) {
+  aCaller.received.clear();
+  aCaller.Send(aRequest);
+  SeenResponse seen;
+  REQUIRE(RunPromptly(aPath.io, [&] {
+    seen = SeenResponse::Of(aCaller.received, false, aCaller.closed);
+    return seen.whole;
+  }));
+  return seen;
+}
+
+}  // namespace
+
+// Pattern: a target answers with a status that promises callers "not run", but
+// does not say that it did not run the request. Guards against a caller that
+// repeats a request which may run only once and has run.
+TEST_CASE(
+    "an undeclared refusal promises nothing to a request that runs once") {
+  for (const int status : {408, 429, 503}) {
+    for (const size_t cut : {size_t{0}, size_t{3}}) {
+      CAPTURE(status);
+      CAPTURE(cut);
+      TargetPath path(
+          [&](TargetConnection& aConnection, const std::string& aRequest) {
+            const std::string bytes = Response(status, IdOf(aRequest));
+            const auto self = aConnection.shared_from_this();
+            aConnection.Send(bytes.substr(0, bytes.size() - cut), [self, cut] {
+              if (cut > 0) {
+                self->Close();
+              }
+            });
+          });
+      RawPeer& caller = path.NewCaller();
+      const SeenResponse once =
+          Call(path, caller, TargetPath::Request("GET", "/once/", "r1"));
+      CHECK(once.status == 502);
+      CHECK(Contains(caller.received, "X-Id: r1\r\n"));
+      CHECK_FALSE(Contains(caller.received, "X-Mark"));
+      CHECK(path.CountsFault(ResponseFault::Undeclared));
+      if (cut == 0) {
+        const SeenResponse safe =
+            Call(path, caller, TargetPath::Request("GET", "/safe/", "r2"));
+        CHECK(safe.status == status);
+        CHECK(safe.body == "of r2");
+        CHECK(Contains(caller.received, "X-Mark: target\r\n"));
+      }
+      CHECK(path.Open() == 0);
+    }
+  }
+}
+
+// Guards against a refusal that a target declares and that is not believed, and
+// against any other status that is replaced.
+TEST_CASE("what a target declares and all other statuses reach the caller") {
+  struct Row {
+    int status;
+    std::string fields;
+    int expected;
+  };
+  for (const Row& row : std::vector<Row>{{503, "X-Not-Run: 1\r\n", 503},
+                                         {429, "X-Not-Run: 1\r\n", 503},
+                                         {408, "X-Not-Run: 1\r\n", 503},
+                                         {421, "X-Not-Run: 1\r\n", 503},
+                                         {421, "", 503},
+                                         {200, "", 200},
+                                         {400, "", 400},
+                                         {409, "", 409},
+                                         {425, "", 425},
+                                         {500, "", 500},
+                                         {502, "", 502},
+                                         {504, "", 504}}) {
+    CAPTURE(row.status);
+    CAPTURE(row.fields);
+    TargetPath path(
+        [&row](TargetConnection& aConnection, const std::string& aRequest) {
+          aConnection.Send(Response(row.status, IdOf(aRequest), row.fields));
+        });
+    RawPeer& caller = path.NewCaller();
+    const SeenResponse seen =
+        Call(path, caller, TargetPath::Request("GET", "/once/", "r"));
+    CHECK(seen.status == row.expected);
+    CHECK_FALSE(path.CountsFault(ResponseFault::Undeclared));
+    CHECK_FALSE(path.CountsFault(ResponseFault::Contradicted));
+  }
+}
+
+namespace {
+/// A target whose runs of requests without a dot make a call and then answer
+/// as they are told.
+class CallingTarget {
+ public:
+  /// aOfCall and aOfRequest answer a call and the request that makes it.
+  CallingTarget(std::function<std::string(const std::string& aId)> aOfCall,
+                std::function<std::string(const std::string& aId)> aOfRequest,
+                std::string aCallPath = "/once/")
+      : ofCall(std::move(aOfCall)),
+        ofRequest(std::move(aOfRequest)),
+        callPath(std::move(aCallPath)) {}
+
+  /// Status that the call got; 0 before.
+  int CallStatus() const {
+    return this->calls == nullptr ||
+                   !SeenResponse::Of(this->calls->received, false, false).whole
+               ? 0
+               : SeenResponse::Of(this->calls->received, false, false).status;
+  }
+
+  SeenResponse Request(const std::string& aPath) {
+    RawPeer& caller = this->path.NewCaller();
+    caller.Send(TargetPath::Request("GET", aPath, "r", "X-Timeout: 2000\r\n"));
+    REQUIRE(
+        RunPromptly(this->path.io, [this] { return this->CallStatus() != 0; }));
+    this->connection->Send(this->ofRequest("r"));
+    SeenResponse seen;
+    REQUIRE(RunPromptly(this->path.io, [&] {
+      seen = SeenResponse::Of(caller.received, false, false);
+      return seen.whole;
+    }));
+    return seen;
+  }
+
+  /// Requests and calls that have arrived at the target.
+  size_t runs = 0;
+
+ private:
+  std::function<std::string(const std::string&)> ofCall;
+  std::function<std::string(const std::string&)> ofRequest;
+  std::string callPath;
+  std::shared_ptr<TargetConnection> connection;
+  RawPeer* calls = nullptr;
+
+ public:
+  TargetPath path{
+      [this](TargetConnection& aConnection, const std::string& aRequest) {
+        const std::string id = IdOf(aRequest);
+        ++this->runs;
+        if (id != "r") {
+          aConnection.Send(this->ofCall(id));
+          return;
+        }
+        this->connection = aConnection.shared_from_this();
+        this->calls = &this->path.NewCaller();
+        this->calls->Send(TargetPath::Request("GET", this->callPath, "r.1"));
+      }};
+};
+}  // namespace
+
+// Pattern: a target makes a call for a request and then says that it did not
+// run the request. Guards against "not run" for a request that has run in part.
+TEST_CASE("a refusal after a call of the run is not believed") {
+  for (const int status : kPromises) {
+    for (const char* route : {"/once/", "/safe/"}) {
+      CAPTURE(status);
+      CAPTURE(std::string(route));
+      CallingTarget target(
+          [](const std::string& aId) { return Response(200, aId); },
+          [status](const std::string& aId) {
+            return Response(status, aId,
+                            status == 421 ? "" : "X-Not-Run: 1\r\n");
+          });
+      const SeenResponse seen = target.Request(route);
+      CHECK(target.CallStatus() == 200);
+      CHECK(seen.status == 502);
+      CHECK(target.path.CountsFault(ResponseFault::Contradicted));
+      CHECK(target.runs == 2);
+      // A rejection within the slots still counts against the target.
+      CHECK(target.path.Failing() > 0);
+    }
+  }
+}
+
+// Pattern: the caller of a request is another target, and passes what it got
+// on. Guards against "not run" for a call that may have run, and for the
+// request that made it.
+TEST_CASE("calls of targets get the same promises") {
+  for (const int status : {408, 429, 503}) {
+    for (const bool safe : {false, true}) {
+      CAPTURE(status);
+      CAPTURE(safe);
+      CallingTarget target(
+          [status](const std::string& aId) { return Response(status, aId); },
+          [status](const std::string& aId) { return Response(status, aId); },
+          safe ? "/safe/" : "/once/");
+      const SeenResponse seen = target.Request("/once/");
+      CHECK(target.CallStatus() == (safe ? status : 502));
+      CHECK(seen.status == 502);
+      CHECK(target.runs == 2);
+    }
+  }
+}
+
+// Guards against a judgement of the target that changes with what its caller is
+// told: errors of runs without calls count, refusals for a full rate do not.
+TEST_CASE("an undeclared refusal counts against the target as before") {
+  for (const int status : {408, 429, 503}) {
+    for (const char* route : {"/once/", "/safe/"}) {
+      CAPTURE(status);
+      CAPTURE(std::string(route));
+      TargetPath path(
+          [status](TargetConnection& aConnection, const std::string& aRequest) {
+            aConnection.Send(Response(status, IdOf(aRequest)));
+          });
+      RawPeer& caller = path.NewCaller();
+      Call(path, caller, TargetPath::Request("GET", route, "r"));
+      CHECK((path.Failing() > 0) == (status == 503));
+    }
+  }
+}
--- a/tests/Mesh/TargetPath.h
+++ b/tests/Mesh/TargetPath.h
@@ -210,6 +210,13 @@
   }
   /// Requests that are queued or run at the target's node.
   size_t Open() const { return this->targets.Open(); }
+  /// Whether the target's node counts responses with that fault.
+  bool CountsFault(ResponseFault aFault) const {
+    return Contains(this->metrics.Page(),
+                    "fault=\"" + std::string(ToName(aFault)) + "\"");
+  }
+  /// Share of the requests that the target failed by itself, as peers learn it.
+  uint32_t Failing() const { return this->targets.State().failing; }
 
   asio::io_context io{1};
   /// Whether the frame of each request arrives twice.
