Break off a response that is begun again within its body

Cause: a target that stops within a body and writes the whole response once more fills the stated length, or a chunk, with bytes of both. A held response counted as whole, a streamed one went out.

Change: RepeatedHeadScanner finds a status line followed, within one head, by the request's own identifier; TargetAttempt then ends the attempt as broken (fault `repeated`). A head that the end of the body cuts is looked for in the bytes behind it, which came in the same read. The last part of a body with a length is sent only after that, so that a streamed one lacks its end. Quoted messages of others, and heads of requests, pass.

--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -164,7 +164,7 @@
     if (aError == asio::error::eof && this->busy && this->accepted &&
         this->reader.FinishAtEof()) {
       this->keepAlive = false;
-      this->EndExchange(0);
+      this->EndExchange({});
     }
     this->Close("read: " + aError.message());
     return;
@@ -182,7 +182,7 @@
       }
       bytes.remove_prefix(this->reader.Feed(bytes));
       if (this->complete) {
-        this->EndExchange(bytes.size());
+        this->EndExchange(bytes);
         break;
       }
       if (!this->giveUpReason.empty()) {
@@ -229,10 +229,10 @@
   return false;
 }
 
-void HttpClientConnection::EndExchange(size_t aSurplus) {
+void HttpClientConnection::EndExchange(std::string_view aSurplus) {
   this->complete = false;
   this->restingSince = SteadyClock().Now();
-  if (aSurplus > 0) {
+  if (!aSurplus.empty()) {
     // Belongs to no request, and the next one must not get it.
     this->fault = ResponseFault::Surplus;
   } else if (this->writing) {
@@ -246,6 +246,7 @@
                             this->skipped == 0 &&
                             this->fault == ResponseFault::None,
                 .fault = this->fault,
+                .surplus = aSurplus,
                 .error = {}});
 }
 
@@ -261,6 +262,7 @@
                   .sent = this->sent,
                   .reusable = false,
                   .fault = this->fault,
+                  .surplus = {},
                   .error = aReason});
   }
 }
--- a/src/Http1/HttpClientConnection.h
+++ b/src/Http1/HttpClientConnection.h
@@ -23,6 +23,8 @@
   /// Why the connection was closed although its server keeps it; None if
   /// onHead said so.
   ResponseFault fault = ResponseFault::None;
+  /// Bytes right behind the response; valid during onDone.
+  std::string_view surplus;
   /// What went wrong; empty if nothing did.
   std::string error;
 };
@@ -78,8 +80,8 @@
  private:
   HttpReader::Events ReaderEvents();
   bool OnHead(HttpHead aHead);
-  /// Ends the exchange behind a whole response; aSurplus bytes follow it.
-  void EndExchange(size_t aSurplus);
+  /// Ends the exchange behind a whole response; aSurplus follows it.
+  void EndExchange(std::string_view aSurplus);
   void Read();
   void OnRead(const asio::error_code& aError, std::string_view aBytes);
   void Finish(const ClientExchangeResult& aResult);
--- a/src/Http1/ResponseFault.h
+++ b/src/Http1/ResponseFault.h
@@ -27,6 +27,8 @@
   Early,
   /// Bytes came while no request waited.
   Unasked,
+  /// The response holds another one to the same request.
+  Repeated,
   /// The status promises that the request has not run, and the server does not
   /// say so.
   Undeclared,
@@ -36,7 +38,7 @@
 
 template <>
 struct EnumNames<ResponseFault> {
-  static constexpr std::array<EnumName<ResponseFault>, 11> kNames{
+  static constexpr std::array<EnumName<ResponseFault>, 12> kNames{
       {{ResponseFault::None, "none"},
        {ResponseFault::OtherRequest, "other-request"},
        {ResponseFault::NoId, "no-id"},
@@ -46,6 +48,7 @@
        {ResponseFault::Surplus, "surplus"},
        {ResponseFault::Early, "early"},
        {ResponseFault::Unasked, "unasked"},
+       {ResponseFault::Repeated, "repeated"},
        {ResponseFault::Undeclared, "undeclared"},
        {ResponseFault::Contradicted, "contradicted"}}};
 };
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -25,6 +25,7 @@
 /// be used again: more costs more than a new connection, and a body without end
 /// would take the processor from other requests until the deadline.
 constexpr uint64_t kMaxUnwantedBody = uint64_t{1} << 20;
+constexpr std::string_view kRepeatedReason = "begun again within its body";
 constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
 constexpr int kTooManyRequests = 429;
@@ -182,6 +183,10 @@
     return match.verdict;
   }
   this->status = aHead.status;
+  this->bodyLeft = aHead.length;
+  if (!this->requestId.empty()) {
+    this->scanner.emplace(names.requestId, this->requestId);
+  }
   this->declaredNotRun = FindHeader(aHead.headers, names.notRun).has_value() ||
                          aHead.status == kMisdirected;
   // Callers of a request that may be repeated send it again in any case.
@@ -206,33 +211,62 @@
 }
 
 void TargetAttempt::OnBody(std::string_view aPart) {
-  if (!this->headSent || this->abandoned) {
+  if (this->abandoned) {
+    this->OnUnwanted(aPart);
+    return;
+  }
+  if (this->IsRepeated()) {
+    return;
+  }
+  if (this->scanner) {
+    this->scanner->Scan(aPart);
+    if (this->IsRepeated()) {
+      this->CloseSoon(std::string(kRepeatedReason));
+      return;
+    }
+  }
+  if (!this->headSent) {
     this->OnUnwanted(aPart);
     return;
   }
   this->credit -= static_cast<int64_t>(aPart.size());
+  if (this->bodyLeft) {
+    *this->bodyLeft -= std::min<uint64_t>(*this->bodyLeft, aPart.size());
+    if (*this->bodyLeft == 0) {
+      // The exchange ends in the same event.
+      this->lastPart = aPart;
+      return;
+    }
+  }
+  this->SendBody(aPart);
+  if (this->credit <= 0) {
+    this->connection->SetPaused(true);
+  }
+}
+
+void TargetAttempt::SendBody(std::string_view aPart) {
   while (!aPart.empty()) {
     const std::string_view part = aPart.substr(0, kMaxDataBytes);
     this->session->Send(ResponseDataFrame{.stream = this->frame.stream,
                                           .data = std::string(part)});
     aPart.remove_prefix(part.size());
   }
-  if (this->credit <= 0) {
-    this->connection->SetPaused(true);
-  }
 }
 
 void TargetAttempt::OnUnwanted(std::string_view aPart) {
   this->unwanted += aPart.size();
-  if (this->unwanted <= kMaxUnwantedBody) {
-    return;
+  if (this->unwanted > kMaxUnwantedBody) {
+    this->CloseSoon("body that nobody wants");
   }
+}
+
+void TargetAttempt::CloseSoon(const std::string& aReason) {
   this->connection->SetPaused(true);
   // Not from within the event of the connection that it ends.
   asio::post(this->service.dependencies.context.io,
-             [self = this->shared_from_this()] {
+             [self = this->shared_from_this(), aReason] {
                if (self->state == State::Running) {
-                 self->connection->Close("body that nobody wants");
+                 self->connection->Close(aReason);
                }
              });
 }
@@ -248,6 +282,21 @@
   }
 }
 
+void TargetAttempt::ScanSurplus(std::string_view aSurplus) {
+  if (this->scanner) {
+    this->scanner->ScanBehind(aSurplus);
+  }
+}
+
+void TargetAttempt::ReportFault(ResponseFault aFault) {
+  if (aFault != ResponseFault::None) {
+    this->service.ReportFault({.fault = aFault,
+                               .request = this->requestId,
+                               .usedBefore = this->connection->UsedBefore(),
+                               .status = this->status});
+  }
+}
+
 ResponseFault TargetAttempt::FaultOfRefusal() const {
   if (this->undeclaredNotRun) {
     return ResponseFault::Undeclared;
@@ -259,9 +308,9 @@
              : ResponseFault::None;
 }
 
-void TargetAttempt::JudgeTarget(const ClientExchangeResult& aResult) {
+void TargetAttempt::JudgeTarget(bool aWhole) {
   const bool ownEnd = this->abandoned || SteadyClock().Now() >= this->deadline;
-  if (!aResult.whole) {
+  if (!aWhole) {
     // A connection that this node closed says nothing about the target.
     if (!ownEnd) {
       this->service.failures.Count(true);
@@ -277,23 +326,21 @@
   if (this->state != State::Running) {
     return;
   }
-  this->JudgeTarget(aResult);
-  if (aResult.fault != ResponseFault::None) {
-    this->service.ReportFault({.fault = aResult.fault,
-                               .request = this->requestId,
-                               .usedBefore = this->connection->UsedBefore()});
+  this->ScanSurplus(aResult.surplus);
+  const bool whole = aResult.whole && !this->IsRepeated();
+  this->JudgeTarget(whole);
+  this->ReportFault(aResult.fault);
+  if (this->IsRepeated()) {
+    this->ReportFault(ResponseFault::Repeated);
   }
-  if (aResult.reusable && !this->requestId.empty()) {
+  if (aResult.reusable && whole && !this->requestId.empty()) {
     this->service.pool->Release(this->connection);
   } else {
     this->connection->Close("not kept");
   }
   const ResponseFault fault = this->FaultOfRefusal();
   if (fault != ResponseFault::None) {
-    this->service.ReportFault({.fault = fault,
-                               .request = this->requestId,
-                               .usedBefore = this->connection->UsedBefore(),
-                               .status = this->status});
+    this->ReportFault(fault);
     this->Fail(Outcome::Unknown, Cause::TargetFailed, {},
                fmt::format("status {}", this->status));
     return;
@@ -312,21 +359,25 @@
                aResult.error);
     return;
   }
-  if (!aResult.whole) {
+  if (!whole) {
     Log(LogLevel::Warning, "response broken off by the target",
         {{"request", this->requestId},
          {"route", this->context.route},
          {"target", this->service.dependencies.target.Id()},
-         {"error", aResult.error}});
+         {"error",
+          this->IsRepeated() ? std::string(kRepeatedReason) : aResult.error}});
   }
   if (!this->abandoned) {
+    if (whole) {
+      this->SendBody(this->lastPart);
+    }
     this->session->Send(ResponseEndFrame{
         .stream = this->frame.stream,
-        .whole = aResult.whole,
+        .whole = whole,
         .unspentRetries = this->running->UnspentRetries(),
         .thresholds = this->service.Thresholds(this->context)});
   }
-  this->Finish(aResult.whole);
+  this->Finish(whole);
 }
 
 void TargetAttempt::Refuse(Cause aCause, Duration aRetryAfter) {
--- a/src/Mesh/TargetAttempt.h
+++ b/src/Mesh/TargetAttempt.h
@@ -2,10 +2,12 @@
 
 #include <asio.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "Admission/AdmissionRequest.h"
 #include "Http1/ConnectionPool.h"
+#include "Http1/RepeatedHeadScanner.h"
 #include "Mesh/TargetService.h"
 #include "Node/RunningAttempt.h"
 #include "Transport/PeerServer.h"
@@ -41,15 +43,26 @@
   std::string RequestBytes(TimePoint aNow) const;
   ResponseVerdict OnHead(HttpHead aHead);
   void OnBody(std::string_view aPart);
+  void SendBody(std::string_view aPart);
   /// Counts a part of a body that nobody wants.
   void OnUnwanted(std::string_view aPart);
+  /// Closes the connection after its present event.
+  void CloseSoon(const std::string& aReason);
   void OnDone(const ClientExchangeResult& aResult);
+  /// Whether the response holds another one to the same request, as far as it
+  /// is known.
+  bool IsRepeated() const { return this->scanner && this->scanner->HasFound(); }
 
+  /// Looks through bytes behind the response.
+  void ScanSurplus(std::string_view aSurplus);
+  /// Counts and logs a fault of the response that was accepted.
+  void ReportFault(ResponseFault aFault);
   /// Why a response that promises "not run" is not believed; None if it is, or
   /// if it promises nothing.
   ResponseFault FaultOfRefusal() const;
-  /// Counts whether the target itself failed the request.
-  void JudgeTarget(const ClientExchangeResult& aResult);
+  /// Counts whether the target itself failed the request. aWhole: its response
+  /// is complete.
+  void JudgeTarget(bool aWhole);
 
   /// Ends the attempt with a refusal of the given outcome.
   void Fail(Outcome aOutcome, Cause aCause, Duration aRetryAfter,
@@ -77,6 +90,14 @@
   /// Whether the run made calls, so that a failure may come from them.
   bool hasChildCalls = false;
   int status = 0;
+  /// Looks for another response within the body; none if the request has no
+  /// identifier.
+  std::optional<RepeatedHeadScanner> scanner;
+  /// Body bytes that have not arrived, if the response states its length.
+  std::optional<uint64_t> bodyLeft;
+  /// Last part of a body with a length, which is sent when it is known that the
+  /// body is the target's.
+  std::string lastPart;
   /// Body bytes that the sender still takes.
   int64_t credit = kInitialCredit;
   /// Whether nobody waits for the response any more.
--- /dev/null
+++ b/tests/Mesh/RestartedResponseTest.cpp
@@ -0,0 +1,259 @@
+#include <fmt/format.h>
+
+#include "Mesh/TargetPath.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Longer than what is held back.
+constexpr size_t kLong = 200'000;
+constexpr size_t kShort = 600;
+
+struct Kind {
+  std::string what;
+  size_t size = kShort;
+  bool chunked = false;
+  bool hasLength = true;
+};
+
+const std::vector<Kind> kKinds = {
+    {"with a length"},
+    {.what = "chunked", .chunked = true, .hasLength = false},
+    {.what = "without a length", .hasLength = false},
+    {.what = "long, with a length", .size = kLong},
+    {.what = "long, chunked",
+     .size = kLong,
+     .chunked = true,
+     .hasLength = false},
+    {.what = "long, without a length", .size = kLong, .hasLength = false}};
+
+std::string IdOf(const std::string& aRequest) {
+  const size_t at = aRequest.find("X-Id: ") + 6;
+  return aRequest.substr(at, aRequest.find("\r\n", at) - at);
+}
+
+/// Body in which each position can be told.
+std::string BodyOf(size_t aSize) {
+  std::string body;
+  while (body.size() < aSize) {
+    body += fmt::format("{}.", body.size());
+  }
+  body.resize(aSize);
+  return body;
+}
+
+std::string HeadOf(const Kind& aKind, const std::string& aId) {
+  std::string fields = "Connection: close\r\n";
+  if (aKind.chunked) {
+    fields = "Transfer-Encoding: chunked\r\n";
+  } else if (aKind.hasLength) {
+    fields = fmt::format("Content-Length: {}\r\n", aKind.size);
+  }
+  return "HTTP/1.1 200 OK\r\nA: b\r\nX-Id: " + aId + "\r\n" + fields + "\r\n";
+}
+
+std::string ResponseOf(const Kind& aKind, const std::string& aId) {
+  const std::string body = BodyOf(aKind.size);
+  std::string bytes = HeadOf(aKind, aId);
+  if (!aKind.chunked) {
+    return bytes + body;
+  }
+  const size_t chunk = aKind.size / 4;
+  for (size_t at = 0; at < body.size(); at += chunk) {
+    bytes += fmt::format("{:x}\r\n{}\r\n", chunk, body.substr(at, chunk));
+  }
+  return bytes + "0\r\n\r\n";
+}
+
+/// Where the first response stops: bytes of the response.
+std::vector<size_t> CutsOf(const Kind& aKind) {
+  const std::string bytes = ResponseOf(aKind, "r0");
+  const size_t head = HeadOf(aKind, "r0").size();
+  std::vector<size_t> cuts;
+  for (size_t back = 1; back < 120; back += 3) {
+    cuts.push_back(bytes.size() - back);
+  }
+  for (size_t i = 0; i < 8; ++i) {
+    cuts.push_back(head + i * (aKind.size / 8) + 1);
+  }
+  return cuts;
+}
+
+/// Writes pieces one after the other, with pauses.
+void SendSlowly(const std::shared_ptr<TargetConnection>& aConnection,
+                asio::io_context& aIo, std::vector<std::string> aPieces,
+                std::function<void()> aDone) {
+  if (aPieces.empty()) {
+    aDone();
+    return;
+  }
+  std::string first = std::move(aPieces.front());
+  aPieces.erase(aPieces.begin());
+  aConnection->Send(std::move(first), [aConnection, &aIo, aPieces, aDone] {
+    const auto timer = std::make_shared<asio::steady_timer>(aIo, 2ms);
+    timer->async_wait(
+        [timer, aConnection, &aIo, aPieces, aDone](const asio::error_code&) {
+          SendSlowly(aConnection, aIo, aPieces, aDone);
+        });
+  });
+}
+
+/// Waits for the end of a response or of the caller's connection.
+SeenResponse Await(TargetPath& aPath, RawPeer& aCaller) {
+  SeenResponse seen;
+  REQUIRE(RunPromptly(aPath.io, [&] {
+    seen = SeenResponse::Of(aCaller.received, false,
+                            aCaller.closed && !aCaller.reset);
+    return seen.whole || aCaller.closed;
+  }));
+  return seen;
+}
+
+}  // namespace
+
+// Pattern: a target stops within a body and writes the whole response once more
+// on the same connection, so that bytes of both fill the body. Guards against a
+// body that is not the target's and looks whole, held back or streamed.
+TEST_CASE("a response that is begun again within its body is broken") {
+  for (const Kind& kind : kKinds) {
+    CAPTURE(kind.what);
+    size_t cut = 0;
+    TargetPath path(
+        [&](TargetConnection& aConnection, const std::string& aRequest) {
+          const std::string whole = ResponseOf(kind, IdOf(aRequest));
+          const auto self = aConnection.shared_from_this();
+          aConnection.Send(whole.substr(0, cut) + whole, [self, &kind] {
+            if (!kind.chunked && !kind.hasLength) {
+              self->Close();
+            }
+          });
+        });
+    size_t number = 0;
+    for (const size_t at : CutsOf(kind)) {
+      CAPTURE(at);
+      cut = at;
+      RawPeer& caller = path.NewCaller();
+      ++number;
+      caller.Send(TargetPath::Request("GET",
+                                      number % 2 == 0 ? "/safe/" : "/once/",
+                                      fmt::format("r{}", number % 10)));
+      const SeenResponse seen = Await(path, caller);
+      CHECK((seen.status == 502 || (seen.status == 200 && !seen.whole)));
+      if (seen.status == 200 && kind.hasLength) {
+        const size_t own =
+            std::min(seen.body.size(), cut - HeadOf(kind, "r0").size());
+        CHECK(seen.body.substr(0, own) == BodyOf(own));
+      }
+      CHECK(path.Open() == 0);
+    }
+    // A read that brings the end of the chunk, too, shows no end of a line
+    // there.
+    CHECK((path.CountsFault(ResponseFault::Repeated) ||
+           (kind.chunked && path.CountsFault(ResponseFault::Malformed))));
+  }
+}
+
+// Guards against a copy that is seen only where one read brings its head.
+TEST_CASE("a response that is begun again is seen over split reads") {
+  for (const Kind& kind : kKinds) {
+    CAPTURE(kind.what);
+    const size_t first = HeadOf(kind, "r1").size() + 170;
+    TargetPath* world = nullptr;
+    size_t split = 0;
+    TargetPath path([&](TargetConnection& aConnection,
+                        const std::string& aRequest) {
+      const std::string whole = ResponseOf(kind, IdOf(aRequest));
+      const auto self = aConnection.shared_from_this();
+      SendSlowly(
+          self, world->io,
+          {whole.substr(0, first), whole.substr(0, split), whole.substr(split)},
+          [self, &kind] {
+            if (!kind.chunked && !kind.hasLength) {
+              self->Close();
+            }
+          });
+    });
+    world = &path;
+    for (split = 1; split < HeadOf(kind, "r1").size(); split += 2) {
+      CAPTURE(split);
+      RawPeer& caller = path.NewCaller();
+      caller.Send(TargetPath::Request("GET", "/once/", "r1"));
+      const SeenResponse seen = Await(path, caller);
+      CHECK((seen.status == 502 || (seen.status == 200 && !seen.whole)));
+    }
+    CHECK(path.CountsFault(ResponseFault::Repeated));
+  }
+}
+
+// Guards against bodies that are cut because they quote another message, or
+// the request that they answer.
+TEST_CASE("bodies that quote other messages pass unchanged") {
+  const std::vector<std::string> quotes = {
+      "HTTP/1.1 200 OK",
+      "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n",
+      "HTTP/1.1 503 Full\r\nX-Id: r12\r\nX-Not-Run: 1\r\n\r\n",
+      "GET /once/ HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n\r\n",
+      "HTTP/1.1 200 OK\r\n\r\nX-Id: r1\r\n",
+      "HTTP/1.1 20",
+      "H"};
+  std::string body;
+  bool chunked = false;
+  TargetPath path(
+      [&](TargetConnection& aConnection, const std::string& aRequest) {
+        const std::string head =
+            "HTTP/1.1 200 OK\r\nX-Id: " + IdOf(aRequest) + "\r\n";
+        aConnection.Send(
+            chunked ? fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n"
+                                  "{}\r\n0\r\n\r\n",
+                                  head, body.size(), body)
+                    : fmt::format("{}Content-Length: {}\r\n\r\n{}", head,
+                                  body.size(), body));
+      });
+  for (const std::string& quote : quotes) {
+    for (const size_t before : {size_t{0}, size_t{1000}, kLong}) {
+      for (const size_t behind : {size_t{0}, size_t{1000}}) {
+        for (const bool inChunks : {false, true}) {
+          CAPTURE(quote);
+          CAPTURE(before);
+          CAPTURE(behind);
+          CAPTURE(inChunks);
+          body = BodyOf(before) + quote + BodyOf(behind);
+          chunked = inChunks;
+          RawPeer& caller = path.NewCaller();
+          caller.Send(TargetPath::Request("GET", "/once/", "r1"));
+          const SeenResponse seen = Await(path, caller);
+          CHECK(seen.status == 200);
+          CHECK(seen.whole);
+          CHECK(seen.body == body);
+        }
+      }
+    }
+  }
+  CHECK_FALSE(path.CountsFault(ResponseFault::Repeated));
+}
+
+// Pattern: a target writes a whole response twice, right behind another.
+// Guards against the first one being lost for the second.
+TEST_CASE("a whole response in front of its copy is passed on") {
+  for (const Kind& kind : kKinds) {
+    if (!kind.chunked && !kind.hasLength) {
+      continue;  // Ends with its connection.
+    }
+    CAPTURE(kind.what);
+    TargetPath path(
+        [&](TargetConnection& aConnection, const std::string& aRequest) {
+          const std::string whole = ResponseOf(kind, IdOf(aRequest));
+          aConnection.Send(whole + whole);
+        });
+    RawPeer& caller = path.NewCaller();
+    caller.Send(TargetPath::Request("GET", "/once/", "r1"));
+    const SeenResponse seen = Await(path, caller);
+    CHECK(seen.status == 200);
+    CHECK(seen.whole);
+    CHECK(seen.body == BodyOf(kind.size));
+    CHECK_FALSE(path.CountsFault(ResponseFault::Repeated));
+  }
+}
