Believe no "not run" beside the request's own answer

Cause: a refusal with the identifier of a request, or without one on a new connection, in front of the request's answer decided the request, also where that answer had come in the same read or stood within the refusal's body: "not run" for a request that ran.

Change: bytes of and behind a refusal are looked through for another response to the same request; the outcome is then unknown (fault `contradicted`).

Tests, on the path over two nodes: eight refusals (408, 421, 429, 503, declared or not) and ten interim responses, with eight kinds of identifiers (none, empty, another, own, two), at five places (in front, in a read of its own, behind the answer before, behind a skipped one, on a new connection), and cut at each byte. Left out is a declared refusal that names the request in a read of its own: it is the request's answer until another one arrives.

--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -283,7 +283,13 @@
 }
 
 void TargetAttempt::ScanSurplus(std::string_view aSurplus) {
-  if (this->scanner) {
+  if (!this->scanner) {
+    return;
+  }
+  if (this->declaredNotRun) {
+    // Another answer to the same request contradicts it.
+    this->scanner->Scan(aSurplus);
+  } else {
     this->scanner->ScanBehind(aSurplus);
   }
 }
@@ -303,9 +309,9 @@
   }
   // A run that made calls has run in part; the target may pass on what it was
   // told of one of them.
-  return this->declaredNotRun && this->hasChildCalls
-             ? ResponseFault::Contradicted
-             : ResponseFault::None;
+  const bool hasRun = this->hasChildCalls || this->IsRepeated();
+  return this->declaredNotRun && hasRun ? ResponseFault::Contradicted
+                                        : ResponseFault::None;
 }
 
 void TargetAttempt::JudgeTarget(bool aWhole) {
--- /dev/null
+++ b/tests/Mesh/MisplacedResponseTest.cpp
@@ -0,0 +1,347 @@
+#include <fmt/format.h>
+
+#include <map>
+
+#include "Mesh/TargetPath.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A response that a faulty target writes where it does not belong.
+struct Extra {
+  std::string what;
+  /// Status line and fields without the identifier.
+  std::string head;
+  std::string body;
+  /// Whether it says that the target did not run the request.
+  bool declared = false;
+};
+
+const std::string kMark = "X-Mark: other\r\n";
+
+Extra RefusalOf(int aStatus, bool aDeclared) {
+  const std::string body = "refused\n";
+  return {.what = fmt::format("{} {}", aStatus,
+                              aDeclared ? "declared" : "undeclared"),
+          .head = fmt::format("HTTP/1.1 {} X\r\n{}{}Content-Length: {}\r\n",
+                              aStatus, kMark,
+                              aDeclared ? "X-Not-Run: 1\r\n" : "", body.size()),
+          .body = body,
+          .declared = aDeclared || aStatus == 421};
+}
+
+Extra Interim(const std::string& aStart) {
+  return {.what = aStart,
+          .head = "HTTP/1.1 " + aStart + "\r\n" + kMark,
+          .body = {}};
+}
+
+std::vector<Extra> AllRefusals() {
+  std::vector<Extra> extras;
+  for (const int status : {408, 421, 429, 503}) {
+    extras.push_back(RefusalOf(status, true));
+    extras.push_back(RefusalOf(status, false));
+  }
+  return extras;
+}
+
+std::vector<Extra> Interims() {
+  return {Interim("100 Continue"),
+          Interim("101 Switching Protocols"),
+          Interim("101 Switching Protocols\r\nUpgrade: x\r\n"
+                  "Connection: upgrade"),
+          Interim("101 Switching Protocols\r\nContent-Length: 5"),
+          Interim("102 Processing\r\nX-Not-Run: 1"),
+          Interim("103 Early Hints\r\nLink: x"),
+          Interim("103 Early Hints\r\nTransfer-Encoding: chunked"),
+          Interim("102 Processing\r\nUpgrade: x\r\nConnection: upgrade"),
+          Interim("103 Early Hints\r\nContent-Length: 5"),
+          Interim("199 X\r\nConnection: close")};
+}
+
+/// Identifiers of the extra response; OWN is that of the request.
+const std::vector<std::vector<std::string>> kIds = {{},
+                                                    {""},
+                                                    {"earlier"},
+                                                    {"OWN"},
+                                                    {"earlier", "OWN"},
+                                                    {"OWN", "earlier"},
+                                                    {"OWN", "OWN"},
+                                                    {"OWN", ""}};
+
+std::string ToText(const std::vector<std::string>& aIds) {
+  return fmt::format("[{}]", fmt::join(aIds, ","));
+}
+
+std::string BytesOf(const Extra& aExtra, const std::vector<std::string>& aIds,
+                    const std::string& aOwn) {
+  std::string bytes = aExtra.head;
+  for (const std::string& id : aIds) {
+    bytes += "X-Id: " + (id == "OWN" ? aOwn : id) + "\r\n";
+  }
+  return bytes + "\r\n" + aExtra.body;
+}
+
+/// Where the target writes it.
+enum class Place : uint8_t {
+  /// In front of the request's answer, in one read, on a kept connection.
+  Front,
+  /// The same in a read of its own.
+  FrontAlone,
+  /// In one read with the answer to the request before.
+  BehindBefore,
+  /// Behind a response to another request, which is skipped.
+  BehindSkipped,
+  /// In front of the answer on a new connection.
+  Fresh
+};
+
+const std::map<Place, std::string> kPlaces = {
+    {Place::Front, "front"},
+    {Place::FrontAlone, "front, alone"},
+    {Place::BehindBefore, "behind the answer before"},
+    {Place::BehindSkipped, "behind a skipped answer"},
+    {Place::Fresh, "new connection"}};
+
+std::string IdOf(const std::string& aRequest) {
+  const size_t at = aRequest.find("X-Id: ") + 6;
+  return aRequest.substr(at, aRequest.find("\r\n", at) - at);
+}
+
+std::string OwnResponse(const std::string& aId,
+                        const std::string& aFields = {}) {
+  const std::string body = "answer to " + aId;
+  return fmt::format(
+      "HTTP/1.1 200 OK\r\nX-Id: {}\r\n{}Content-Length: {}\r\n\r\n{}", aId,
+      aFields, body.size(), body);
+}
+
+/// A target that runs every request and writes an extra response beside the
+/// answers to those that are not plain.
+class FaultyTarget {
+ public:
+  /// Sends a plain request and then the one at which the extra is aimed.
+  /// Returns what the caller of the second one got.
+  SeenResponse Aim(const std::string& aPath, Place aPlace,
+                   std::function<std::string(const std::string& aId)> aExtra) {
+    this->place = aPlace;
+    this->extra = std::move(aExtra);
+    // Their sockets would add up.
+    std::erase_if(this->path.connections,
+                  [](const auto& aConnection) { return aConnection->closed; });
+    ++this->number;
+    this->Call(aPath, fmt::format("plain{}", this->number));
+    this->aimed = fmt::format("aimed{}", this->number);
+    const SeenResponse seen = this->Call(aPath, this->aimed);
+    if (aPlace == Place::FrontAlone) {
+      // Until the answer itself has met a connection that rests.
+      RunPromptly(
+          this->path.io, [] { return false; }, 6ms);
+    }
+    return seen;
+  }
+  /// Runs of the request at which the last extra was aimed.
+  size_t Runs() const {
+    const auto found = this->runs.find(this->aimed);
+    return found == this->runs.end() ? 0 : found->second;
+  }
+  const std::string& Aimed() const { return this->aimed; }
+  bool CountsFault(ResponseFault aFault) const {
+    return this->path.CountsFault(aFault);
+  }
+  const std::string& Received() const { return this->caller.received; }
+
+ private:
+  SeenResponse Call(const std::string& aPath, const std::string& aId) {
+    this->caller.received.clear();
+    this->caller.Send(
+        TargetPath::Request("GET", aPath, aId, "X-Timeout: 200\r\n"));
+    SeenResponse seen;
+    REQUIRE(RunPromptly(this->path.io, [&] {
+      seen = SeenResponse::Of(this->caller.received, false, false);
+      return seen.whole;
+    }));
+    return seen;
+  }
+
+  void OnRequest(TargetConnection& aConnection, const std::string& aRequest) {
+    const std::string id = IdOf(aRequest);
+    const std::string own = OwnResponse(id);
+    ++this->runs[id];
+    if (id.starts_with("plain")) {
+      if (this->place == Place::Fresh) {
+        this->kept = nullptr;
+        aConnection.Send(OwnResponse(id, "Connection: close\r\n"));
+        return;
+      }
+      this->kept = &aConnection;
+      const bool behind = this->place == Place::BehindBefore;
+      aConnection.Send(
+          own +
+          (behind ? this->extra(fmt::format("aimed{}", this->number)) : ""));
+      return;
+    }
+    const bool onKept =
+        this->place != Place::Fresh && this->place != Place::BehindBefore;
+    CHECK((&aConnection == this->kept) == onKept);
+    switch (this->place) {
+      case Place::Front:
+      case Place::Fresh:
+        aConnection.Send(this->extra(id) + own);
+        return;
+      case Place::FrontAlone:
+        aConnection.Send(this->extra(id), [this, &aConnection, own] {
+          this->pause.expires_after(3ms);
+          this->pause.async_wait(
+              [self = aConnection.shared_from_this(),
+               own](const asio::error_code&) { self->Send(own); });
+        });
+        return;
+      case Place::BehindBefore:
+        aConnection.Send(own);
+        return;
+      case Place::BehindSkipped:
+        aConnection.Send(OwnResponse("skipped", kMark) + this->extra(id) + own);
+        return;
+    }
+  }
+
+  Place place = Place::Front;
+  std::function<std::string(const std::string&)> extra;
+  std::map<std::string, size_t> runs;
+  const TargetConnection* kept = nullptr;
+  size_t number = 0;
+  std::string aimed;
+  TargetPath path{
+      [this](TargetConnection& aConnection, const std::string& aRequest) {
+        this->OnRequest(aConnection, aRequest);
+      }};
+  asio::steady_timer pause{this->path.io};
+  RawPeer& caller = this->path.NewCaller();
+};
+
+/// Checks what the caller of a request that ran was told.
+void CheckToldRight(const FaultyTarget& aTarget, const SeenResponse& aSeen) {
+  CAPTURE(aTarget.Received());
+  CHECK(aTarget.Runs() == 1);
+  CHECK((aSeen.status == 200 || aSeen.status == 502 || aSeen.status == 504));
+  if (aSeen.status == 200) {
+    CHECK(aSeen.whole);
+    CHECK(aSeen.body == "answer to " + aTarget.Aimed());
+    CHECK_FALSE(Contains(aTarget.Received(), kMark));
+  }
+}
+
+/// Whether the node cannot know better: a refusal that names the request is the
+/// answer to it until another one has arrived.
+bool IsTheAnswer(const Extra& aExtra, const std::vector<std::string>& aIds,
+                 Place aPlace) {
+  const bool named = !aIds.empty() &&
+                     std::ranges::find(aIds, "OWN") != aIds.end() &&
+                     std::ranges::find(aIds, "earlier") == aIds.end();
+  return aExtra.declared && named && aPlace == Place::FrontAlone;
+}
+
+}  // namespace
+
+// Pattern: a target writes a refusal once more in any place in which a response
+// may stand, with any identifier, for a request that it runs. Guards against
+// "not run" for it, against a second run, and against a foreign response.
+TEST_CASE("a misplaced refusal decides no request that runs") {
+  FaultyTarget target;
+  for (const Extra& extra : AllRefusals()) {
+    for (const auto& ids : kIds) {
+      for (const auto& [place, where] : kPlaces) {
+        if (IsTheAnswer(extra, ids, place)) {
+          continue;
+        }
+        CAPTURE(extra.what);
+        CAPTURE(ToText(ids));
+        CAPTURE(where);
+        const SeenResponse seen = target.Aim(
+            "/once/", place,
+            [&](const std::string& aId) { return BytesOf(extra, ids, aId); });
+        CheckToldRight(target, seen);
+      }
+    }
+  }
+}
+
+// Pattern: the same with interim responses, which http_parser takes for an
+// upgrade if they switch protocols. Guards against anything but the request's
+// own response or an unknown outcome.
+TEST_CASE("a misplaced interim response decides no request") {
+  FaultyTarget target;
+  for (const char* route : {"/once/", "/safe/"}) {
+    for (const Extra& extra : Interims()) {
+      for (const auto& ids : kIds) {
+        for (const auto& [place, where] : kPlaces) {
+          CAPTURE(std::string(route));
+          CAPTURE(extra.what);
+          CAPTURE(ToText(ids));
+          CAPTURE(where);
+          const SeenResponse seen = target.Aim(
+              route, place,
+              [&](const std::string& aId) { return BytesOf(extra, ids, aId); });
+          CheckToldRight(target, seen);
+          const bool switches = extra.what.starts_with("101");
+          CHECK((seen.status == 200) ==
+                (!switches || place == Place::BehindBefore));
+        }
+      }
+    }
+  }
+}
+
+// Pattern: the refusal or interim response in front of the request's answer is
+// cut within its head or its body. Guards against a part of it that decides
+// the request.
+TEST_CASE("a part of a misplaced response decides no request that runs") {
+  FaultyTarget target;
+  for (const Extra& extra :
+       {RefusalOf(503, true), RefusalOf(429, true), RefusalOf(421, false),
+        RefusalOf(503, false), Interim("101 Switching Protocols"),
+        Interim("103 Early Hints\r\nLink: x")}) {
+    for (const auto& ids :
+         std::vector<std::vector<std::string>>{{}, {"earlier"}, {"OWN"}}) {
+      const size_t size = BytesOf(extra, ids, "aimed100").size();
+      for (size_t cut = 1; cut < size; ++cut) {
+        for (const Place place : {Place::Front, Place::Fresh}) {
+          CAPTURE(extra.what);
+          CAPTURE(ToText(ids));
+          CAPTURE(cut);
+          CAPTURE(kPlaces.at(place));
+          const SeenResponse seen =
+              target.Aim("/once/", place, [&](const std::string& aId) {
+                return BytesOf(extra, ids, aId).substr(0, cut);
+              });
+          CheckToldRight(target, seen);
+        }
+      }
+    }
+  }
+}
+
+// Pattern: the body of the refusal would be longer than all that follows it.
+// Guards against "not run" before the answer within that body is seen.
+TEST_CASE("a refusal that swallows the answer decides no request that runs") {
+  FaultyTarget target;
+  Extra extra = RefusalOf(503, true);
+  extra.head =
+      "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n" + kMark + "Content-Length: 5000\r\n";
+  extra.body = "a part of the body";
+  for (const auto& ids : kIds) {
+    for (const Place place : {Place::Front, Place::FrontAlone, Place::Fresh}) {
+      CAPTURE(ToText(ids));
+      CAPTURE(kPlaces.at(place));
+      const SeenResponse seen = target.Aim(
+          "/once/", place,
+          [&](const std::string& aId) { return BytesOf(extra, ids, aId); });
+      CheckToldRight(target, seen);
+    }
+  }
+  CHECK(target.CountsFault(ResponseFault::Contradicted));
+}
