--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -155,7 +155,7 @@
     if (aError == asio::error::eof && this->busy && this->accepted &&
         this->reader.FinishAtEof()) {
       this->keepAlive = false;
-      this->EndExchange(0);
+      this->EndExchange({});
     }
     this->Close("read: " + aError.message());
     return;
@@ -173,7 +173,7 @@
       }
       bytes.remove_prefix(this->reader.Feed(bytes));
       if (this->complete) {
-        this->EndExchange(bytes.size());
+        this->EndExchange(bytes);
         break;
       }
       if (!this->giveUpReason.empty()) {
@@ -220,10 +220,10 @@
   return false;
 }
 
-void HttpClientConnection::EndExchange(size_t aSurplus) {
+void HttpClientConnection::EndExchange(std::string_view aSurplus) {
   this->complete = false;
   this->restingSince = SteadyClock().Now();
-  if (aSurplus > 0) {
+  if (!aSurplus.empty()) {
     // Belongs to no request, and the next one must not get it.
     this->fault = ResponseFault::Surplus;
   } else if (this->writing) {
@@ -237,6 +237,7 @@
                             this->skipped == 0 &&
                             this->fault == ResponseFault::None,
                 .fault = this->fault,
+                .surplus = aSurplus,
                 .error = {}});
 }
 
@@ -252,6 +253,7 @@
                   .sent = this->sent,
                   .reusable = false,
                   .fault = this->fault,
+                  .surplus = {},
                   .error = aReason});
   }
 }
