Begin the numbers of questions between nodes anywhere

Cause: each process numbered its questions from 1. Change: the first number is random, as the incarnation is. Measured: GossipTest, before: version 9 in place of 0, fresh in place of not fresh, knowledge 0 s old in place of 3 s.

--- a/src/Node/Gossip.h
+++ b/src/Node/Gossip.h
@@ -89,7 +89,9 @@
   /// Guards everything below; no table lock is taken while it is held.
   std::mutex mutex;
   RandomSource random;
-  uint64_t nextQuestion = 1;
+  /// Begins anywhere: a reply to an earlier process of this node, which waited
+  /// at its sender until the listener was back, must not fit a question.
+  uint64_t nextQuestion = this->random.Next();
   /// Times of open pulls by question.
   std::map<uint64_t, TimePoint> pulls;
   /// Open questions to vouchers by number.
--- /dev/null
+++ b/tests/Node/GossipTest.cpp
@@ -0,0 +1,163 @@
+#include <doctest/doctest.h>
+
+#include <set>
+#include <vector>
+
+#include "Node/Gossip.h"
+#include "Platform/MemoryTableStore.h"
+
+using namespace fescueline;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr Duration kLimit = 4s;
+
+/// One message that a node sent.
+struct Sent {
+  std::string url;
+  ControlKind kind = ControlKind::Pull;
+  std::string payload;
+};
+
+/// One process of node a, without sockets. A second one with the same name is
+/// the same node after a restart.
+struct Process {
+  Process()
+      : knowledge(kLimit, SteadyClock().Now()),
+        sync(this->config, this->knowledge, [](const auto&, TimePoint) {}),
+        gossip({.self = this->self,
+                .config = this->config,
+                .knowledge = this->knowledge,
+                .sync = this->sync,
+                .send =
+                    [this](const std::string& aUrl, ControlKind aKind,
+                           const std::string& aPayload) {
+                      this->sent.push_back({aUrl, aKind, aPayload});
+                      return true;
+                    },
+                .freshnessLimit = kLimit,
+                .seeds = {"tcp://127.0.0.1:1"}}) {}
+
+  void ReadTable(MemoryTableStore& aTable) {
+    this->sync.ReadTable([&aTable](uint64_t aVersion, size_t aLimit) {
+      return aTable.ChangesSince(aVersion, aLimit);
+    });
+  }
+  void Receive(const std::string& aSender, ControlKind aKind,
+               const std::string& aPayload, TimePoint aNow) {
+    this->gossip.Receive({.sender = aSender,
+                          .incarnation = Id128::Generate(),
+                          .replyUrl = "tcp://127.0.0.1:1",
+                          .kind = static_cast<uint8_t>(aKind),
+                          .payload = aPayload},
+                         aNow);
+  }
+  /// Numbers of the questions of a kind that were sent.
+  template <typename Wire>
+  std::set<uint64_t> Questions(ControlKind aKind) const {
+    std::set<uint64_t> questions;
+    for (const Sent& message : this->sent) {
+      if (message.kind == aKind) {
+        questions.insert(DecodePayload<Wire>(message.payload).value().question);
+      }
+    }
+    return questions;
+  }
+
+  PeerIdentity self{.nodeId = "a",
+                    .incarnation = Id128::Generate(),
+                    .fleetSecret = "fleet-secret-of-a-test-0123456789abcdef"};
+  ConfigReplica config;
+  NodeKnowledge knowledge;
+  ConfigSync sync;
+  std::vector<Sent> sent;
+  Gossip gossip;
+};
+
+void Put(MemoryTableStore& aTable, const std::string& aKey,
+         const std::string& aValue) {
+  aTable.Transact({.token = Id128::Generate().ToString(),
+                   .checks = {},
+                   .writes = {{.key = aKey, .value = aValue}}});
+}
+
+std::string MemberAt(const std::string& aAddress) {
+  return MemberRecord{.incarnation = Id128::Generate(),
+                      .dataCentre = "dc1",
+                      .region = "region1",
+                      .service = "",
+                      .peerAddress = aAddress,
+                      .controlAddress = aAddress}
+      .ToJson();
+}
+}  // namespace
+
+// Pattern: a node is restarted while a peer's reply waits for its listener.
+// Guards against a configuration that lacks all records from before the
+// question of the earlier process, and against knowledge that seems younger
+// than it is.
+TEST_CASE("a reply to an earlier process of the node changes nothing") {
+  Process earlier;
+  Process later;
+  const TimePoint now = SteadyClock().Now();
+  for (int i = 0; i < 3; ++i) {
+    earlier.gossip.Tick(now);
+    later.gossip.Tick(now);
+  }
+  const auto questions = earlier.Questions<PullWire>(ControlKind::Pull);
+  REQUIRE(questions.size() == 3);
+  for (const uint64_t question : questions) {
+    // Changes after the version that the earlier process had applied.
+    const PullReplyWire reply{
+        .question = question,
+        .fresh = true,
+        .version = 9,
+        .age = 1000,
+        .changesVersion = 9,
+        .changes = {{.key = "org/late", .value = "{}", .version = 9}}};
+    later.Receive("b", ControlKind::PullReply, EncodePayload(reply), now);
+  }
+  CHECK(later.config.Version() == 0);
+  CHECK_FALSE(later.knowledge.IsFresh(now));
+
+  const auto own = later.Questions<PullWire>(ControlKind::Pull);
+  const PullReplyWire reply{.question = *own.begin(),
+                            .fresh = true,
+                            .version = 0,
+                            .age = 1000,
+                            .changesVersion = 0,
+                            .changes = {}};
+  later.Receive("b", ControlKind::PullReply, EncodePayload(reply), now);
+  CHECK(later.knowledge.IsFresh(now));
+}
+
+// Pattern: as above, with the answer of a voucher. Guards against a withdrawn
+// key that works longer than the freshness limit: the majority would be made
+// of an answer from before the withdrawal.
+TEST_CASE("a vouch for an earlier process of the node counts for no other") {
+  MemoryTableStore table;
+  for (const char* name : {"a", "b", "c"}) {
+    Put(table, std::string("member/") + name, MemberAt("127.0.0.1:2"));
+  }
+  Put(table, "vouchers", VouchersRecord{.nodes = {"a", "b", "c"}}.ToJson());
+  Process earlier;
+  Process later;
+  earlier.ReadTable(table);
+  later.ReadTable(table);
+  const TimePoint now = SteadyClock().Now() + 3s;
+  earlier.gossip.Tick(now);
+  later.gossip.Tick(now);
+  const auto questions = earlier.Questions<VouchAskWire>(ControlKind::VouchAsk);
+  REQUIRE(questions.size() == 1);
+  const auto vouch = [&later, now](uint64_t aQuestion) {
+    const VouchReplyWire reply{.question = aQuestion,
+                               .version = later.config.Version(),
+                               .eligible = true};
+    later.Receive("b", ControlKind::VouchReply, EncodePayload(reply), now);
+  };
+  vouch(*questions.begin());
+  CHECK(later.knowledge.Age(now).value() >= 2s);
+
+  vouch(*later.Questions<VouchAskWire>(ControlKind::VouchAsk).begin());
+  CHECK(later.knowledge.Age(now).value() == Duration(0));
+}
