Push no state on connections whose handshake is not done

Cause: a change of the target's state went out on every accepted connection. One in the handshake got it before the answer to its Hello; the dialling node took that for a fault and closed, with the requests that waited for the connection. Anybody who connects learnt the state without the fleet secret. Change: only connections whose handshake is done get it. Others have it with the handshake or the first pong.

--- a/src/Transport/PeerServer.cpp
+++ b/src/Transport/PeerServer.cpp
@@ -195,7 +195,12 @@
 void PeerServer::PushState() {
   for (const SessionPtr& session : this->Sessions()) {
     session->Post([this, session] {
-      session->Send(StateUpdateFrame{.state = this->settings.handlers.state()});
+      // During the handshake the other side expects no such frame, and nobody
+      // without the fleet secret may learn the state.
+      if (session->IsReady()) {
+        session->Send(
+            StateUpdateFrame{.state = this->settings.handlers.state()});
+      }
     });
   }
 }
--- a/tests/Transport/FrameChannelTest.cpp
+++ b/tests/Transport/FrameChannelTest.cpp
@@ -1,12 +1,17 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
+#include <future>
 #include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "Http1/LoopPeer.h"
 #include "Transport/FrameChannel.h"
+#include "Transport/PeerClient.h"
 #include "Transport/PeerServer.h"
 
 using namespace fescueline;
@@ -117,3 +122,29 @@
         claimed > 1000 ? 500ms : 1500ms));
   }
 }
+
+// Pattern: a target's state changes while a node connects. Guards against a
+// connection that ends for a frame within the handshake, with the requests that
+// wait for it, and against a state that is told to anybody.
+TEST_CASE("no state is pushed before the handshake is done") {
+  asio::io_context io{1};
+  PeerServer server(
+      {.io = io,
+       .self = {"n1", Id128::Generate(), "secret"},
+       .host = "127.0.0.1",
+       .handlers = {.onClosed = [](const PeerServer::SessionPtr&) {},
+                    .state = [] { return StateWire{.service = "fees"}; }}});
+  server.Start();
+  RawPeer dialler(io);
+  dialler.Connect(server.Port());
+  const HelloFrame hello{.nodeId = "n2",
+                         .incarnation = Id128::Generate().ToString(),
+                         .nonce = std::string(16, 'x')};
+  dialler.Send(EncodeFrame(hello));
+  REQUIRE(RunPromptly(io, [&dialler] { return !dialler.received.empty(); }));
+  const size_t answer = dialler.received.size();
+  server.PushState();
+  // The connection is closed for want of a proof.
+  REQUIRE(RunPromptly(io, [&dialler] { return dialler.closed; }));
+  CHECK(dialler.received.size() == answer);
+}
