Cancel requests that wait to be written

Cause: a stream was cancelled at the other node only if its request had been handed to the socket. One that waited behind a longer write went out later and ran for nobody. Change: Cancel follows the request in the order of the writes. Measured: "a request is cancelled although others are written before it", before: no Cancel within 500 ms although the request arrived.

--- a/src/Transport/PeerClient.cpp
+++ b/src/Transport/PeerClient.cpp
@@ -272,7 +272,9 @@
 void PeerClient::Cancel(uint64_t aStream) {
   asio::post(this->strand, [self = this->shared_from_this(), aStream] {
     const auto stream = self->Take(aStream);
-    if (stream && stream->sent && !self->closed) {
+    // The opening frame may still be waiting to be written; this one follows
+    // it. Before the handshake it has not been sent and never will be.
+    if (stream && self->ready && !self->closed) {
       self->channel->Send(CancelFrame{.stream = aStream});
     }
   });
--- a/tests/Transport/FrameChannelTest.cpp
+++ b/tests/Transport/FrameChannelTest.cpp
@@ -148,3 +148,44 @@
   REQUIRE(RunPromptly(io, [&dialler] { return dialler.closed; }));
   CHECK(dialler.received.size() == answer);
 }
+
+// Pattern: callers leave while a long request is being written. Guards against
+// requests that run for nobody: the other side was never told of their end.
+TEST_CASE("a request is cancelled although others are written before it") {
+  asio::io_context io{1};
+  size_t requests = 0;
+  std::vector<uint64_t> cancelled;
+  PeerServer server(
+      {.io = io,
+       .self = {"n1", Id128::Generate(), "secret"},
+       .host = "127.0.0.1",
+       .handlers = {
+           .onRequest = [&requests](const PeerServer::SessionPtr&, RequestFrame,
+                                    Duration) { ++requests; },
+           .onCancel = [&cancelled](
+                           const PeerServer::SessionPtr&,
+                           uint64_t aStream) { cancelled.push_back(aStream); },
+           .onClosed = [](const PeerServer::SessionPtr&) {},
+           .state = [] { return StateWire{}; }}});
+  server.Start();
+  const auto client = std::make_shared<PeerClient>(PeerClient::Settings{
+      .io = io,
+      .self = {"n2", Id128::Generate(), "secret"},
+      .address = {.nodeId = "n1", .host = "127.0.0.1", .port = server.Port()}});
+  client->Start();
+  REQUIRE(RunPromptly(io, [&client] { return client->IsReady(); }));
+  const PeerStreamHandlers ignored{.onLost = [](bool) {}};
+  client->Request(
+      RequestFrame{.method = "POST", .body = std::string(1'000'000, 'x')},
+      ignored);
+  const uint64_t stream =
+      client->Request(RequestFrame{.method = "GET"}, ignored);
+  client->Cancel(stream);
+  REQUIRE(RunPromptly(io, [&requests] { return requests == 2; }));
+  CHECK(RunPromptly(
+      io, [&cancelled] { return !cancelled.empty(); }, 500ms));
+  CHECK(cancelled == std::vector<uint64_t>{stream});
+  client->Close("done");
+  RunUntil(
+      io, [] { return false; }, 50ms);
+}
