Close no connection as silent while its bytes wait unread

Cause: silence was measured from the last bytes that were handled. On two workers the event of the timer may run before that of the socket, so a node that came to the connection late took its own delay for the other side's silence and closed, with the requests in flight. A delay of more than 1 s was recognised as a pause, a shorter one was not. Change: bytes in the socket end the silence. A connection without any is closed as before. Measured: "a connection with unread bytes is not silent", before: closed with the frame unread; after: the frame is handled first.

--- a/src/Transport/FrameChannel.cpp
+++ b/src/Transport/FrameChannel.cpp
@@ -173,6 +173,11 @@
       });
 }
 
+bool FrameChannel::HasUnreadBytes() const {
+  asio::error_code error;
+  return this->socket.available(error) > 0 && !error;
+}
+
 void FrameChannel::CheckLiveness() {
   const TimePoint now = SteadyClock().Now();
   if (now - this->livenessDue > kPauseThreshold) {
@@ -184,7 +189,8 @@
     this->Close("frame without end");
     return;
   }
-  if (now - this->lastReceived > this->silenceLimit) {
+  if (now - this->lastReceived > this->silenceLimit &&
+      !this->HasUnreadBytes()) {
     this->Close("silent");
     return;
   }
--- a/src/Transport/FrameChannel.h
+++ b/src/Transport/FrameChannel.h
@@ -104,6 +104,8 @@
   void OnBody(std::string_view aBody);
   void ScheduleLiveness();
   void CheckLiveness();
+  /// Whether bytes have arrived that a busy process has not read yet.
+  bool HasUnreadBytes() const;
 
   /// The connection.
   asio::ip::tcp::socket socket;
--- a/tests/Transport/FrameChannelTest.cpp
+++ b/tests/Transport/FrameChannelTest.cpp
@@ -189,3 +189,46 @@
   RunUntil(
       io, [] { return false; }, 50ms);
 }
+
+// Pattern: a busy node gets to a connection late, behind other work. Guards
+// against a connection that is closed as silent although the other side's
+// bytes wait in the socket, with the requests on it.
+TEST_CASE("a connection with unread bytes is not silent") {
+  asio::io_context io;
+  Tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+  Tcp::socket other(io);
+  other.connect(acceptor.local_endpoint());
+  const Strand strand = asio::make_strand(io);
+  const auto channel = std::make_shared<FrameChannel>(
+      FrameChannel::Settings{.socket = acceptor.accept(strand),
+                             .strand = strand,
+                             .peer = "p",
+                             .pingPeriod = 50ms,
+                             .silenceLimit = 150ms});
+  std::atomic<size_t> frames{0};
+  std::promise<std::string> reason;
+  channel->Post([&] {
+    channel->Start({.onFrame = [&frames](const DecodedFrame&) { ++frames; },
+                    .onClosed =
+                        [&reason](const std::string& aReason) {
+                          reason.set_value(aReason);
+                        }});
+  });
+  // Events of the socket and of the timer queue up behind this, the timer's
+  // first.
+  channel->Post([] { std::this_thread::sleep_for(250ms); });
+  std::vector<std::thread> workers;
+  for (int i = 0; i < 2; ++i) {
+    workers.emplace_back([&io] { io.run(); });
+  }
+  std::this_thread::sleep_for(120ms);
+  asio::write(other, asio::buffer(EncodeFrame(PingFrame{.sequence = 1})));
+  auto closed = reason.get_future();
+  REQUIRE(closed.wait_for(5s) == std::future_status::ready);
+  // It does end once nothing more comes.
+  CHECK(closed.get() == "silent");
+  CHECK(frames == 1);
+  for (std::thread& worker : workers) {
+    worker.join();
+  }
+}
