Take no member back from a peer that has not seen its removal

Cause: a node that lost the store applied any row of a peer that it did not have. A peer that read the table last before a member's removal brought that member back. Nothing removed it again, since the removal lay before the version from which changes are followed: it was dialled for ever, counted among the nodes that share a rate, and a conditional write to remove its row failed every 300 ms. Change: a peer's row counts only if its version is above all that this node has read from the store. Measured: "a peer's row does not bring a removed member back", before: known again after the peer's old row.

--- a/src/Mesh/MeshFleet.cpp
+++ b/src/Mesh/MeshFleet.cpp
@@ -33,6 +33,7 @@
 void MeshFleet::OnSnapshot(const std::vector<StoredRow>& aRows) {
   std::set<std::string> present;
   for (const StoredRow& row : aRows) {
+    this->readUpTo = std::max(this->readUpTo, row.version);
     present.insert(NodeOf(row.key));
     this->Apply(row);
   }
@@ -49,13 +50,18 @@
 
 void MeshFleet::OnChanges(const std::vector<StoredRow>& aRows) {
   for (const StoredRow& row : aRows) {
+    this->readUpTo = std::max(this->readUpTo, row.version);
     this->Apply(row);
   }
 }
 
 void MeshFleet::OnPeerRows(const std::vector<FleetRowWire>& aRows) {
   for (const FleetRowWire& row : aRows) {
-    this->Apply({.key = row.key, .value = row.value, .version = row.version});
+    // This node has read the table further than that, so a row that it lacks
+    // was removed since. Nothing would remove it here a second time.
+    if (row.version > this->readUpTo) {
+      this->Apply({.key = row.key, .value = row.value, .version = row.version});
+    }
   }
 }
 
--- a/src/Mesh/MeshFleet.h
+++ b/src/Mesh/MeshFleet.h
@@ -52,7 +52,8 @@
   /// Replaces all rows, or applies changed ones.
   void OnSnapshot(const std::vector<StoredRow>& aRows);
   void OnChanges(const std::vector<StoredRow>& aRows);
-  /// Rows learned from a peer: newer ones are applied, none is removed.
+  /// Rows learned from a peer: those that were written after what this node
+  /// has read of the table are applied, none is removed.
   void OnPeerRows(const std::vector<FleetRowWire>& aRows);
 
   /// A node has connected to this one, so its process runs: connects to it now
@@ -133,6 +134,8 @@
 
   Settings settings;
   std::map<std::string, Member> members;
+  /// Highest version of a row that came from the store.
+  uint64_t readUpTo = 0;
   TargetTable table;
   TargetPicker picker;
   asio::steady_timer dialTimer;
--- a/tests/Mesh/MeshFleetStateTest.cpp
+++ b/tests/Mesh/MeshFleetStateTest.cpp
@@ -192,3 +192,30 @@
   fixture.fleet.OnPeerUp("n1");
   CHECK(fixture.fleet.ClientOf("n1") == connected);
 }
+
+// Pattern: a node leaves, the store goes down, and a peer that read the table
+// last before that passes its rows on. Guards against a member that nothing
+// removes any more: it counts among those that share a rate, and its row is
+// removed in vain again and again.
+TEST_CASE("a peer's row does not bring a removed member back") {
+  Fixture fixture;
+  const std::string key = std::string(kMeshMemberPrefix) + "n2";
+  const MeshMember member{.node = "n2",
+                          .incarnation = Id128::Generate(),
+                          .service = "fees",
+                          .peers = {"127.0.0.1", 1}};
+  const auto tell = [&](uint64_t aVersion) {
+    fixture.fleet.OnPeerRows(
+        {{.key = key, .value = EncodeMeshMember(member), .version = aVersion}});
+  };
+  // A node that cannot read the table learns members from its peers.
+  tell(2);
+  CHECK(fixture.fleet.Knows("n2"));
+  fixture.fleet.OnChanges({{.key = key, .version = 4, .removed = true}});
+  REQUIRE_FALSE(fixture.fleet.Knows("n2"));
+  tell(2);
+  CHECK_FALSE(fixture.fleet.Knows("n2"));
+  // A row that was written later is a new member.
+  tell(5);
+  CHECK(fixture.fleet.Knows("n2"));
+}
