Number the requests for tokens

Cause: a grant named no request, so one that came late answered the last request. Its tokens seemed younger than they were, by the whole delay of a connection or issuer that stood still, and added to the rate of a later window; a late refusal refused requests that came after it; tokens asked for at a higher rate were used after it was lowered. Change: requests for tokens have a number that the grant repeats. Tokens lapse 0.5 s after their own request, and only the answer to the latest request refuses. Requests asked again remain open until their tokens would have lapsed, so that an issuer that takes longer than 150 ms still serves. A grant without a number, from a node of an earlier version, answers the last request as before.

--- a/src/Limits/GrantHolder.cpp
+++ b/src/Limits/GrantHolder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace fescueline {
 
@@ -28,8 +29,10 @@
     return;
   }
   if (aRate.perSecond < share.rate.perSecond) {
-    // Tokens of the higher limit must not add to the lower one.
+    // Tokens of the higher limit must not add to the lower one, nor those on
+    // their way.
     share.granted = 0;
+    share.asked.clear();
     share.fixed.Clear(aNow);
   }
   const bool isNew = share.nodes == 0;
@@ -130,8 +133,10 @@
 
 void GrantHolder::MaybeAsk(const std::string& aOrganisation, Share& aShare,
                            TimePoint aNow) {
+  this->ForgetLapsed(aShare, aNow);
   const bool answerDue =
-      aShare.askedAt && aNow - *aShare.askedAt < this->settings.answerTimeout;
+      !aShare.asked.empty() &&
+      aNow - aShare.asked.back().at < this->settings.answerTimeout;
   if (answerDue || aNow < aShare.nextAskAt) {
     return;
   }
@@ -139,13 +144,36 @@
       std::lround(aShare.demand * ToSeconds(this->settings.askAhead)));
   const auto wanted = static_cast<uint32_t>(aShare.waiters.size()) + ahead;
   aShare.nextAskAt = aNow + this->settings.askSpacing;
-  if (this->ask(aOrganisation, wanted)) {
-    aShare.askedAt = aNow;
-  } else {
-    aShare.askedAt.reset();
+  const uint64_t number = ++this->lastQuestion;
+  if (this->ask(aOrganisation, {.number = number, .wanted = wanted})) {
+    aShare.asked.push_back({.number = number, .at = aNow});
   }
 }
 
+void GrantHolder::ForgetLapsed(Share& aShare, TimePoint aNow) const {
+  while (!aShare.asked.empty() &&
+         aNow - aShare.asked.front().at >= this->settings.grantLifetime) {
+    aShare.asked.pop_front();
+  }
+}
+
+std::optional<GrantHolder::Asked> GrantHolder::TakeAsked(Share& aShare,
+                                                         uint64_t aNumber) {
+  const auto found =
+      aNumber == 0 && !aShare.asked.empty()
+          ? std::prev(aShare.asked.end())
+          : std::find_if(aShare.asked.begin(), aShare.asked.end(),
+                         [aNumber](const Asked& aAsked) {
+                           return aAsked.number == aNumber;
+                         });
+  if (found == aShare.asked.end()) {
+    return std::nullopt;
+  }
+  const Asked asked = *found;
+  aShare.asked.erase(found);
+  return asked;
+}
+
 void GrantHolder::Return(const std::string& aOrganisation, TimePoint aNow) {
   const auto found = this->shares.find(aOrganisation);
   if (found == this->shares.end() || found->second.rate.IsUnlimited()) {
@@ -158,34 +186,35 @@
   }
 }
 
-void GrantHolder::OnGrant(const std::string& aOrganisation, uint32_t aTokens,
-                          bool aMayRefuse, TimePoint aNow) {
+void GrantHolder::OnGrant(const std::string& aOrganisation,
+                          const Answer& aAnswer, TimePoint aNow) {
   const auto found = this->shares.find(aOrganisation);
   if (found == this->shares.end()) {
     return;
   }
   Share& share = found->second;
-  if (!share.askedAt) {
-    return;
-  }
-  // Counted from the request, so that the grant is older than it seems, not
-  // younger.
-  const TimePoint until = *share.askedAt + this->settings.grantLifetime;
-  share.askedAt.reset();
-  if (aNow >= until) {
+  this->ForgetLapsed(share, aNow);
+  const auto asked = TakeAsked(share, aAnswer.number);
+  if (!asked) {
     return;
   }
   if (aNow >= share.grantedUntil) {
     share.granted = 0;
   }
-  if (aTokens > 0) {
-    // Tokens that are left over keep their earlier end only if they are few;
-    // the earlier of both ends would waste new ones.
-    share.granted += aTokens;
-    share.grantedUntil = until;
+  if (aAnswer.tokens > 0) {
+    // Counted from the question, so that the grant is older than it seems, not
+    // younger. Tokens that are left over keep their earlier end only if they
+    // are few; the earlier of both ends would waste new ones.
+    share.granted += aAnswer.tokens;
+    share.grantedUntil =
+        std::max(share.grantedUntil, asked->at + this->settings.grantLifetime);
     share.nextAskAt = aNow;
   }
-  this->Serve(share, aNow, aMayRefuse && aTokens == 0);
+  // A later question may still be answered with tokens.
+  const bool isLatest =
+      share.asked.empty() || share.asked.back().number < asked->number;
+  this->Serve(share, aNow,
+              isLatest && aAnswer.mayRefuse && aAnswer.tokens == 0);
   if (!share.waiters.empty()) {
     this->MaybeAsk(aOrganisation, share, aNow);
   }
--- a/src/Limits/GrantHolder.h
+++ b/src/Limits/GrantHolder.h
@@ -19,8 +19,23 @@
  public:
   /// Tells a waiting request whether it was admitted.
   using Decided = std::function<void(bool)>;
+  /// A request for tokens.
+  struct Question {
+    /// Repeated in the answer; never 0.
+    uint64_t number = 0;
+    uint32_t wanted = 0;
+  };
+  /// The issuer's answer.
+  struct Answer {
+    /// Number of the question; 0 if the issuer does not repeat it.
+    uint64_t number = 0;
+    uint32_t tokens = 0;
+    /// Whether no tokens mean that the organisation is over its rate; false if
+    /// the node that answers is no issuer.
+    bool mayRefuse = false;
+  };
   /// Asks the issuer for tokens; false if it can't be reached.
-  using Ask = std::function<bool(const std::string&, uint32_t)>;
+  using Ask = std::function<bool(const std::string&, const Question&)>;
 
   /// aOnWaiting tells that a request waits and Tick is needed.
   GrantHolder(const GrantSettings& aSettings, Ask aAsk,
@@ -44,9 +59,9 @@
              TimePoint aWaitUntil, Decided aDecided);
   /// Gives back the token of a request that was not sent to any target.
   void Return(const std::string& aOrganisation, TimePoint aNow);
-  /// The issuer answered; aMayRefuse is false if it is none.
-  void OnGrant(const std::string& aOrganisation, uint32_t aTokens,
-               bool aMayRefuse, TimePoint aNow);
+  /// The issuer answered a question, perhaps one that was asked again since.
+  void OnGrant(const std::string& aOrganisation, const Answer& aAnswer,
+               TimePoint aNow);
   /// Ends waits and repeats lost requests; call every 10 ms while HasWaiters.
   void Tick(TimePoint aNow);
   bool HasWaiters() const { return this->waiting > 0; }
@@ -56,6 +71,10 @@
     TimePoint until;
     Decided decided;
   };
+  struct Asked {
+    uint64_t number = 0;
+    TimePoint at{};
+  };
   struct Share {
     OrganisationRate rate;
     size_t nodes = 0;
@@ -65,8 +84,9 @@
     uint32_t granted = 0;
     TimePoint grantedUntil{};
     std::deque<Waiter> waiters;
-    /// When the open request was sent; nothing if there is none.
-    std::optional<TimePoint> askedAt;
+    /// Questions without an answer whose tokens would not have lapsed, in the
+    /// order in which they were asked.
+    std::deque<Asked> asked;
     TimePoint nextAskAt{};
     /// Arrivals since demandAt, and their moving average per second.
     uint32_t arrivals = 0;
@@ -80,6 +100,10 @@
   void UpdateDemand(Share& aShare, TimePoint aNow);
   void MaybeAsk(const std::string& aOrganisation, Share& aShare,
                 TimePoint aNow);
+  /// Takes the question that an answer belongs to out of the open ones;
+  /// nothing if there is none.
+  static std::optional<Asked> TakeAsked(Share& aShare, uint64_t aNumber);
+  void ForgetLapsed(Share& aShare, TimePoint aNow) const;
   /// Decides the waiters that can be admitted or whose time is over.
   void Serve(Share& aShare, TimePoint aNow, bool aRefuseRest);
 
@@ -88,6 +112,8 @@
   std::function<void()> onWaiting;
   std::unordered_map<std::string, Share> shares;
   size_t waiting = 0;
+  /// Number of the last question.
+  uint64_t lastQuestion = 0;
   bool alone = false;
 };
 
--- a/src/Mesh/TokenExchange.cpp
+++ b/src/Mesh/TokenExchange.cpp
@@ -27,8 +27,9 @@
       issuer(GrantSettings{}, SteadyClock().Now()),
       grants(
           GrantSettings{},
-          [this](const std::string& aOrganisation, uint32_t aWanted) {
-            return this->Ask(aOrganisation, aWanted);
+          [this](const std::string& aOrganisation,
+                 const GrantHolder::Question& aQuestion) {
+            return this->Ask(aOrganisation, aQuestion);
           },
           [this] { this->ScheduleTick(); }),
       lease({.io = this->settings.io,
@@ -93,12 +94,16 @@
 }
 
 void TokenExchange::OnGrant(const TokenGrantFrame& aGrant) {
-  this->grants.OnGrant(aGrant.organisation, aGrant.tokens, aGrant.mayRefuse,
+  this->grants.OnGrant(aGrant.organisation,
+                       {.number = aGrant.question,
+                        .tokens = aGrant.tokens,
+                        .mayRefuse = aGrant.mayRefuse},
                        SteadyClock().Now());
 }
 
 TokenGrantFrame TokenExchange::Grant(const TokenRequestFrame& aRequest) {
-  TokenGrantFrame grant{.organisation = aRequest.organisation};
+  TokenGrantFrame grant{.organisation = aRequest.organisation,
+                        .question = aRequest.question};
   if (this->IsIssuing()) {
     const TimePoint now = SteadyClock().Now();
     grant.mayRefuse = this->issuer.MayRefuse(now);
@@ -108,8 +113,11 @@
   return grant;
 }
 
-bool TokenExchange::Ask(const std::string& aOrganisation, uint32_t aWanted) {
-  TokenRequestFrame request{.organisation = aOrganisation, .wanted = aWanted};
+bool TokenExchange::Ask(const std::string& aOrganisation,
+                        const GrantHolder::Question& aQuestion) {
+  TokenRequestFrame request{.organisation = aOrganisation,
+                            .wanted = aQuestion.wanted,
+                            .question = aQuestion.number};
   if (this->IsIssuing()) {
     asio::post(this->settings.io,
                [this, request] { this->OnGrant(this->Grant(request)); });
--- a/src/Mesh/TokenExchange.h
+++ b/src/Mesh/TokenExchange.h
@@ -63,7 +63,8 @@
   /// Tells the issuer, if this node is one, how many nodes reach it.
   void ApplyReach();
   void OnLeaseChange(bool aHeld);
-  bool Ask(const std::string& aOrganisation, uint32_t aWanted);
+  bool Ask(const std::string& aOrganisation,
+           const GrantHolder::Question& aQuestion);
   /// Serves the requests that wait for tokens until there are none.
   void ScheduleTick();
   /// Node that issues tokens as far as known; empty if none.
--- a/src/Transport/Frames.h
+++ b/src/Transport/Frames.h
@@ -269,7 +269,9 @@
   std::string organisation;
   /// Tokens wanted.
   uint32_t wanted = 0;
-  MSGPACK_DEFINE_ARRAY(organisation, wanted)
+  /// Repeated in the answer.
+  uint64_t question = 0;
+  MSGPACK_DEFINE_ARRAY(organisation, wanted, question)
 };
 
 /// Tokens granted, perhaps none.
@@ -279,7 +281,9 @@
   uint32_t tokens = 0;
   /// Whether a grant of nothing means that the organisation is over its rate.
   bool mayRefuse = false;
-  MSGPACK_DEFINE_ARRAY(organisation, tokens, mayRefuse)
+  /// Number of the request; 0 from nodes of versions without such numbers.
+  uint64_t question = 0;
+  MSGPACK_DEFINE_ARRAY(organisation, tokens, mayRefuse, question)
 };
 
 }  // namespace fescueline
--- a/tests/Limits/GrantTest.cpp
+++ b/tests/Limits/GrantTest.cpp
@@ -24,11 +24,12 @@
     for (size_t i = 0; i < aNodes; ++i) {
       this->holders.push_back(std::make_unique<GrantHolder>(
           GrantSettings{},
-          [this, i](const std::string&, uint32_t aWanted) {
+          [this, i](const std::string&,
+                    const GrantHolder::Question& aQuestion) {
             if (!this->issuer || this->cut.contains(i)) {
               return false;
             }
-            this->requests.push_back({i, aWanted});
+            this->requests.push_back({i, aQuestion});
             return true;
           },
           [] {}));
@@ -78,12 +79,17 @@
     this->clock.Advance(aStep);
     const TimePoint now = this->clock.Now();
     const auto asked = std::exchange(this->requests, {});
-    for (const auto& [node, wanted] : asked) {
+    for (const auto& [node, question] : asked) {
       const uint32_t tokens =
-          this->issuer ? this->issuer->Grant(kOrganisation, wanted, now) : 0;
+          this->issuer
+              ? this->issuer->Grant(kOrganisation, question.wanted, now)
+              : 0;
       this->holders[node]->OnGrant(
-          kOrganisation, tokens,
-          this->issuer != nullptr && this->issuer->MayRefuse(now), now);
+          kOrganisation,
+          {.number = question.number,
+           .tokens = tokens,
+           .mayRefuse = this->issuer && this->issuer->MayRefuse(now)},
+          now);
     }
     for (auto& holder : this->holders) {
       holder->Tick(now);
@@ -110,7 +116,7 @@
   std::unique_ptr<GrantIssuer> issuer;
   /// Nodes that do not reach the issuer.
   std::set<size_t> cut;
-  std::vector<std::pair<size_t, uint32_t>> requests;
+  std::vector<std::pair<size_t, GrantHolder::Question>> requests;
   std::vector<TimePoint> times;
   size_t offered = 0;
   size_t admitted = 0;
@@ -223,8 +229,7 @@
 // empties before a token has accrued.
 TEST_CASE("a change of the fleet's size keeps what has accrued") {
   GrantHolder holder(
-      GrantSettings{}, [](const std::string&, uint32_t) { return false; },
-      [] {});
+      GrantSettings{}, [](const auto&, const auto&) { return false; }, [] {});
   ManualClock clock;
   size_t admitted = 0;
   const OrganisationRate rate{.perSecond = 40, .burst = 40};
@@ -308,3 +313,102 @@
   CHECK(world.admitted + world.refused == world.offered);
   CHECK_FALSE(world.holders[0]->HasWaiters());
 }
+
+namespace {
+/// A node without a fixed share, whose questions the test answers.
+struct AskingNode {
+  GrantHolder holder{
+      GrantSettings{},
+      [this](const std::string&, const GrantHolder::Question& aQuestion) {
+        this->asked.push_back(aQuestion.number);
+        return true;
+      },
+      [] {}};
+  ManualClock clock;
+  std::vector<uint64_t> asked;
+  size_t admitted = 0;
+  size_t refused = 0;
+
+  explicit AskingNode(double aPerSecond = 100) {
+    this->SetRate(aPerSecond);
+    this->clock.Advance(1s);
+  }
+  void SetRate(double aPerSecond) {
+    constexpr size_t kManyNodes = 100;
+    this->holder.SetLimit(kOrganisation,
+                          {.perSecond = aPerSecond, .burst = aPerSecond},
+                          kManyNodes, this->clock.Now());
+  }
+  void Offer(Duration aWait) {
+    this->holder.Admit(kOrganisation, this->clock.Now(),
+                       this->clock.Now() + aWait, [this](bool aAdmitted) {
+                         ++(aAdmitted ? this->admitted : this->refused);
+                       });
+  }
+  void Wait(Duration aTime) {
+    this->clock.Advance(aTime);
+    this->holder.Tick(this->clock.Now());
+  }
+  void Answer(size_t aQuestion, uint32_t aTokens) {
+    this->holder.OnGrant(kOrganisation,
+                         {.number = this->asked.at(aQuestion),
+                          .tokens = aTokens,
+                          .mayRefuse = true},
+                         this->clock.Now());
+  }
+};
+}  // namespace
+
+// Pattern: an issuer or a connection stands still, and all answers come at once
+// afterwards. Guards against tokens of an earlier moment that count as those of
+// the last question, which adds them to the rate of a later window.
+TEST_CASE("tokens lapse by the question that they answer") {
+  AskingNode node;
+  constexpr Duration kLong = 10s;
+  node.Offer(kLong);
+  for (int i = 0; i < 6; ++i) {
+    node.Wait(160ms);
+  }
+  REQUIRE(node.asked.size() == 7);
+  // 960 ms old.
+  node.Answer(0, 5);
+  CHECK(node.admitted == 0);
+  // 320 ms old, with 180 ms left, though later questions are open.
+  node.Answer(4, 2);
+  CHECK(node.admitted == 1);
+  node.Wait(190ms);
+  node.Offer(0ms);
+  CHECK(node.refused == 1);
+  // An answer counts once.
+  for (int i = 0; i < 2; ++i) {
+    node.Answer(5, 1);
+    node.Offer(0ms);
+  }
+  CHECK(node.admitted == 2);
+  CHECK(node.refused == 2);
+}
+
+// Pattern: as above, with answers that refuse. Guards against refusals within
+// the rate: what an issuer lacked then says nothing about a later request.
+TEST_CASE("a late refusal refuses no later request") {
+  AskingNode node;
+  node.Offer(10ms);
+  node.Wait(160ms);
+  REQUIRE(node.refused == 1);
+  node.Offer(250ms);
+  REQUIRE(node.asked.size() == 2);
+  node.Answer(0, 0);
+  CHECK(node.refused == 1);
+  node.Answer(1, 1);
+  CHECK(node.admitted == 1);
+}
+
+// Guards against tokens of a higher rate that arrive after it was lowered.
+TEST_CASE("tokens that were asked for at a higher rate are not used") {
+  AskingNode node;
+  node.Offer(10s);
+  REQUIRE(node.asked.size() == 1);
+  node.SetRate(10);
+  node.Answer(0, 50);
+  CHECK(node.admitted == 0);
+}
