Undo a write that was on its way when the node stopped

Cause: a node that stopped while its renewal of the issuer's lease waited at the store removed the row of the version before, which failed, and the answer that came then made it an issuer again: the fleet had none until the lease lapsed, up to 12 s. A first write on its way was left in the store in the same way, and so was the row of a member. Change: a stop waits for the answer of such a write, removes what it wrote, and holds nothing any more. Measured: "a write that was on its way leaves no lease behind a stop" and "... no row ...", before: lease held, rows not removed.

--- a/src/Mesh/IssuerLease.cpp
+++ b/src/Mesh/IssuerLease.cpp
@@ -113,6 +113,13 @@
                             this->settings.incarnation, renewed.count())},
       [this, sentAt](const StoreReply& aReply) {
         this->calling = false;
+        if (this->released) {
+          // The node began to stop while this was on its way.
+          if (aReply.status == StoreStatus::Done) {
+            this->Remove(aReply.version);
+          }
+          return;
+        }
         const Duration jitter =
             FromSeconds(ToSeconds(kWritePause) * ThreadRandom().Unit());
         if (aReply.status != StoreStatus::Done) {
@@ -139,9 +146,16 @@
     return;
   }
   this->SetHeld(false);
+  // A renewal on its way would make this fail; its answer removes the row.
+  if (!this->calling) {
+    this->Remove(this->version);
+  }
+}
+
+void IssuerLease::Remove(uint64_t aVersion) {
   this->settings.store.Write({.table = this->settings.table,
                               .key = this->settings.key,
-                              .expected = this->version,
+                              .expected = aVersion,
                               .value = std::nullopt},
                              [](const StoreReply&) {
                                // If this fails the lease lapses by itself.
--- a/src/Mesh/IssuerLease.h
+++ b/src/Mesh/IssuerLease.h
@@ -55,6 +55,8 @@
   /// Takes the lease if the row that was just read allows it.
   void TakeIfFree();
   void Write();
+  /// Removes the row of the given version.
+  void Remove(uint64_t aVersion);
   void SetHeld(bool aHeld);
 
   Settings settings;
--- a/src/Mesh/MemberPublisher.cpp
+++ b/src/Mesh/MemberPublisher.cpp
@@ -40,6 +40,12 @@
         if (aReply.status == StoreStatus::Done) {
           this->version = aReply.version;
           this->published = true;
+        }
+        if (this->left) {
+          this->Remove();
+          return;
+        }
+        if (aReply.status == StoreStatus::Done) {
           return;
         }
         this->nextWrite =
@@ -62,8 +68,16 @@
 
 void MemberPublisher::Leave(std::function<void()> aDone) {
   this->left = true;
+  this->onLeft = std::move(aDone);
+  // A write on its way would make this fail; its answer removes the row.
+  if (!this->writing) {
+    this->Remove();
+  }
+}
+
+void MemberPublisher::Remove() {
   if (this->version == 0) {
-    aDone();
+    this->onLeft();
     return;
   }
   this->settings.store.Write(
@@ -71,13 +85,13 @@
        .key = this->key,
        .expected = this->version,
        .value = std::nullopt},
-      [done = std::move(aDone)](const StoreReply& aReply) {
+      [this](const StoreReply& aReply) {
         if (aReply.status != StoreStatus::Done) {
           // Others remove the row once the node is unreachable.
           Log(LogLevel::Warning, "member row not removed",
               {{"status", std::string(ToName(aReply.status))}});
         }
-        done();
+        this->onLeft();
       });
 }
 
--- a/src/Mesh/MemberPublisher.h
+++ b/src/Mesh/MemberPublisher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <asio.hpp>
+#include <functional>
 #include <string>
 
 #include "Core/BootClock.h"
@@ -35,6 +36,9 @@
   const std::string& Key() const { return this->key; }
 
  private:
+  /// Removes the row if there is one.
+  void Remove();
+
   Settings settings;
   std::string key;
   std::string value;
@@ -44,6 +48,8 @@
   bool writing = false;
   bool left = false;
   BootTime nextWrite{};
+  /// Told when the store has answered the removal.
+  std::function<void()> onLeft;
 };
 
 }  // namespace fescueline
--- a/tests/Mesh/StoreDutiesTest.cpp
+++ b/tests/Mesh/StoreDutiesTest.cpp
@@ -189,3 +189,47 @@
   publisher.Tick();
   CHECK(store.calls.empty());
 }
+
+// Pattern: a node is stopped while its write waits at a slow store. Guards
+// against a late answer that makes the node an issuer again, and against a
+// lease that stays behind: the fleet has no issuer until it lapses.
+TEST_CASE("a write that was on its way leaves no lease behind a stop") {
+  for (const bool renewal : {false, true}) {
+    CAPTURE(renewal);
+    asio::io_context io{1};
+    FakeRowStore store;
+    IssuerLease::Settings settings = Lease(io, store, "n1", "i1");
+    settings.length = 10s;
+    IssuerLease lease(settings);
+    lease.Tick(true);
+    store.Answer();
+    if (renewal) {
+      AnswerAll(store);
+      REQUIRE(RunUntil(io, [&] {
+        lease.Tick(true);
+        return !store.calls.empty();
+      }));
+    }
+    REQUIRE(store.calls.size() == 1);
+    lease.Release();
+    CHECK_FALSE(lease.IsHeld(BootClock::now()));
+    AnswerAll(store);
+    CHECK_FALSE(lease.IsHeld(BootClock::now()));
+    CHECK(store.rows.at("issuer").removed);
+  }
+}
+
+// Pattern: as above. Guards against the row of a node that has ended, which
+// others would dial for 20 s.
+TEST_CASE("a write that was on its way leaves no row behind a stop") {
+  asio::io_context io{1};
+  FakeRowStore store;
+  MemberPublisher publisher(Publisher(io, store));
+  publisher.Tick();
+  REQUIRE(store.calls.size() == 1);
+  bool left = false;
+  publisher.Leave([&left] { left = true; });
+  AnswerAll(store);
+  CHECK(left);
+  CHECK(store.rows.at(publisher.Key()).removed);
+}
