--- a/tests/Mesh/EntrySide.h
+++ b/tests/Mesh/EntrySide.h
@@ -54,7 +54,7 @@
        .onPong = [](const std::string&, const StateWire&, TimePoint) {},
        .onMessage = [](const std::string&, const DecodedFrame&) {}}};
   GrantHolder grants{GrantSettings{},
-                     [](const std::string&, uint32_t) { return false; }, [] {}};
+                     [](const auto&, const auto&) { return false; }, [] {}};
   EntryService service{{.context = this->context,
                         .fleet = this->fleet,
                         .grants = this->grants,
--- a/tests/Mesh/TargetPath.h
+++ b/tests/Mesh/TargetPath.h
@@ -197,7 +197,7 @@
   size_t Open() const { return this->targets.Open(); }
   /// Whether the target's node counts responses with that fault.
   bool CountsFault(ResponseFault aFault) const {
-    return Contains(this->metrics.Page(),
+    return Contains(this->entry.metrics.Page(),
                     "fault=\"" + std::string(ToName(aFault)) + "\"");
   }
   /// Share of the requests that the target failed by itself, as peers learn it.
