--- a/tests/Mesh/EntryCallTest.cpp
+++ b/tests/Mesh/EntryCallTest.cpp
@@ -9,7 +9,7 @@
 #include "Http1/LoopHttpServer.h"
 #include "Http1/LoopPeer.h"
 #include "Mesh/EntryService.h"
-#include "Transport/PeerServer.h"
+#include "Transport/ScriptedNode.h"
 
 using namespace fescueline;
 using namespace fescueline::test;
@@ -33,60 +33,7 @@
       MeshConfig::Content{.version = 1, .routes = {route}});
 }
 
-/// What a node sends for a stream of a request.
-using Script =
-    std::function<void(const PeerServer::SessionPtr&, uint64_t aStream)>;
-
-/// A node that answers each attempt by a script.
-struct ScriptedNode {
-  ScriptedNode(asio::io_context& aIo, const std::string& aName,
-               const Script& aScript)
-      : server({.io = aIo,
-                .self = {aName, Id128::Generate(), "secret"},
-                .host = "127.0.0.1",
-                .greetsWithState = true,
-                .handlers = {
-                    .onRequest =
-                        [this, aScript](const PeerServer::SessionPtr& aSession,
-                                        const RequestFrame& aFrame, Duration) {
-                          ++this->attempts;
-                          aScript(aSession, aFrame.stream);
-                        },
-                    .onCredit = [](const PeerServer::SessionPtr&,
-                                   const CreditFrame&) {},
-                    .onCancel = [](const PeerServer::SessionPtr&, uint64_t) {},
-                    .onClosed = [](const PeerServer::SessionPtr&) {},
-                    .state =
-                        [] {
-                          return StateWire{
-                              .service = "fees",
-                              .state = static_cast<uint8_t>(TargetState::Ready),
-                              .limit = 5};
-                        }}}) {
-    this->server.Start();
-  }
-
-  size_t attempts = 0;
-  PeerServer server;
-};
-
-/// Closes a session when what was sent on it has been written.
-void CloseSoon(const PeerServer::SessionPtr& aSession) {
-  const auto timer = std::make_shared<asio::steady_timer>(
-      aSession->GetStrand().get_inner_executor(), 50ms);
-  timer->async_wait([timer, aSession](const asio::error_code&) {
-    aSession->Close("broken on purpose");
-  });
-}
-
-void SendBody(const PeerServer::SessionPtr& aSession, uint64_t aStream,
-              size_t aBytes) {
-  for (size_t sent = 0; sent < aBytes; sent += kMaxDataBytes) {
-    const size_t size = std::min(kMaxDataBytes, aBytes - sent);
-    aSession->Send(
-        ResponseDataFrame{.stream = aStream, .data = std::string(size, 'x')});
-  }
-}
+using Script = ScriptedNode::Script;
 
 /// A long response, or a part of it and the end of the connection.
 Script LongResponse(size_t aPart) {
@@ -237,17 +184,6 @@
   Script script;
 };
 
-using SessionPtr = PeerServer::SessionPtr;
-
-void SendHead(const SessionPtr& aSession, uint64_t aStream, int64_t aLength,
-              uint16_t aStatus = 200) {
-  aSession->Send(ResponseHeadFrame{
-      .stream = aStream, .status = aStatus, .contentLength = aLength});
-}
-void SendEnd(const SessionPtr& aSession, uint64_t aStream) {
-  aSession->Send(ResponseEndFrame{.stream = aStream, .whole = true});
-}
-
 const std::vector<UnfitCase> kUnfit = {
     {"an end without a head",
      [](const SessionPtr& aSession, uint64_t aStream) {
