Hold short responses back until they are whole in node too

Cause: ForwardCall started the caller's response with the peer's head frame. If the connection or the target's response then broke off, the caller got a head with status 200 and a closed connection in place of an answer with an outcome, even for a stored response that a query would have found. It also did not check a peer's frames: a second head, a body longer or shorter than stated, an end or a body without a head, or a refusal or reply behind a head reached the caller as a response, or made it send a request again that had run. Change: ResponseRelay moves to src/Node, and ForwardCall uses it as EntryCall does. A response of up to 128 KiB that breaks off is asked for again, repeated or refused. What does not fit ends the attempt with an unknown outcome. The count of waiting bytes is atomic, as callers' connections have other threads. IsBodiless moves to HttpMessage.h. Responses with status 204 or 304 leave through StartStream, as RESTinio adds a length to the others.

--- a/src/Http1/HttpReader.cpp
+++ b/src/Http1/HttpReader.cpp
@@ -1,7 +1,6 @@
 #include "Http1/HttpReader.h"
 
 #include "Core/Error.h"
-#include "Http1/HttpWriter.h"
 
 namespace fescueline {
 
--- a/src/Http1/HttpWriter.cpp
+++ b/src/Http1/HttpWriter.cpp
@@ -6,10 +6,6 @@
 namespace fescueline {
 
 namespace {
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
-constexpr int kFirstFinalStatus = 200;
-
 void AppendHeaders(std::string& aText, const HttpHeaders& aHeaders,
                    const HttpFraming& aFraming) {
   for (const HttpHeader& header : aHeaders) {
@@ -58,9 +54,4 @@
   return fmt::format("{:x}\r\n{}\r\n", aPart.size(), aPart);
 }
 
-bool IsBodiless(int aStatus) {
-  return aStatus < kFirstFinalStatus || aStatus == kNoContent ||
-         aStatus == kNotModified;
-}
-
 }  // namespace fescueline
--- a/src/Http1/HttpWriter.h
+++ b/src/Http1/HttpWriter.h
@@ -31,7 +31,4 @@
 /// One chunk of a chunked body; the empty part is the last chunk.
 std::string WriteChunk(std::string_view aPart);
 
-/// Whether a response with this status never has a body.
-bool IsBodiless(int aStatus);
-
 }  // namespace fescueline
--- a/src/Mesh/EntryCall.h
+++ b/src/Mesh/EntryCall.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "Mesh/EntryService.h"
-#include "Mesh/ResponseRelay.h"
+#include "Node/ResponseRelay.h"
 #include "Node/RunningAttempt.h"
 #include "Transport/RequestContext.h"
 
--- a/src/Node/ForwardCall.cpp
+++ b/src/Node/ForwardCall.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "Core/RandomSource.h"
+#include "Log/Log.h"
 #include "Node/Headers.h"
 
 namespace fescueline {
@@ -21,6 +22,8 @@
 
 ForwardCall::ForwardCall(Settings aSettings)
     : settings(std::move(aSettings)),
+      response(this->settings.exchange,
+               this->settings.exchange->Request().method == "HEAD"),
       strand(asio::make_strand(this->settings.io)),
       timer(this->strand),
       queryTimer(this->strand),
@@ -82,6 +85,7 @@
 void ForwardCall::Send(const ChosenTarget& aTarget) {
   this->settings.metrics.CountAttempt(this->attemptNumber > 0);
   this->attemptNumber++;
+  this->response.Begin();
   this->tried.push_back(aTarget.ticket.target);
   this->attempt.emplace(
       Attempt{.target = aTarget,
@@ -127,8 +131,9 @@
   return {
       .onHead =
           [self, number](const ResponseHeadFrame& aFrame) {
-            self->PostFor(
-                number, [aFrame](ForwardCall& aCall) { aCall.OnHead(aFrame); });
+            self->PostFor(number, [frame = aFrame](ForwardCall& aCall) mutable {
+              aCall.OnHead(std::move(frame));
+            });
           },
       .onData =
           [self, number](std::string aData) {
@@ -163,47 +168,66 @@
           }};
 }
 
-void ForwardCall::OnHead(const ResponseHeadFrame& aFrame) {
-  this->headSent = true;
-  this->status = aFrame.status;
+void ForwardCall::OnHead(ResponseHeadFrame aFrame) {
   HttpHeaders headers = FromWire(aFrame.headers);
   StripForCaller(headers);
   headers.push_back({"fescueline-outcome", std::string(ToName(Outcome::Ran))});
-  std::optional<uint64_t> length;
-  if (aFrame.contentLength >= 0) {
-    length = static_cast<uint64_t>(aFrame.contentLength);
+  aFrame.headers = ToWire(headers);
+  if (!this->response.OnHead(aFrame)) {
+    this->OnUnfit("head");
   }
-  this->settings.exchange->StartStream(aFrame.status, std::move(headers),
-                                       length);
 }
 
 void ForwardCall::OnData(std::string aData) {
   const uint64_t size = aData.size();
-  // The target's node may send more once the caller has taken this.
-  this->settings.exchange->Write(
+  const bool fits = this->response.OnData(
       std::move(aData),
       [client = this->attempt->client, stream = this->attempt->stream, size] {
         client->Credit(stream, size);
       });
+  if (!fits) {
+    this->OnUnfit("body");
+  }
+}
+
+void ForwardCall::OnUnfit(std::string_view aPart) {
+  Log(LogLevel::Error, "peer sent what fits no response",
+      {{"attempt", this->attempt->id.ToString()},
+       {"peer", this->attempt->target.address.nodeId},
+       {"part", std::string(aPart)},
+       {"status", std::to_string(this->response.Status())}});
+  this->attempt->client->Cancel(this->attempt->stream);
+  this->EndAttempt(CallResult::Failed, 0);
+  this->OnFailed(Outcome::Unknown, Cause::ConnectionLost, Duration(0));
 }
 
 void ForwardCall::OnEnd(const ResponseEndFrame& aFrame) {
   this->settings.fleet.Learn(this->attempt->target.address.nodeId,
                              this->settings.pathRoute, aFrame.thresholds,
                              SteadyClock().Now());
-  const bool good = aFrame.whole && this->status < kServerError;
+  if (!aFrame.whole) {
+    this->EndAttempt(CallResult::Failed, aFrame.unspentRetries);
+    this->OnFailed(Outcome::Unknown, Cause::TargetFailed, Duration(0));
+    return;
+  }
+  if (!this->response.IsWhole()) {
+    this->OnUnfit("end");
+    return;
+  }
+  const bool good = this->response.Status() < kServerError;
   this->EndAttempt(good ? CallResult::Answered : CallResult::Failed,
                    aFrame.unspentRetries);
-  this->Finish(aFrame.whole);
+  this->Finish(true);
 }
 
 void ForwardCall::OnRefusal(const RefusalFrame& aFrame) {
   this->settings.fleet.Learn(this->attempt->target.address.nodeId,
                              this->settings.pathRoute, aFrame.thresholds,
                              SteadyClock().Now());
-  const auto outcome = aFrame.outcome == static_cast<uint8_t>(Outcome::NotRun)
-                           ? Outcome::NotRun
-                           : Outcome::Unknown;
+  // A target that has begun to answer has run the request.
+  const bool notRun = aFrame.outcome == static_cast<uint8_t>(Outcome::NotRun) &&
+                      !this->response.HasHead();
+  const auto outcome = notRun ? Outcome::NotRun : Outcome::Unknown;
   const auto cause = static_cast<Cause>(aFrame.cause);
   const bool targetFailed =
       outcome == Outcome::Unknown || cause == Cause::ConnectFailed;
@@ -219,12 +243,7 @@
     this->OnFailed(Outcome::NotRun, Cause::ConnectFailed, kNoTargetRetryAfter);
     return;
   }
-  if (this->headSent) {
-    this->EndAttempt(CallResult::Failed, 0);
-    this->Finish(false);
-    return;
-  }
-  if (this->settings.context.idempotent) {
+  if (this->settings.context.idempotent || this->response.IsStreamed()) {
     this->EndAttempt(CallResult::Failed, 0);
     this->OnFailed(Outcome::Unknown, Cause::ConnectionLost, Duration(0));
     return;
@@ -237,7 +256,9 @@
 }
 
 void ForwardCall::Query() {
-  if (SteadyClock().Now() - this->lostAt > kQueryLimit) {
+  // No stored response is long enough to be streamed.
+  if (this->response.IsStreamed() ||
+      SteadyClock().Now() - this->lostAt > kQueryLimit) {
     this->EndAttempt(CallResult::Failed, 0);
     this->OnFailed(Outcome::Unknown, Cause::ConnectionLost, Duration(0));
     return;
@@ -249,6 +270,8 @@
           return;
         }
         Attempt& lost = *self->attempt;
+        // The answer is the whole response or none.
+        self->response.Begin();
         lost.client = self->settings.peers.Get(lost.target.address);
         PeerStreamHandlers handlers = self->StreamHandlers();
         // A lost query is repeated whether or not it was sent.
@@ -262,6 +285,10 @@
 }
 
 void ForwardCall::OnAttemptReply(const AttemptReplyFrame& aFrame) {
+  if (this->attempt->incarnation.empty() || this->response.HasHead()) {
+    this->OnUnfit("reply");
+    return;
+  }
   const auto outcome = static_cast<Outcome>(aFrame.outcome);
   this->EndAttempt(CallResult::Failed, 0);
   if (outcome == Outcome::Ran) {
@@ -290,6 +317,11 @@
 
 void ForwardCall::OnFailed(Outcome aOutcome, Cause aCause,
                            Duration aRetryAfter) {
+  if (this->response.IsStreamed()) {
+    // The caller has a part: it can be neither repeated nor replaced.
+    this->Finish(false);
+    return;
+  }
   if (this->MayRetry(aOutcome, aCause)) {
     this->mayHaveRun = this->mayHaveRun || aOutcome != Outcome::NotRun;
     this->lastCause = aCause;
@@ -320,17 +352,13 @@
     this->attempt->client->Cancel(this->attempt->stream);
     this->EndAttempt(CallResult::Failed, 0);
   }
-  if (this->headSent) {
-    this->Finish(false);
-    return;
-  }
   this->Refuse(
       {.outcome = sent || this->mayHaveRun ? Outcome::Unknown : Outcome::NotRun,
        .cause = Cause::DeadlineExpired});
 }
 
 void ForwardCall::Refuse(const Refusal& aRefusal) {
-  if (this->headSent) {
+  if (this->response.IsStreamed()) {
     this->Finish(false);
     return;
   }
@@ -349,15 +377,19 @@
 void ForwardCall::Finish(bool aWhole) {
   const RequestContext& context = this->settings.context;
   this->settings.metrics.CountServed(context.organisation, context.importance,
-                                     this->status,
+                                     this->response.Status(),
                                      SteadyClock().Now() - this->startedAt);
   this->done = true;
   this->timer.cancel();
   this->queryTimer.cancel();
   if (this->settings.onEnd) {
-    this->settings.onEnd({.status = this->status, .refusal = {}});
+    this->settings.onEnd({.status = this->response.Status(), .refusal = {}});
+  }
+  if (this->response.IsStreamed()) {
+    this->response.EndStream(aWhole, this->settings.onSent);
+  } else {
+    this->response.Deliver(this->settings.onSent);
   }
-  this->settings.exchange->EndStream(aWhole, this->settings.onSent);
 }
 
 }  // namespace fescueline
--- a/src/Node/ForwardCall.h
+++ b/src/Node/ForwardCall.h
@@ -10,6 +10,7 @@
 #include "Node/Metrics.h"
 #include "Node/PeerPool.h"
 #include "Node/Refusal.h"
+#include "Node/ResponseRelay.h"
 #include "Node/RunningAttempt.h"
 #include "Retry/RetryPolicy.h"
 #include "Transport/HttpServer.h"
@@ -17,8 +18,8 @@
 namespace fescueline {
 
 /// One request on its way from this node to a target: chooses targets, sends
-/// attempts, retries within the budget, resolves lost attempts and streams the
-/// response. Runs on a strand of its own.
+/// attempts, retries within the budget, resolves lost attempts and passes the
+/// response on. Runs on a strand of its own.
 class ForwardCall : public std::enable_shared_from_this<ForwardCall> {
  public:
   /// How the call ended, for metrics and claims.
@@ -87,23 +88,27 @@
   /// Runs a function on the strand if the attempt is still the current one.
   template <typename F>
   void PostFor(uint64_t aAttempt, F aFunction);
-  void OnHead(const ResponseHeadFrame& aFrame);
+  void OnHead(ResponseHeadFrame aFrame);
   void OnData(std::string aData);
   void OnEnd(const ResponseEndFrame& aFrame);
   void OnRefusal(const RefusalFrame& aFrame);
   void OnAttemptReply(const AttemptReplyFrame& aFrame);
   void OnLost(bool aSent, std::string aIncarnation);
+  /// The peer sent what fits no response: gives the attempt up.
+  void OnUnfit(std::string_view aPart);
   void Query();
-  /// The attempt failed; retries or refuses.
+  /// The attempt failed; retries, refuses or ends what the caller has a part
+  /// of.
   void OnFailed(Outcome aOutcome, Cause aCause, Duration aRetryAfter);
   bool MayRetry(Outcome aOutcome, Cause aCause) const;
   void EndAttempt(CallResult aResult, uint32_t aUnspentRetries);
   void OnDeadline();
   void Refuse(const Refusal& aRefusal);
-  /// Ends a response that has started.
+  /// Delivers a response that was held back, or ends one that was streamed.
   void Finish(bool aWhole);
 
   Settings settings;
+  ResponseRelay response;
   /// Serialises the call.
   Strand strand;
   /// Fires at the deadline.
@@ -125,10 +130,6 @@
   /// Cause and suggested wait of the last failed attempt.
   Cause lastCause = Cause::NoTarget;
   Duration lastRetryAfter{0};
-  /// Whether the response has started.
-  bool headSent = false;
-  /// Status of the response.
-  int status = 0;
   /// Whether the call has ended.
   bool done = false;
 };
--- a/src/Mesh/ResponseRelay.cpp
+++ b/src/Node/ResponseRelay.cpp
@@ -1,9 +1,9 @@
-#include "Mesh/ResponseRelay.h"
+#include "Node/ResponseRelay.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "Http1/HttpWriter.h"
+#include "Node/Headers.h"
 
 namespace fescueline {
 
@@ -32,9 +32,7 @@
     return false;
   }
   this->status = aFrame.status;
-  for (const HeaderWire& header : aFrame.headers) {
-    this->headers.push_back({header.name, header.value});
-  }
+  this->headers = FromWire(aFrame.headers);
   if (aFrame.contentLength >= 0) {
     this->length = static_cast<uint64_t>(aFrame.contentLength);
   }
@@ -44,8 +42,9 @@
 bool ResponseRelay::OnData(std::string aData,
                            const std::function<void()>& aTaken) {
   const size_t size = aData.size();
+  const uint64_t waits = this->waiting->load();
   if (!this->HasHead() || this->headRequest || IsBodiless(this->status) ||
-      size > kMaxWaiting - std::min(kMaxWaiting, *this->waiting) ||
+      size > kMaxWaiting - std::min(kMaxWaiting, waits) ||
       (this->length && size > *this->length - this->received)) {
     return false;
   }
@@ -82,15 +81,15 @@
           .body = std::move(this->body)};
 }
 
-void ResponseRelay::Deliver() {
-  if (this->headRequest) {
+void ResponseRelay::Deliver(std::function<void()> aOnSent) {
+  if (this->headRequest || IsBodiless(this->status)) {
     // States the length of the body that the target did not send.
     this->exchange->StartStream(this->status, std::move(this->headers),
                                 this->length);
-    this->exchange->EndStream(true);
+    this->exchange->EndStream(true, std::move(aOnSent));
     return;
   }
-  this->exchange->Respond(this->Take());
+  this->exchange->Respond(this->Take(), std::move(aOnSent));
 }
 
 }  // namespace fescueline
--- a/src/Transport/HttpMessage.cpp
+++ b/src/Transport/HttpMessage.cpp
@@ -18,6 +18,10 @@
                                                         "proxy-authorization",
                                                         "content-length"};
 
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
 char LowerAscii(char aCharacter) {
   return static_cast<char>(
       std::tolower(static_cast<unsigned char>(aCharacter)));
@@ -105,6 +109,11 @@
   return false;
 }
 
+bool IsBodiless(int aStatus) {
+  return aStatus < kFirstFinalStatus || aStatus == kNoContent ||
+         aStatus == kNotModified;
+}
+
 std::string_view PathOf(std::string_view aTarget) {
   return aTarget.substr(0, aTarget.find_first_of("?#"));
 }
--- a/src/Transport/HttpMessage.h
+++ b/src/Transport/HttpMessage.h
@@ -61,6 +61,9 @@
 /// broke off there and went on with another head, whose fields follow.
 bool HoldsStatusLine(std::string_view aText);
 
+/// Whether a response with this status never has a body.
+bool IsBodiless(int aStatus);
+
 /// Path of a request target, without the query.
 std::string_view PathOf(std::string_view aTarget);
 
--- a/src/Transport/HttpServer.cpp
+++ b/src/Transport/HttpServer.cpp
@@ -251,9 +251,8 @@
       this->builder->connection_close();
     }
     // Responses without a body carry no framing.
-    const bool bodyless =
-        aStatus == 204 || aStatus == 304 || this->request.method == "HEAD";
-    this->chunked = !aContentLength && !bodyless;
+    const bool bodiless = IsBodiless(aStatus) || this->request.method == "HEAD";
+    this->chunked = !aContentLength && !bodiless;
     if (aContentLength) {
       this->builder->append_header("Content-Length",
                                    std::to_string(*aContentLength));
--- a/tests/Node/FaultyTargetTest.cpp
+++ b/tests/Node/FaultyTargetTest.cpp
@@ -132,3 +132,39 @@
     CHECK(FindHeader(response.headers, "fescueline-outcome") != "not-run");
   }
 }
+
+// Guards against a caller that gets the head of a response and a part of its
+// body, where it could be told what is known of its request.
+TEST_CASE("a short response that breaks off in its body is not passed on") {
+  struct Row {
+    const char* name;
+    const char* method;
+    std::string framing;
+    std::string part;
+  };
+  const std::string length = "Content-Length: 5\r\n\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<Row> rows = {
+      {"no byte of the body", "POST", length, ""},
+      {"a part of the body", "POST", length, "abcd"},
+      {"a part of the body of GET", "GET", length, "abcd"},
+      {"no chunk", "POST", chunked, ""},
+      {"a part of a chunk", "POST", chunked, "5\r\nab"},
+      {"no last chunk", "POST", chunked, "5\r\nabcde\r\n"}};
+  std::atomic<const Row*> row{nullptr};
+  FaultyFleet world([&](const ScriptedPeer::Turn& aTurn) {
+    aTurn.Send("HTTP/1.1 200 OK\r\n" + row.load()->framing + row.load()->part);
+    aTurn.Close();
+  });
+  for (const Row& next : rows) {
+    CAPTURE(std::string(next.name));
+    row = &next;
+    const auto response =
+        world.fleet.Call(0, {.url = "/fees", .method = next.method});
+    CHECK(response.status != 200);
+    CHECK(response.status > 500);
+    CHECK(response.whole);
+    CHECK(FindHeader(response.headers, "fescueline-outcome") == "unknown");
+    CHECK(FindHeader(response.headers, "fescueline-cause") == "target-failed");
+  }
+}
--- a/tests/Mesh/ResponseRelayTest.cpp
+++ b/tests/Node/ResponseRelayTest.cpp
@@ -2,7 +2,7 @@
 
 #include <deque>
 
-#include "Mesh/ResponseRelay.h"
+#include "Node/ResponseRelay.h"
 
 using namespace fescueline;
 
