Bound the body that is read of an attempt whose sender has left

Cause: an attempt that may run only once got unlimited credit when its sender's connection ended, so that a body without end was read at full speed until the deadline. When the sender gave it up, or the target shed it, it got no credit at all, and a body over 256 KiB held its slot and delayed the refusal until the deadline. Change: 1 MiB is read of a body that nobody takes, and is not sent; then the transfer ends. A response of 40 kB is still kept for a query, and one of 700 kB is still answered as "ran".

--- a/src/Node/InboundAttempt.cpp
+++ b/src/Node/InboundAttempt.cpp
@@ -12,6 +12,10 @@
 constexpr int kServerError = 500;
 /// Wait suggested after a refusal that has no estimate of its own.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(200);
+/// Bytes that are read of a body that nobody wants, to see that the target has
+/// run the request: one without end would take the processor and a slot until
+/// the deadline.
+constexpr uint64_t kMaxDiscardedBody = uint64_t{1} << 20;
 }  // namespace
 
 InboundAttempt::InboundAttempt(TargetHandler& aHandler,
@@ -96,7 +100,7 @@
 }
 
 void InboundAttempt::AddCredit(uint64_t aBytes) {
-  if (this->state == State::Running) {
+  if (this->state == State::Running && !this->discardsBody) {
     this->handler.Client().Credit(this->transfer, static_cast<int64_t>(aBytes));
   }
 }
@@ -106,22 +110,30 @@
     this->handler.CancelQueued(this->handle);
     this->FinishFailed(Outcome::NotRun, Cause::Cancelled, Duration(0));
   } else if (this->state == State::Running && this->Context().idempotent) {
-    // An attempt that is not idempotent runs to its end: breaking it off
-    // would leave its outcome unknown.
     this->handler.Client().Cancel(this->transfer);
+  } else if (this->state == State::Running) {
+    // Left to run, since its effect would be unknown otherwise.
+    this->DiscardBody();
   }
 }
 
 void InboundAttempt::OnSessionClosed() {
-  if (this->Context().idempotent) {
+  if (this->Context().idempotent || this->state == State::Running) {
     this->Cancel();
-  } else if (this->state == State::Running) {
-    // Nobody grants credit any more; the response is kept for a query.
-    constexpr int64_t kUnlimited = int64_t{1} << 40;
-    this->handler.Client().Credit(this->transfer, kUnlimited);
   }
 }
 
+void InboundAttempt::DiscardBody() {
+  if (this->discardsBody) {
+    return;
+  }
+  this->discardsBody = true;
+  // More than is read, so that the transfer never waits for credit: the last
+  // read may have used more than there was.
+  this->handler.Client().Credit(this->transfer,
+                                kMaxDiscardedBody + kMaxDataBytes);
+}
+
 bool InboundAttempt::IsDeclaredShed(int aStatus,
                                     const HttpHeaders& aHeaders) const {
   // The attempt id keeps a target from passing on the declaration of a
@@ -141,6 +153,7 @@
   this->status = aStatus;
   this->declaredShed = this->IsDeclaredShed(aStatus, aHeaders);
   if (this->declaredShed) {
+    this->DiscardBody();
     return;
   }
   StripForCaller(aHeaders);
@@ -158,10 +171,17 @@
 }
 
 void InboundAttempt::OnData(const std::string& aData) {
-  if (this->state != State::Running || this->declaredShed) {
+  if (this->state != State::Running) {
     return;
   }
   this->Keep(aData);
+  if (this->discardsBody) {
+    this->discarded += aData.size();
+    if (this->discarded > kMaxDiscardedBody) {
+      this->handler.Client().Cancel(this->transfer);
+    }
+    return;
+  }
   for (size_t at = 0; at < aData.size(); at += kMaxDataBytes) {
     this->session->Send(ResponseDataFrame{
         .stream = this->frame.stream, .data = aData.substr(at, kMaxDataBytes)});
--- a/src/Node/InboundAttempt.h
+++ b/src/Node/InboundAttempt.h
@@ -48,6 +48,8 @@
   void OnHead(int aStatus, HttpHeaders aHeaders, int64_t aLength);
   void OnData(const std::string& aData);
   void OnDone(const HttpTransferResult& aResult);
+  /// Nobody takes the body any more: reads a bounded part of the rest.
+  void DiscardBody();
   /// Whether the target declared that it did not start this attempt.
   bool IsDeclaredShed(int aStatus, const HttpHeaders& aHeaders) const;
   void FinishAnswered(bool aWhole);
@@ -69,6 +71,10 @@
   AdmissionHandle handle;
   /// Transfer to the target while running.
   uint64_t transfer = 0;
+  /// Whether the body is not passed on.
+  bool discardsBody = false;
+  /// Body bytes that arrived since.
+  uint64_t discarded = 0;
   /// Whether the target's status line has arrived.
   bool headSeen = false;
   /// Status of the target's response.
