Send no body where callers expect none

Cause: RESTinio writes the body and its length whatever the request's method and the status are. A refusal of a HEAD request had its line of text, which the caller takes for the begin of the next response on the connection. Change: HttpServer sends such responses without a body; those with status 204 and 304 without a length.

--- a/src/Transport/HttpServer.cpp
+++ b/src/Transport/HttpServer.cpp
@@ -219,6 +219,16 @@
   }
 
   void Respond(HttpResponse aResponse, std::function<void()> aOnSent) override {
+    if (this->LacksBody(aResponse.status)) {
+      // RESTinio would send the body.
+      std::optional<uint64_t> length;
+      if (!IsBodiless(aResponse.status)) {
+        length = aResponse.body.size();
+      }
+      this->StartStream(aResponse.status, std::move(aResponse.headers), length);
+      this->EndStream(true, std::move(aOnSent));
+      return;
+    }
     // Runs the function even if RESTinio drops the notification.
     const auto sent = std::make_shared<OnceSent>(std::move(aOnSent));
     if (!this->Finish()) {
@@ -251,8 +261,7 @@
       this->builder->connection_close();
     }
     // Responses without a body carry no framing.
-    const bool bodiless = IsBodiless(aStatus) || this->request.method == "HEAD";
-    this->chunked = !aContentLength && !bodiless;
+    this->chunked = !aContentLength && !this->LacksBody(aStatus);
     if (aContentLength) {
       this->builder->append_header("Content-Length",
                                    std::to_string(*aContentLength));
@@ -292,6 +301,11 @@
   }
 
  private:
+  /// Whether the caller expects no body, whatever the head says.
+  bool LacksBody(int aStatus) const {
+    return IsBodiless(aStatus) || this->request.method == "HEAD";
+  }
+
   /// Marks the response as ended; false if it had ended.
   bool Finish() {
     const std::lock_guard lock(this->abortMutex);
--- a/tests/Transport/HttpTest.cpp
+++ b/tests/Transport/HttpTest.cpp
@@ -208,3 +208,126 @@
     CHECK(answer.result.whole == row.whole);
   }
 }
+
+namespace {
+/// Sends bytes on one connection and returns what comes back until the server
+/// closes it.
+std::string Exchange(uint16_t aPort, const std::string& aBytes) {
+  asio::io_context io;
+  asio::ip::tcp::socket socket(io);
+  socket.connect({asio::ip::make_address("127.0.0.1"), aPort});
+  asio::write(socket, asio::buffer(aBytes));
+  std::string reply;
+  asio::error_code ignored;
+  asio::read(socket, asio::dynamic_buffer(reply), ignored);
+  return reply;
+}
+}  // namespace
+
+// Guards against a body where the caller expects none: it would take the bytes
+// for the begin of its next response.
+TEST_CASE("a response that may have no body is sent without one") {
+  struct Row {
+    const char* name;
+    std::string method;
+    int status;
+    std::string framing;
+  };
+  Pool pool;
+  int status = 200;
+  HttpServer server({.io = pool.io,
+                     .host = "127.0.0.1",
+                     .onRequest = [&status](HttpExchangePtr aExchange) {
+                       const bool first = aExchange->Request().target == "/1";
+                       aExchange->Respond({.status = first ? status : 200,
+                                           .headers = {{"X-A", "b"}},
+                                           .body = "text"});
+                     }});
+  for (const Row& row :
+       std::vector<Row>{{"HEAD", "HEAD", 200, "Content-Length: 4\r\n"},
+                        {"refused HEAD", "HEAD", 503, "Content-Length: 4\r\n"},
+                        {"204", "GET", 204, ""},
+                        {"304", "GET", 304, ""}}) {
+    CAPTURE(std::string(row.name));
+    status = row.status;
+    const std::string reply =
+        Exchange(server.Port(), row.method +
+                                    " /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                                    "GET /2 HTTP/1.1\r\nHost: a\r\n"
+                                    "Connection: close\r\n\r\n");
+    CAPTURE(reply);
+    const size_t end = reply.find("\r\n\r\n");
+    REQUIRE(end != std::string::npos);
+    const std::string head = reply.substr(0, end + 2);
+    CHECK(head.starts_with("HTTP/1.1 " + std::to_string(row.status)));
+    CHECK(head.find("X-A: b\r\n") != std::string::npos);
+    if (row.framing.empty()) {
+      CHECK(head.find("Content-Length") == std::string::npos);
+    } else {
+      CHECK(head.find(row.framing) != std::string::npos);
+    }
+    const std::string next = reply.substr(end + 4);
+    CHECK(next.starts_with("HTTP/1.1 200"));
+    CHECK(next.ends_with("text"));
+  }
+}
+
+// Pattern: a caller sends a part of a request without end, at full speed.
+// Guards against memory and processor time without bound for one request.
+TEST_CASE("a request without end closes its connection") {
+  struct Row {
+    const char* name;
+    std::string begin;
+    std::string piece;
+  };
+  constexpr size_t kMaxRead = size_t{16} << 20;
+  const std::string text(size_t{16} * 1024, 'x');
+  const std::string head = "POST / HTTP/1.1\r\nHost: a\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  Pool pool;
+  HttpServer server(
+      {.io = pool.io,
+       .host = "127.0.0.1",
+       .onRequest = [](HttpExchangePtr aExchange) { aExchange->Respond({}); }});
+  for (const Row& row :
+       std::vector<Row>{{"empty lines", "", "\r\n\r\n\r\n\r\n"},
+                        {"a method", "", "POST"},
+                        {"a target", "GET /", text},
+                        {"a version", "GET / HTTP/1.", "11111111"},
+                        {"a name of a field", head, text},
+                        {"a value of a field", head + "A: ", text},
+                        {"fields", head, "A: b\r\nC: d\r\n"},
+                        {"a body with a length",
+                         head + "Content-Length: 1000000000000\r\n\r\n", text},
+                        {"chunks", chunked, "4000\r\n" + text + "\r\n"},
+                        {"tiny chunks", chunked, "1\r\nx\r\n1\r\nx\r\n"},
+                        {"the size of a chunk", chunked, "00000000"},
+                        {"an extension of a chunk", chunked + "1;", text},
+                        {"trailers", chunked + "0\r\n", "A: b\r\nC: d\r\n"}}) {
+    CAPTURE(std::string(row.name));
+    asio::io_context io{1};
+    asio::ip::tcp::socket socket(io);
+    socket.connect({asio::ip::make_address("127.0.0.1"), server.Port()});
+    std::string piece = row.piece;
+    while (piece.size() < text.size()) {
+      piece += row.piece;
+    }
+    asio::write(socket, asio::buffer(row.begin));
+    size_t written = 0;
+    bool closed = false;
+    std::function<void()> write = [&] {
+      asio::async_write(socket, asio::buffer(piece),
+                        [&](const asio::error_code& aError, size_t aSize) {
+                          written += aSize;
+                          closed = !!aError;
+                          if (!closed && written < 2 * kMaxRead) {
+                            write();
+                          }
+                        });
+    };
+    write();
+    io.run_for(std::chrono::seconds(3));
+    CHECK(closed);
+    CHECK(written < kMaxRead);
+  }
+}
