Count no credit beyond what an attempt has sent

Cause: a peer could allow any number of bytes; a target's long body was then queued as fast as it came, whatever the sender took. Change: credit counts up to the bytes that were passed on, as on the mesh path.

--- a/src/Node/InboundAttempt.cpp
+++ b/src/Node/InboundAttempt.cpp
@@ -1,5 +1,7 @@
 #include "Node/InboundAttempt.h"
 
+#include <algorithm>
+
 #include "Core/RandomSource.h"
 #include "Node/Headers.h"
 #include "Node/Refusal.h"
@@ -100,8 +102,11 @@
 }
 
 void InboundAttempt::AddCredit(uint64_t aBytes) {
+  // No proper sender of credit gives back more than it got.
+  const uint64_t credit = std::min(aBytes, this->uncredited);
+  this->uncredited -= credit;
   if (this->state == State::Running && !this->discardsBody) {
-    this->handler.Client().Credit(this->transfer, static_cast<int64_t>(aBytes));
+    this->handler.Client().Credit(this->transfer, static_cast<int64_t>(credit));
   }
 }
 
@@ -182,6 +187,7 @@
     }
     return;
   }
+  this->uncredited += aData.size();
   for (size_t at = 0; at < aData.size(); at += kMaxDataBytes) {
     this->session->Send(ResponseDataFrame{
         .stream = this->frame.stream, .data = aData.substr(at, kMaxDataBytes)});
--- a/src/Node/InboundAttempt.h
+++ b/src/Node/InboundAttempt.h
@@ -71,6 +71,8 @@
   AdmissionHandle handle;
   /// Transfer to the target while running.
   uint64_t transfer = 0;
+  /// Body bytes that were passed on and for which no credit came back.
+  uint64_t uncredited = 0;
   /// Whether the body is not passed on.
   bool discardsBody = false;
   /// Body bytes that arrived since.
--- a/tests/Node/InboundAttemptTest.cpp
+++ b/tests/Node/InboundAttemptTest.cpp
@@ -244,3 +244,20 @@
   targetThread.join();
   CHECK(endless.Written() < kMaxRead);
 }
+
+// Guards against memory without bound for a sender that allows more than it
+// has taken.
+TEST_CASE("credit beyond what was sent counts for nothing") {
+  asio::io_context targetIo{1};
+  EndlessServer endless(targetIo, "HTTP/1.1 200 OK\r\n" + kHuge, kBody);
+  std::thread targetThread([&targetIo] { targetIo.run_for(8s); });
+  World world(endless.Endpoint().port());
+  CHECK(RunPromptly(world.io, [&world] { return world.seen.status != 0; }));
+  world.client->Credit(world.stream, uint64_t{1} << 40);
+  RunUntil(
+      world.io, [] { return false; }, 500ms);
+  targetIo.stop();
+  targetThread.join();
+  CHECK(world.seen.body.size() >= static_cast<size_t>(kInitialCredit));
+  CHECK(endless.Written() < kMaxRead);
+}
