--- a/src/Mesh/EntryCall.h
+++ b/src/Mesh/EntryCall.h
@@ -9,7 +9,7 @@
 #include "Mesh/EntryRequest.h"
 #include "Mesh/EntryService.h"
 #include "Mesh/RequestReporter.h"
-#include "Mesh/ResponseRelay.h"
+#include "Node/ResponseRelay.h"
 #include "Node/RunningAttempt.h"
 
 namespace fescueline {
