Ask vouchers early enough for four tries at any freshness limit

Cause: vouchers were asked from an age of 0.4 of the limit on, every 250 ms. At the shortest limit, 1 s, which process-table-down uses, the knowledge is then up to 0.65 s old when the first question leaves: one stall of 0.35 s, or two lost answers, stop closed routes although a majority of the vouchers lives. At the default of 4 s there are nine tries. Change: vouchers are asked at the latest 1 s before the limit. Limits of 1.67 s and more are as before.

--- a/src/Node/Gossip.cpp
+++ b/src/Node/Gossip.cpp
@@ -15,6 +15,15 @@
 /// Vouchers are asked when the knowledge is older than this share of the
 /// limit; until then table reads and relays suffice.
 constexpr double kVouchFromAge = 0.4;
+/// Vouchers are asked no later than this before the limit: time for four
+/// questions, as answers may be lost or late whatever the limit is.
+constexpr Duration kVouchLead = std::chrono::seconds(1);
+
+/// Age of the knowledge from which vouchers are asked.
+Duration VouchFrom(Duration aLimit) {
+  return std::min(FromSeconds(kVouchFromAge * ToSeconds(aLimit)),
+                  aLimit - kVouchLead);
+}
 
 template <typename Map, typename GetTime>
 void DropOld(Map& aMap, TimePoint aNow, GetTime aGetTime) {
@@ -46,10 +55,7 @@
     this->PullFrom(peer, aNow);
   }
   const auto age = this->settings.knowledge.Age(aNow);
-  const bool ageing =
-      !age || ToSeconds(*age) >
-                  kVouchFromAge * ToSeconds(this->settings.freshnessLimit);
-  if (ageing) {
+  if (!age || *age > VouchFrom(this->settings.freshnessLimit)) {
     this->AskVouchers(VouchersOf(*this->settings.config.Snapshot()), aNow);
   }
   const std::lock_guard lock(this->mutex);
--- a/tests/Node/GossipTest.cpp
+++ b/tests/Node/GossipTest.cpp
@@ -22,8 +22,8 @@
 /// One process of node a, without sockets. A second one with the same name is
 /// the same node after a restart.
 struct Process {
-  Process()
-      : knowledge(kLimit, SteadyClock().Now()),
+  explicit Process(Duration aLimit = kLimit)
+      : knowledge(aLimit, SteadyClock().Now()),
         sync(this->config, this->knowledge, [](const auto&, TimePoint) {}),
         gossip({.self = this->self,
                 .config = this->config,
@@ -35,7 +35,7 @@
                       this->sent.push_back({aUrl, aKind, aPayload});
                       return true;
                     },
-                .freshnessLimit = kLimit,
+                .freshnessLimit = aLimit,
                 .seeds = {"tcp://127.0.0.1:1"}}) {}
 
   void ReadTable(MemoryTableStore& aTable) {
@@ -90,6 +90,14 @@
                       .controlAddress = aAddress}
       .ToJson();
 }
+
+/// Three nodes that vouch for the configuration.
+void PutVouchers(MemoryTableStore& aTable) {
+  for (const char* name : {"a", "b", "c"}) {
+    Put(aTable, std::string("member/") + name, MemberAt("127.0.0.1:2"));
+  }
+  Put(aTable, "vouchers", VouchersRecord{.nodes = {"a", "b", "c"}}.ToJson());
+}
 }  // namespace
 
 // Pattern: a node is restarted while a peer's reply waits for its listener.
@@ -136,10 +144,7 @@
 // of an answer from before the withdrawal.
 TEST_CASE("a vouch for an earlier process of the node counts for no other") {
   MemoryTableStore table;
-  for (const char* name : {"a", "b", "c"}) {
-    Put(table, std::string("member/") + name, MemberAt("127.0.0.1:2"));
-  }
-  Put(table, "vouchers", VouchersRecord{.nodes = {"a", "b", "c"}}.ToJson());
+  PutVouchers(table);
   Process earlier;
   Process later;
   earlier.ReadTable(table);
@@ -161,3 +166,36 @@
   vouch(*later.Questions<VouchAskWire>(ControlKind::VouchAsk).begin());
   CHECK(later.knowledge.Age(now).value() == Duration(0));
 }
+
+// Pattern: the table is down and answers of vouchers are lost. Guards against
+// traffic that stops although a majority of the vouchers lives, at any limit
+// that the settings allow.
+TEST_CASE("two lost rounds of answers do not make a node stale") {
+  MemoryTableStore table;
+  PutVouchers(table);
+  for (const Duration limit : std::vector<Duration>{1s, 1500ms, 2s, 4s}) {
+    for (const Duration phase : std::vector<Duration>{20ms, 100ms, 240ms}) {
+      CAPTURE(ToSeconds(limit));
+      CAPTURE(ToSeconds(phase));
+      Process node(limit);
+      const TimePoint read = SteadyClock().Now();
+      node.ReadTable(table);
+      size_t lost = 0;
+      for (Duration at = phase; at < 2 * limit; at += 250ms) {
+        CHECK(node.knowledge.IsFresh(read + at));
+        node.sent.clear();
+        node.gossip.Tick(read + at);
+        const auto asked = node.Questions<VouchAskWire>(ControlKind::VouchAsk);
+        if (asked.empty() || ++lost <= 2) {
+          continue;
+        }
+        const VouchReplyWire reply{.question = *asked.begin(),
+                                   .version = node.config.Version(),
+                                   .eligible = true};
+        node.Receive("b", ControlKind::VouchReply, EncodePayload(reply),
+                     read + at + 20ms);
+      }
+      CHECK(lost > 2);
+    }
+  }
+}
