Log why a node's connection to a peer ended

Cause: a node of the project's own fleet dropped the reason. Requests that end with "connection-lost" could not be traced to a silent, refused or broken connection; mesh nodes log it. Change: "peer lost" with the node and the reason, if its target was in use.

--- a/src/Node/FleetView.cpp
+++ b/src/Node/FleetView.cpp
@@ -112,11 +112,15 @@
   this->thresholds.Learn(aNode, "", FromWire(aState.thresholds), aNow);
 }
 
-void FleetView::OnSilent(const std::string& aNode) {
+bool FleetView::OnSilent(const std::string& aNode) {
   const std::lock_guard lock(this->mutex);
-  if (const auto target = this->table.Find(aNode)) {
-    this->table.OnSilent(*target);
+  const auto target = this->table.Find(aNode);
+  if (!target) {
+    return false;
   }
+  const bool used = this->table.Get(*target)->list != TargetList::Closed;
+  this->table.OnSilent(*target);
+  return used;
 }
 
 void FleetView::Tick(TimePoint aNow) {
--- a/src/Node/FleetView.h
+++ b/src/Node/FleetView.h
@@ -57,8 +57,8 @@
   /// A node reported the state of its target.
   void OnState(const std::string& aNode, const StateWire& aState,
                TimePoint aNow);
-  /// The connection to a node ended.
-  void OnSilent(const std::string& aNode);
+  /// The connection to a node ended. Returns whether its target was in use.
+  bool OnSilent(const std::string& aNode);
   /// Judges targets; call every 500 ms.
   void Tick(TimePoint aNow);
   /// Nodes that connections should be held to.
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -63,8 +63,11 @@
                    this->fleet.OnState(aNode, aState, SteadyClock().Now());
                  },
              .onClosed =
-                 [this](const std::string& aNode, const std::string&) {
-                   this->fleet.OnSilent(aNode);
+                 [this](const std::string& aNode, const std::string& aReason) {
+                   if (this->fleet.OnSilent(aNode)) {
+                     Log(LogLevel::Warning, "peer lost",
+                         {{"node", aNode}, {"reason", aReason}});
+                   }
                  }}),
       shares(
           {.node = this->self.nodeId, .incarnation = this->self.incarnation},
