Test that grants of two versions are understood by both

Cause: the numbers of requests for tokens lengthened two frames. Change: a test with the frame as it was.

--- a/tests/Transport/FrameCodecTest.cpp
+++ b/tests/Transport/FrameCodecTest.cpp
@@ -70,6 +70,32 @@
   CHECK_THROWS_AS(DecodeFrameLength("\xff\xff\xff\xff"), Error);
 }
 
+namespace {
+/// A grant as nodes without numbered requests for tokens send it.
+struct EarlierGrantFrame {
+  static constexpr FrameType kType = FrameType::TokenGrant;
+  std::string organisation;
+  uint32_t tokens = 0;
+  bool mayRefuse = false;
+  MSGPACK_DEFINE_ARRAY(organisation, tokens, mayRefuse)
+};
+}  // namespace
+
+// Guards against a fleet that gets no tokens while its nodes are replaced by
+// ones of another version.
+TEST_CASE("grants of both versions are understood by both") {
+  const std::string earlier = EncodeFrame(EarlierGrantFrame{
+      .organisation = "acme", .tokens = 3, .mayRefuse = true});
+  const auto read = DecodeFrame(WithoutPrefix(earlier)).As<TokenGrantFrame>();
+  CHECK(read.tokens == 3);
+  CHECK(read.mayRefuse);
+  CHECK(read.question == 0);
+  const std::string later = EncodeFrame(
+      TokenGrantFrame{.organisation = "acme", .tokens = 3, .question = 7});
+  CHECK(DecodeFrame(WithoutPrefix(later)).As<TokenGrantFrame>().question == 7);
+  CHECK(DecodeFrame(WithoutPrefix(later)).As<EarlierGrantFrame>().tokens == 3);
+}
+
 // Guards against contexts that were changed on the way or made by a target.
 TEST_CASE("a request context is accepted only with a valid signature") {
   const RequestContext context{.organisation = "acme",
