Take no part of a signed context for a key

Cause: the stand-in counted any fk_ in a header as a key shown to the target; the signature in fescueline-context is base64url and holds it by chance. PathTest failed in 1 of 31 runs with ...pfk_wJyYg in that header. Change: in that header a key counts only where it begins a word, which a key does; all other places are searched as before. The check is a function with a test. Measured: ShownKeyTest passes, its first row is false with the search of before (the header of the failed run); PathTest passes.

--- a/tools/StandIn/StandInTarget.cpp
+++ b/tools/StandIn/StandInTarget.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Core/Error.h"
+#include "ShownKey.h"
 
 namespace fescueline {
 
@@ -264,14 +265,7 @@
   if (workId) {
     this->stats.byWorkId[std::string(*workId)]++;
   }
-  bool key = aRequest.target.find("fk_") != std::string::npos ||
-             aRequest.body.find("fk_") != std::string::npos;
-  for (const HttpHeader& header : aRequest.headers) {
-    key = key || header.value.find("fk_") != std::string::npos ||
-          EqualHeaderName(header.name, "authorization") ||
-          EqualHeaderName(header.name, "x-api-key");
-  }
-  this->stats.keysSeen += key ? 1 : 0;
+  this->stats.keysSeen += ShowsKey(aRequest) ? 1 : 0;
 }
 
 void StandInTarget::Work(const JobPtr& aJob) {
