Let tokens lapse by their own question beside those of others

Cause: since answers to all open questions count, a node that asked again while its issuer or connection stood still gets tokens of several moments at once. They were one number with the latest of their ends, so those of the first question lasted as long as those of the last one, up to twice their lifetime, and added to the rate of a later window.

Change: tokens are kept by answer, each with its own end, and the earliest are spent first. A token that is given back lapses as the one that was spent last.

--- a/src/Limits/GrantHolder.cpp
+++ b/src/Limits/GrantHolder.cpp
@@ -31,7 +31,8 @@
   if (aRate.perSecond < share.rate.perSecond) {
     // Tokens of the higher limit must not add to the lower one, nor those on
     // their way.
-    share.granted = 0;
+    share.granted.clear();
+    share.spentUntil = TimePoint{};
     share.asked.clear();
     share.fixed.Clear(aNow);
   }
@@ -60,9 +61,12 @@
   this->alone = aAlone;
   for (auto& [organisation, share] : this->shares) {
     this->ApplyFixed(share, aNow);
-    share.granted = aAlone ? 0 : share.granted;
+    if (aAlone) {
+      share.granted.clear();
+    }
   }
 }
+
 void GrantHolder::Retain(const std::function<bool(const std::string&)>& aKeep) {
   for (auto entry = this->shares.begin(); entry != this->shares.end();) {
     if (aKeep(entry->first)) {
@@ -79,18 +83,22 @@
 }
 
 bool GrantHolder::TrySpend(Share& aShare, TimePoint aNow) {
-  if (aShare.granted > 0 && aNow >= aShare.grantedUntil) {
-    aShare.granted = 0;
+  while (!aShare.granted.empty() && aNow >= aShare.granted.front().until) {
+    aShare.granted.pop_front();
   }
   // The fixed share accrues here whether it is used or not.
   if (aShare.fixed.TrySpend(aNow)) {
     return true;
   }
-  if (aShare.granted > 0) {
-    --aShare.granted;
-    return true;
+  if (aShare.granted.empty()) {
+    return false;
   }
-  return false;
+  Granted& first = aShare.granted.front();
+  aShare.spentUntil = first.until;
+  if (--first.tokens == 0) {
+    aShare.granted.pop_front();
+  }
+  return true;
 }
 
 void GrantHolder::UpdateDemand(Share& aShare, TimePoint aNow) {
@@ -181,8 +189,8 @@
   }
   Share& share = found->second;
   // A token does not outlive its grant: a later window may not have it.
-  if (aNow < share.grantedUntil) {
-    ++share.granted;
+  if (aNow < share.spentUntil) {
+    share.granted.push_front({.tokens = 1, .until = share.spentUntil});
   }
 }
 
@@ -198,16 +206,12 @@
   if (!asked) {
     return;
   }
-  if (aNow >= share.grantedUntil) {
-    share.granted = 0;
-  }
   if (aAnswer.tokens > 0) {
     // Counted from the question, so that the grant is older than it seems, not
-    // younger. Tokens that are left over keep their earlier end only if they
-    // are few; the earlier of both ends would waste new ones.
-    share.granted += aAnswer.tokens;
-    share.grantedUntil =
-        std::max(share.grantedUntil, asked->at + this->settings.grantLifetime);
+    // younger.
+    share.granted.push_back(
+        {.tokens = aAnswer.tokens,
+         .until = asked->at + this->settings.grantLifetime});
     share.nextAskAt = aNow;
   }
   // A later question may still be answered with tokens.
--- a/src/Limits/GrantHolder.h
+++ b/src/Limits/GrantHolder.h
@@ -75,14 +75,20 @@
     uint64_t number = 0;
     TimePoint at{};
   };
+  /// Tokens of one answer.
+  struct Granted {
+    uint32_t tokens = 0;
+    TimePoint until{};
+  };
   struct Share {
     OrganisationRate rate;
     size_t nodes = 0;
     /// Share of the rate that this node has without the issuer.
     TokenBucket fixed;
-    /// Granted tokens and when they lapse.
-    uint32_t granted = 0;
-    TimePoint grantedUntil{};
+    /// Granted tokens that are left; the first ones are spent first.
+    std::deque<Granted> granted;
+    /// When the token that was spent last would have lapsed.
+    TimePoint spentUntil{};
     std::deque<Waiter> waiters;
     /// Questions without an answer whose tokens would not have lapsed, in the
     /// order in which they were asked.
--- a/tests/Limits/GrantTest.cpp
+++ b/tests/Limits/GrantTest.cpp
@@ -388,6 +388,26 @@
   CHECK(node.refused == 2);
 }
 
+// Pattern: as above, with tokens of several questions. Guards against tokens of
+// an early question that last as long as those of a late one.
+TEST_CASE("tokens of a later question do not prolong earlier ones") {
+  AskingNode node;
+  node.Offer(10s);
+  node.Wait(160ms);
+  node.Wait(160ms);
+  REQUIRE(node.asked.size() == 3);
+  // Asked for 320 ms and 0 ms ago.
+  node.Answer(0, 10);
+  REQUIRE(node.admitted == 1);
+  node.Answer(2, 2);
+  node.Wait(190ms);
+  for (int i = 0; i < 5; ++i) {
+    node.Offer(0ms);
+  }
+  CHECK(node.admitted == 1 + 2);
+  CHECK(node.refused == 3);
+}
+
 // Pattern: as above, with answers that refuse. Guards against refusals within
 // the rate: what an issuer lacked then says nothing about a later request.
 TEST_CASE("a late refusal refuses no later request") {
