Count rows that a read of the table lacks as removed

Cause: a node that lost the store compared peers' rows with the highest version of the rows that it had read.

Change: a whole read counts up to the version of the table that came with it.

--- a/src/Mesh/MeshFleet.cpp
+++ b/src/Mesh/MeshFleet.cpp
@@ -30,7 +30,10 @@
       picker(this->table, this->settings.picker),
       dialTimer(this->settings.io) {}
 
-void MeshFleet::OnSnapshot(const std::vector<StoredRow>& aRows) {
+void MeshFleet::OnSnapshot(const std::vector<StoredRow>& aRows,
+                           uint64_t aVersion) {
+  // Rows that were removed before the read have versions up to this one too.
+  this->readUpTo = std::max(this->readUpTo, aVersion);
   std::set<std::string> present;
   for (const StoredRow& row : aRows) {
     this->readUpTo = std::max(this->readUpTo, row.version);
--- a/src/Mesh/MeshFleet.h
+++ b/src/Mesh/MeshFleet.h
@@ -49,8 +49,8 @@
 
   explicit MeshFleet(Settings aSettings);
 
-  /// Replaces all rows, or applies changed ones.
-  void OnSnapshot(const std::vector<StoredRow>& aRows);
+  /// Replaces all rows, as of a version of the table, or applies changed ones.
+  void OnSnapshot(const std::vector<StoredRow>& aRows, uint64_t aVersion);
   void OnChanges(const std::vector<StoredRow>& aRows);
   /// Rows learned from a peer: those that were written after what this node
   /// has read of the table are applied, none is removed.
@@ -134,7 +134,7 @@
 
   Settings settings;
   std::map<std::string, Member> members;
-  /// Highest version of a row that came from the store.
+  /// Version up to which this node has read the table from the store.
   uint64_t readUpTo = 0;
   TargetTable table;
   TargetPicker picker;
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -373,7 +373,7 @@
     if (!ownSeen) {
       this->publisher.OnAbsent();
     }
-    this->fleet.OnSnapshot(aRows);
+    this->fleet.OnSnapshot(aRows, this->fleetFollower.ReadUpTo());
   } else {
     this->fleet.OnChanges(aRows);
   }
--- a/src/Mesh/TableFollower.h
+++ b/src/Mesh/TableFollower.h
@@ -41,6 +41,8 @@
   void Stop();
   /// Whether the last call succeeded.
   bool IsUp() const { return this->up; }
+  /// Version up to which the changes of the table are known.
+  uint64_t ReadUpTo() const { return this->after; }
   /// Ends a call that waits for a change and makes an urgent one in its place
   /// if one is needed; call now and then.
   void Hurry();
--- a/tests/Mesh/MeshFleetStateTest.cpp
+++ b/tests/Mesh/MeshFleetStateTest.cpp
@@ -200,3 +200,26 @@
   tell(5);
   CHECK(fixture.fleet.Knows("n2"));
 }
+
+// Pattern: a node reads the whole table after a member has left, loses the
+// store, and a peer that read the table before that passes its rows on. Guards
+// against a member that nothing removes any more: its removal lies before the
+// version from which changes are followed, and its row is newer than those
+// left.
+TEST_CASE("a peer's row does not bring a member back that a read lacks") {
+  Fixture fixture;
+  MeshMember member = LocalMember("n2", 1);
+  const auto tell = [&](uint64_t aVersion) {
+    const StoredRow row = MemberRow(member, aVersion);
+    fixture.fleet.OnPeerRows(
+        {{.key = row.key, .value = row.value, .version = row.version}});
+  };
+  // The member's row had version 5 and was removed with version 6.
+  fixture.fleet.OnSnapshot({}, 7);
+  tell(5);
+  CHECK_FALSE(fixture.fleet.Knows("n2"));
+  tell(7);
+  CHECK_FALSE(fixture.fleet.Knows("n2"));
+  tell(8);
+  CHECK(fixture.fleet.Knows("n2"));
+}
