Remove the lease of a stopping node whose renewal failed

Cause: a stop that meets a renewal on its way waits for its answer and removed the row only if the renewal was done. If the store refused it or its answer was lost, the row of the version before stayed, and the fleet had no issuer until it lapsed.

Change: after a renewal that failed the row before is removed. If the renewal was done after all, that removal fails and the lease lapses by itself.

Measured: "a renewal that fails leaves no lease behind a stop", before: row not removed, in both of its cases. "a write that finds another holder removes nothing at a stop" passed before and after.

--- a/src/Mesh/IssuerLease.cpp
+++ b/src/Mesh/IssuerLease.cpp
@@ -102,6 +102,7 @@
   this->calling = true;
   const BootTime sentAt = BootClock::now();
   const uint64_t expected = this->version;
+  const bool renews = this->held;
   // Rounded up: an early time would let others take the lease too soon.
   const auto renewed = std::chrono::ceil<std::chrono::milliseconds>(
       this->storeTime + (sentAt - this->askedAt));
@@ -111,12 +112,15 @@
        .expected = expected,
        .value = fmt::format("{} {} {}", this->settings.node,
                             this->settings.incarnation, renewed.count())},
-      [this, sentAt](const StoreReply& aReply) {
+      [this, sentAt, expected, renews](const StoreReply& aReply) {
         this->calling = false;
         if (this->released) {
           // The node began to stop while this was on its way.
           if (aReply.status == StoreStatus::Done) {
             this->Remove(aReply.version);
+          } else if (renews && aReply.status != StoreStatus::Conflict) {
+            // Unless this was done after all, the row is still the one before.
+            this->Remove(expected);
           }
           return;
         }
--- a/tests/Mesh/StoreDutiesTest.cpp
+++ b/tests/Mesh/StoreDutiesTest.cpp
@@ -219,6 +219,49 @@
   }
 }
 
+// Pattern: as above, with a store that refuses the write or loses its answer.
+// Guards against a lease that stays behind although its row is the known one.
+TEST_CASE("a renewal that fails leaves no lease behind a stop") {
+  for (const StoreStatus status :
+       {StoreStatus::Refused, StoreStatus::Unknown}) {
+    CAPTURE(ToName(status));
+    asio::io_context io{1};
+    FakeRowStore store;
+    IssuerLease::Settings settings = Lease(io, store, "n1", "i1");
+    settings.length = 10s;
+    IssuerLease lease(settings);
+    lease.Tick(true);
+    AnswerAll(store);
+    REQUIRE(RunUntil(io, [&] {
+      lease.Tick(true);
+      return !store.calls.empty();
+    }));
+    lease.Release();
+    store.Fail(status);
+    AnswerAll(store);
+    CHECK_FALSE(lease.IsHeld(BootClock::now()));
+    CHECK(store.rows.at("issuer").removed);
+  }
+}
+
+// Guards against a stop that removes the lease of the next holder.
+TEST_CASE("a write that finds another holder removes nothing at a stop") {
+  asio::io_context io{1};
+  FakeRowStore store;
+  IssuerLease lease(Lease(io, store, "n1", "i1"));
+  lease.Tick(true);
+  AnswerAll(store);
+  REQUIRE(RunUntil(io, [&] {
+    lease.Tick(true);
+    return !store.calls.empty();
+  }));
+  lease.Release();
+  store.Put("issuer", "n2 i2 100000");
+  AnswerAll(store);
+  CHECK(store.rows.at("issuer").value == "n2 i2 100000");
+  CHECK_FALSE(store.rows.at("issuer").removed);
+}
+
 // Pattern: as above. Guards against the row of a node that has ended, which
 // others would dial for 20 s.
 TEST_CASE("a write that was on its way leaves no row behind a stop") {
