Break off a transfer whose response begins again within its body

Cause: a target that stops within a body and writes the whole response once more fills the stated length, or a chunk, with bytes of both. The path over libcurl, which node uses for its target, counted such a body as whole; only the mesh path looked for it.

Change: RepeatedHeadScanner moves to Transport, and HttpClient uses it for requests with an identity. What libcurl does not pass on, a copy whose head the end of the body cuts before the identity, is still not seen.

--- a/src/Mesh/TargetAttempt.h
+++ b/src/Mesh/TargetAttempt.h
@@ -7,10 +7,10 @@
 
 #include "Admission/AdmissionRequest.h"
 #include "Http1/ConnectionPool.h"
-#include "Http1/RepeatedHeadScanner.h"
 #include "Mesh/TargetService.h"
 #include "Node/RunningAttempt.h"
 #include "Transport/PeerServer.h"
+#include "Transport/RepeatedHeadScanner.h"
 #include "Transport/RequestContext.h"
 
 namespace fescueline {
--- a/src/Transport/HttpClient.cpp
+++ b/src/Transport/HttpClient.cpp
@@ -9,6 +9,7 @@
 
 #include "Core/Error.h"
 #include "Core/HeadTracker.h"
+#include "Transport/RepeatedHeadScanner.h"
 
 namespace fescueline {
 
@@ -51,6 +52,10 @@
         handlers(std::move(aHandlers)),
         credit(this->request.credit),
         easy(curl_easy_init()) {
+    if (this->request.identity) {
+      this->scanner.emplace(this->request.identity->name,
+                            this->request.identity->value);
+    }
     this->SetOptions();
   }
 
@@ -241,11 +246,26 @@
       self->paused = true;
       return CURL_WRITEFUNC_PAUSE;
     }
+    if (!self->CheckBody({aData, bytes})) {
+      return 0;
+    }
     self->credit -= static_cast<int64_t>(bytes);
     self->handlers.onData(std::string(aData, bytes));
     return bytes;
   }
 
+  /// False if the response begins again within its body.
+  bool CheckBody(std::string_view aBytes) {
+    if (!this->scanner) {
+      return true;
+    }
+    this->scanner->Scan(aBytes);
+    if (this->scanner->HasFound()) {
+      this->failure = "response begun again within its body";
+    }
+    return !this->scanner->HasFound();
+  }
+
   void ReportHead() {
     if (this->headReported) {
       return;
@@ -286,6 +306,9 @@
   bool stopped = false;
   /// Heads of the response.
   HeadTracker head;
+  /// Looks for another response within the body; none if the request has no
+  /// identity.
+  std::optional<RepeatedHeadScanner> scanner;
   /// Whether onHead was called.
   bool headReported = false;
   /// Why a callback ended the transfer; empty if none did.
--- a/src/Http1/RepeatedHeadScanner.cpp
+++ b/src/Transport/RepeatedHeadScanner.cpp
@@ -1,4 +1,4 @@
-#include "Http1/RepeatedHeadScanner.h"
+#include "Transport/RepeatedHeadScanner.h"
 
 #include <algorithm>
 #include <cstring>
--- a/tests/Http1/RepeatedHeadScannerTest.cpp
+++ b/tests/Transport/RepeatedHeadScannerTest.cpp
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "Http1/RepeatedHeadScanner.h"
+#include "Transport/RepeatedHeadScanner.h"
 
 using namespace fescueline;
 
--- /dev/null
+++ b/tests/Transport/RestartedTransferTest.cpp
@@ -0,0 +1,63 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "Transport/HttpFixtures.h"
+#include "Transport/IdentifiedRequest.h"
+
+using namespace fescueline;
+using namespace fescueline::test;
+
+namespace {
+/// Head of a response of that body length; chunked if there is none.
+std::string Head(const std::string& aId, const std::string& aFraming) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt: " + aId + "\r\n" + aFraming +
+         "\r\n\r\n";
+}
+}  // namespace
+
+// Pattern: a target stops within a body and writes the whole response once
+// more. Guards against a body that consists of parts of both and counts as
+// whole, on the path that uses libcurl.
+TEST_CASE("a response that begins again within its body is not whole") {
+  const std::string body(400, 'b');
+  struct Row {
+    const char* name;
+    std::string framing;
+    std::string prefix;
+    std::string suffix;
+  };
+  for (const Row& row : {Row{"length", "Content-Length: 400", "", ""},
+                         Row{"chunk", "Transfer-Encoding: chunked", "190\r\n",
+                             "\r\n0\r\n\r\n"}}) {
+    CAPTURE(std::string(row.name));
+    for (const size_t cut : {size_t{0}, size_t{1}, size_t{200}}) {
+      CAPTURE(cut);
+      const ScriptedPeer server([&](const ScriptedPeer::Turn& aTurn) {
+        const std::string head = Head(aTurn.Header(kIdentity), row.framing);
+        // The copy fills the rest of the first body.
+        const std::string copy = head + row.prefix + body + row.suffix;
+        aTurn.Send(head + row.prefix + body.substr(0, cut) +
+                   copy.substr(0, body.size() - cut) + row.suffix);
+      });
+      HttpClient client;
+      const Answer answer = Fetch(client, IdentifiedRequest(server, "one"));
+      CHECK_FALSE(answer.result.whole);
+      CHECK(answer.result.mayHaveBeenSent);
+    }
+  }
+}
+
+// Guards against a body that quotes another message and counts as broken.
+TEST_CASE("a body that quotes another response is whole") {
+  const std::string body = Head("two", "Content-Length: 0") + "end";
+  const ScriptedPeer server([&](const ScriptedPeer::Turn& aTurn) {
+    aTurn.Send(Head(aTurn.Header(kIdentity),
+                    "Content-Length: " + std::to_string(body.size())) +
+               body);
+  });
+  HttpClient client;
+  const Answer answer = Fetch(client, IdentifiedRequest(server, "one"));
+  CHECK(answer.result.whole);
+  CHECK(answer.body == body);
+}
