Remove at a stop what an earlier write without an answer has left

Cause: a write whose answer was lost is repeated and conflicts with itself. A node that stopped before that answer came did not look at the row in it: the member's row, or the renewed lease, stayed in the store until others removed it or it lapsed.

Change: the row of the conflict counts before the removal; the lease is removed only if it is that of this process.

Measured: "a write that conflicts with an own one leaves no row behind a stop" and "a renewal that conflicts with an own one leaves no lease behind", before: rows not removed.

--- a/src/Mesh/IssuerLease.cpp
+++ b/src/Mesh/IssuerLease.cpp
@@ -116,12 +116,7 @@
         this->calling = false;
         if (this->released) {
           // The node began to stop while this was on its way.
-          if (aReply.status == StoreStatus::Done) {
-            this->Remove(aReply.version);
-          } else if (renews && aReply.status != StoreStatus::Conflict) {
-            // Unless this was done after all, the row is still the one before.
-            this->Remove(expected);
-          }
+          this->RemoveAfter(aReply, renews ? expected : 0);
           return;
         }
         const Duration jitter =
@@ -156,6 +151,27 @@
   }
 }
 
+void IssuerLease::RemoveAfter(const StoreReply& aReply, uint64_t aRenewed) {
+  if (aReply.status == StoreStatus::Done) {
+    this->Remove(aReply.version);
+    return;
+  }
+  if (aReply.status != StoreStatus::Conflict) {
+    // Unless the write is done after all, the row is still the one before.
+    if (aRenewed != 0) {
+      this->Remove(aRenewed);
+    }
+    return;
+  }
+  for (const StoredRow& row : aReply.rows) {
+    this->OnRow(row);
+    // An earlier write whose answer was lost.
+    if (this->holderIncarnation == this->settings.incarnation) {
+      this->Remove(row.version);
+    }
+  }
+}
+
 void IssuerLease::Remove(uint64_t aVersion) {
   this->settings.store.Write({.table = this->settings.table,
                               .key = this->settings.key,
--- a/src/Mesh/IssuerLease.h
+++ b/src/Mesh/IssuerLease.h
@@ -55,6 +55,9 @@
   /// Takes the lease if the row that was just read allows it.
   void TakeIfFree();
   void Write();
+  /// Removes what a write has left that a stop met on its way. aRenewed:
+  /// version of the own row that it replaces; 0 if there was none.
+  void RemoveAfter(const StoreReply& aReply, uint64_t aRenewed);
   /// Removes the row of the given version.
   void Remove(uint64_t aVersion);
   void SetHeld(bool aHeld);
--- a/src/Mesh/MemberPublisher.cpp
+++ b/src/Mesh/MemberPublisher.cpp
@@ -41,16 +41,6 @@
           this->version = aReply.version;
           this->published = true;
         }
-        if (this->left) {
-          this->Remove();
-          return;
-        }
-        if (aReply.status == StoreStatus::Done) {
-          return;
-        }
-        this->nextWrite =
-            BootClock::now() +
-            FromSeconds(ToSeconds(kWritePause) * (0.5 + ThreadRandom().Unit()));
         if (aReply.status == StoreStatus::Conflict) {
           if (aReply.rows.empty()) {
             this->OnAbsent();
@@ -58,8 +48,19 @@
           for (const StoredRow& row : aReply.rows) {
             this->OnRow(row);
           }
-          this->nextWrite = BootClock::now();
         }
+        if (this->left) {
+          this->Remove();
+          return;
+        }
+        if (aReply.status == StoreStatus::Done) {
+          return;
+        }
+        this->nextWrite =
+            aReply.status == StoreStatus::Conflict
+                ? BootClock::now()
+                : BootClock::now() + FromSeconds(ToSeconds(kWritePause) *
+                                                 (0.5 + ThreadRandom().Unit()));
         Log(LogLevel::Info, "member row not written",
             {{"status", std::string(ToName(aReply.status))},
              {"row_version", std::to_string(this->version)}});
--- a/tests/Mesh/StoreDutiesTest.cpp
+++ b/tests/Mesh/StoreDutiesTest.cpp
@@ -244,6 +244,51 @@
   }
 }
 
+// Pattern: the answer to a write is lost, the write is repeated, and the node
+// is stopped before the answer, a conflict with the first one. Guards against
+// rows of a stopped node that it knows only from that conflict.
+TEST_CASE(
+    "a write that conflicts with an own one leaves no row behind a stop") {
+  asio::io_context io{1};
+  FakeRowStore store;
+  MemberPublisher publisher(Publisher(io, store));
+  publisher.Tick();
+  REQUIRE(store.calls.size() == 1);
+  store.Fail(StoreStatus::Unknown, true);
+  REQUIRE(RunUntil(io, [&] {
+    publisher.Tick();
+    return !store.calls.empty();
+  }));
+  bool left = false;
+  publisher.Leave([&left] { left = true; });
+  AnswerAll(store);
+  CHECK(left);
+  CHECK(store.rows.at(publisher.Key()).removed);
+}
+
+// Pattern: as above, for the issuer's lease.
+TEST_CASE("a renewal that conflicts with an own one leaves no lease behind") {
+  asio::io_context io{1};
+  FakeRowStore store;
+  IssuerLease::Settings settings = Lease(io, store, "n1", "i1");
+  settings.length = 10s;
+  IssuerLease lease(settings);
+  const auto write = [&] {
+    return RunUntil(io, [&] {
+      lease.Tick(true);
+      return !store.calls.empty();
+    });
+  };
+  lease.Tick(true);
+  AnswerAll(store);
+  REQUIRE(write());
+  store.Fail(StoreStatus::Unknown, true);
+  REQUIRE(write());
+  lease.Release();
+  AnswerAll(store);
+  CHECK(store.rows.at("issuer").removed);
+}
+
 // Guards against a stop that removes the lease of the next holder.
 TEST_CASE("a write that finds another holder removes nothing at a stop") {
   asio::io_context io{1};
