Refuse callers of a stopping node before its time is up

What callers saw: a closed connection without an answer, for a request that the node took 0.2 to 0.7 s before the end of its planned stop. Cause: a stopping node serves until nothing is in flight. The platform keeps sending to a node that is not ready while most nodes of its data centre are not, so that something always is; 5.2 s after SIGTERM the node ended and cut it off. Change: in the last 2 s before that end callers get 503, not run, and may come back after 1 s; calls of requests that are under way are still served. The new case of PlannedStopTest and that of EntryCallTest fail without the change (no refusal at any time); they pass now.

--- a/src/Mesh/EntryCall.cpp
+++ b/src/Mesh/EntryCall.cpp
@@ -14,6 +14,8 @@
 /// fleet that restarts takes to have an issuer again.
 constexpr Duration kRateWait = std::chrono::milliseconds(250);
 constexpr Duration kStaleRetryAfter = std::chrono::milliseconds(500);
+/// A node that is restarted takes about as long to be ready again.
+constexpr Duration kStopRetryAfter = std::chrono::seconds(1);
 constexpr Duration kRateRetryAfter = std::chrono::milliseconds(1000);
 constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(300);
 constexpr int kFirstServerError = 500;
@@ -46,6 +48,9 @@
   this->parent = this->context.running.ParentOf(this->request.Id());
   if (this->parent) {
     this->request.Inherit(*this->parent);
+  } else if (this->service.refusesNew && !this->request.IsCall()) {
+    this->Refuse(Outcome::NotRun, Cause::Draining, kStopRetryAfter);
+    return;
   }
   this->exchange->OnAbort([weak = this->weak_from_this()] {
     if (const auto self = weak.lock()) {
--- a/src/Mesh/EntryService.h
+++ b/src/Mesh/EntryService.h
@@ -31,6 +31,9 @@
   explicit EntryService(Dependencies aDependencies);
 
   void OnRequest(HttpExchangePtr aExchange);
+  /// Refuses requests of callers from now on. Calls of requests that run beside
+  /// this node are still served.
+  void RefuseNew() { this->refusesNew = true; }
   /// Requests in progress.
   size_t Open() const { return this->open; }
 
@@ -50,6 +53,7 @@
   /// Routes whose requests were seen to make calls of their own.
   std::unordered_set<std::string> routesWithCalls;
   size_t open = 0;
+  bool refusesNew = false;
 };
 
 }  // namespace fescueline
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -168,6 +168,7 @@
                 [this](std::function<void()> aDone) {
                   this->publisher.Leave(std::move(aDone));
                 },
+            .refuse = [this] { this->entryService.RefuseNew(); },
             .end = [this] { this->End(); }}) {
   this->Listen();
 }
--- a/src/Mesh/PlannedStop.h
+++ b/src/Mesh/PlannedStop.h
@@ -9,8 +9,9 @@
 namespace fescueline {
 
 /// The planned stop of a node: it serves on until callers have gone and what
-/// is in flight has ended, or its time is up. Time comes from the owner; one
-/// thread.
+/// is in flight has ended, or its time is up. Callers that do not go are
+/// refused towards the end, so that what is in flight can end. Time comes from
+/// the owner; one thread.
 class PlannedStop {
  public:
   /// Construction parameters.
@@ -21,6 +22,8 @@
     std::function<bool()> isIdle;
     /// Takes the node out of the fleet, then calls the function.
     std::function<void(std::function<void()>)> leave;
+    /// Has new requests of callers refused.
+    std::function<void()> refuse;
     /// Ends the node.
     std::function<void()> end;
   };
@@ -41,6 +44,8 @@
   /// Whether the node was told to leave the fleet, and has left.
   bool leaving = false;
   bool left = false;
+  /// Whether new requests are refused.
+  bool refusing = false;
 };
 
 }  // namespace fescueline
--- a/tests/Mesh/EntryCallTest.cpp
+++ b/tests/Mesh/EntryCallTest.cpp
@@ -137,6 +137,33 @@
   CHECK(world.caller.received.starts_with("HTTP/1.1 502"));
 }
 
+// Guards against a request that a stopping node takes too late and cuts off,
+// and against a call that fails because the node beside its parent stops.
+TEST_CASE("a stopping node refuses callers but serves calls of running ones") {
+  for (const bool isCall : {false, true}) {
+    CAPTURE(isCall);
+    World world(LongResponse(1000), "");
+    RunningAttemptPtr parent;
+    if (isCall) {
+      parent = std::make_shared<RunningAttempt>(
+          RequestContext{},
+          RunningAttempt::Times{.rootStart = SteadyClock().Now(),
+                                .deadline = SteadyClock().Now() + 5s},
+          1);
+      world.entry.running.Add("a", parent);
+    }
+    world.entry.service.RefuseNew();
+    world.caller.Send("GET /x HTTP/1.1\r\nHost: h\r\nX-Id: " +
+                      std::string(isCall ? "a.1" : "b") + "\r\n\r\n");
+    REQUIRE(RunUntil(world.io, [&world] { return world.Heads() > 0; }));
+    const size_t attempts = world.first.attempts + world.second.attempts;
+    CHECK((attempts > 0) == isCall);
+    CHECK(world.caller.received.starts_with("HTTP/1.1 503") != isCall);
+    CHECK(world.HasMetric("fescueline_requests_refused_total", "draining",
+                          "1") != isCall);
+  }
+}
+
 namespace {
 struct UnfitCase {
   std::string what;
--- a/tests/Mesh/PlannedStopTest.cpp
+++ b/tests/Mesh/PlannedStopTest.cpp
@@ -23,6 +23,7 @@
   bool idle = true;
   std::function<void()> onLeft;
   size_t leaves = 0;
+  size_t refusals = 0;
   bool ended = false;
   PlannedStop stop{{.limit = [this] { return this->limit; },
                     .isIdle = [this] { return this->idle; },
@@ -31,6 +32,7 @@
                           ++this->leaves;
                           this->onLeft = std::move(aDone);
                         },
+                    .refuse = [this] { ++this->refusals; },
                     .end = [this] { this->ended = true; }}};
 };
 
@@ -78,3 +80,28 @@
     CHECK(node.ended);
   }
 }
+
+// Pattern: the platform keeps sending to a stopping node. Guards against
+// requests that are taken shortly before the end and cut off by it, and against
+// refusals while callers still leave.
+TEST_CASE("a stopping node takes no requests that it has no time for") {
+  struct Row {
+    Duration limit;
+    Duration refusesFrom;
+  };
+  for (const Row& row : std::vector<Row>{
+           {20s, 17200ms}, {6s, 3200ms}, {5s, 2600ms}, {3s, 2200ms}}) {
+    CAPTURE(ToSeconds(row.limit));
+    StoppingNode node;
+    node.idle = false;
+    node.limit = row.limit;
+    REQUIRE(node.stop.Begin(node.clock.Now()));
+    node.Run(row.refusesFrom - 50ms);
+    CHECK(node.refusals == 0);
+    node.Run(50ms);
+    CHECK((node.refusals == 1 || node.ended));
+    node.Run(20s);
+    CHECK(node.ended);
+    CHECK(node.refusals <= 1);
+  }
+}
