Refuse callers of a stopping node 0.6 s after they should have left

Change: the refusals begin 3.2 s after SIGTERM, whatever the limit. At 6 s requests have 2 s as before; at 20 s a node whose callers stay ends sooner.

--- a/src/Mesh/PlannedStop.cpp
+++ b/src/Mesh/PlannedStop.cpp
@@ -1,7 +1,5 @@
 #include "Mesh/PlannedStop.h"
 
-#include <algorithm>
-
 namespace fescueline {
 
 namespace {
@@ -9,10 +7,10 @@
 constexpr Duration kCallersLeave = std::chrono::milliseconds(2600);
 /// Part of the limit that is left for the end itself.
 constexpr Duration kEndMargin = std::chrono::milliseconds(800);
-/// Time for the last requests that are taken. The platform keeps sending to a
-/// node that is not ready while most nodes of its data centre are not; the end
-/// would cut off what such callers have in flight.
-constexpr Duration kLastRequests = std::chrono::seconds(2);
+/// Callers that still send are refused from here on. The platform keeps sending
+/// to a node that is not ready while most nodes of its data centre are not; the
+/// end would cut off what such callers have in flight.
+constexpr Duration kCallersRefused = std::chrono::milliseconds(3200);
 }  // namespace
 
 bool PlannedStop::Begin(TimePoint aNow) {
@@ -32,14 +30,14 @@
     this->leaving = true;
     this->settings.leave([this] { this->left = true; });
   }
-  const Duration end = this->settings.limit() - kEndMargin;
-  if (age >= std::max(kCallersLeave, end - kLastRequests) && !this->refusing) {
+  if (age >= kCallersRefused && !this->refusing) {
     this->refusing = true;
     this->settings.refuse();
   }
   // Looked at after the row is gone: requests may arrive until the very end.
   const bool idle = this->settings.isIdle();
-  if (age >= end || (idle && this->left)) {
+  const bool late = age >= this->settings.limit() - kEndMargin;
+  if (late || (idle && this->left)) {
     this->settings.end();
   }
 }
--- a/src/Mesh/PlannedStop.h
+++ b/src/Mesh/PlannedStop.h
@@ -10,8 +10,7 @@
 
 /// The planned stop of a node: it serves on until callers have gone and what
 /// is in flight has ended, or its time is up. Callers that do not go are
-/// refused towards the end, so that what is in flight can end. Time comes from
-/// the owner; one thread.
+/// refused after a while. Time comes from the owner; one thread.
 class PlannedStop {
  public:
   /// Construction parameters.
