--- a/tests/Mesh/EntryCallTest.cpp
+++ b/tests/Mesh/EntryCallTest.cpp
@@ -6,10 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "Http1/LoopHttpServer.h"
 #include "Http1/LoopPeer.h"
-#include "Mesh/EntryService.h"
-#include "Transport/PeerServer.h"
+#include "Mesh/EntrySide.h"
+#include "Transport/ScriptedNode.h"
 
 using namespace fescueline;
 using namespace fescueline::test;
@@ -33,60 +32,7 @@
       MeshConfig::Content{.version = 1, .routes = {route}});
 }
 
-/// What a node sends for a stream of a request.
-using Script =
-    std::function<void(const PeerServer::SessionPtr&, uint64_t aStream)>;
-
-/// A node that answers each attempt by a script.
-struct ScriptedNode {
-  ScriptedNode(asio::io_context& aIo, const std::string& aName,
-               const Script& aScript)
-      : server({.io = aIo,
-                .self = {aName, Id128::Generate(), "secret"},
-                .host = "127.0.0.1",
-                .greetsWithState = true,
-                .handlers = {
-                    .onRequest =
-                        [this, aScript](const PeerServer::SessionPtr& aSession,
-                                        const RequestFrame& aFrame, Duration) {
-                          ++this->attempts;
-                          aScript(aSession, aFrame.stream);
-                        },
-                    .onCredit = [](const PeerServer::SessionPtr&,
-                                   const CreditFrame&) {},
-                    .onCancel = [](const PeerServer::SessionPtr&, uint64_t) {},
-                    .onClosed = [](const PeerServer::SessionPtr&) {},
-                    .state =
-                        [] {
-                          return StateWire{
-                              .service = "fees",
-                              .state = static_cast<uint8_t>(TargetState::Ready),
-                              .limit = 5};
-                        }}}) {
-    this->server.Start();
-  }
-
-  size_t attempts = 0;
-  PeerServer server;
-};
-
-/// Closes a session when what was sent on it has been written.
-void CloseSoon(const PeerServer::SessionPtr& aSession) {
-  const auto timer = std::make_shared<asio::steady_timer>(
-      aSession->GetStrand().get_inner_executor(), 50ms);
-  timer->async_wait([timer, aSession](const asio::error_code&) {
-    aSession->Close("broken on purpose");
-  });
-}
-
-void SendBody(const PeerServer::SessionPtr& aSession, uint64_t aStream,
-              size_t aBytes) {
-  for (size_t sent = 0; sent < aBytes; sent += kMaxDataBytes) {
-    const size_t size = std::min(kMaxDataBytes, aBytes - sent);
-    aSession->Send(
-        ResponseDataFrame{.stream = aStream, .data = std::string(size, 'x')});
-  }
-}
+using Script = ScriptedNode::Script;
 
 /// A long response, or a part of it and the end of the connection.
 Script LongResponse(size_t aPart) {
@@ -107,28 +53,16 @@
                  const std::string& aRequest =
                      "GET /x HTTP/1.1\r\nHost: h\r\nX-Id: a\r\n\r\n")
       : first(this->io, "n1", aScript), second(this->io, "n2", aScript) {
-    this->config.Apply("any");
-    uint64_t version = 0;
-    for (ScriptedNode* node : {&this->first, &this->second}) {
-      const std::string name = node == &this->first ? "n1" : "n2";
-      const MeshMember member{.node = name,
-                              .incarnation = Id128::Generate(),
-                              .dataCentre = "d1",
-                              .region = "r1",
-                              .service = "fees",
-                              .peers = {"127.0.0.1", node->server.Port()}};
-      this->fleet.OnChanges({{.key = std::string(kMeshMemberPrefix) + name,
-                              .value = EncodeMeshMember(member),
-                              .version = ++version}});
-    }
-    REQUIRE(RunUntil(this->io,
-                     [this] { return this->fleet.UsableTargets() == 2; }));
-    this->callers.Start();
-    this->caller.Connect(this->callers.Port());
+    this->entry.AddMember("n1", this->first.server.Port());
+    this->entry.AddMember("n2", this->second.server.Port());
+    REQUIRE(RunUntil(
+        this->io, [this] { return this->entry.fleet.UsableTargets() == 2; }));
+    this->entry.callers.Start();
+    this->caller.Connect(this->entry.callers.Port());
     this->caller.Send(aRequest);
   }
   ~World() {
-    this->fleet.CloseAll();
+    this->entry.fleet.CloseAll();
     RunUntil(
         this->io, [] { return false; }, 50ms);
   }
@@ -136,7 +70,7 @@
   /// Whether the metrics page has such a line.
   bool HasMetric(const std::string& aName, const std::string& aLabel,
                  const std::string& aValue) const {
-    std::istringstream page(this->metrics.Page());
+    std::istringstream page(this->entry.metrics.Page());
     for (std::string line; std::getline(page, line);) {
       if (line.starts_with(aName) && line.ends_with(" " + aValue) &&
           line.find(aLabel) != std::string::npos) {
@@ -157,40 +91,12 @@
   }
 
   asio::io_context io{1};
-  MeshSettings settings{.node = "n0", .fleetSecret = "secret"};
-  HeaderVocabulary names{.requestId = "x-id", .timeout = "x-timeout"};
-  ConfigHolder config{OpenRoute};
-  Metrics metrics;
-  ThresholdTable thresholds{{}, 1};
-  RunningRequests running;
-  MeshContext context{.io = this->io,
-                      .settings = this->settings,
-                      .headers = this->names,
-                      .config = this->config,
-                      .metrics = this->metrics,
-                      .thresholds = this->thresholds,
-                      .running = this->running};
   ScriptedNode first;
   ScriptedNode second;
-  MeshFleet fleet{
-      {.io = this->io,
-       .self = {"n0", Id128::Generate(), "secret"},
-       .table = {.dataCentre = "d1", .region = "r1"},
-       .picker = {},
-       .onState = [](const std::string&, const StateWire&) {},
-       .onPong = [](const std::string&, const StateWire&, TimePoint) {},
-       .onMessage = [](const std::string&, const DecodedFrame&) {}}};
-  GrantHolder grants{GrantSettings{},
-                     [](const std::string&, uint32_t) { return false; }, [] {}};
-  EntryService service{{.context = this->context,
-                        .fleet = this->fleet,
-                        .grants = this->grants,
-                        .fleetSecret = "secret"}};
-  LoopHttpServer callers{{.io = this->io,
-                          .host = "127.0.0.1",
-                          .onRequest = [this](HttpExchangePtr aExchange) {
-                            this->service.OnRequest(std::move(aExchange));
-                          }}};
+  EntrySide entry{this->io,
+                  {.node = "n0", .fleetSecret = "secret"},
+                  {.requestId = "x-id", .timeout = "x-timeout"},
+                  OpenRoute};
   RawPeer caller{this->io};
 };
 
@@ -237,17 +143,6 @@
   Script script;
 };
 
-using SessionPtr = PeerServer::SessionPtr;
-
-void SendHead(const SessionPtr& aSession, uint64_t aStream, int64_t aLength,
-              uint16_t aStatus = 200) {
-  aSession->Send(ResponseHeadFrame{
-      .stream = aStream, .status = aStatus, .contentLength = aLength});
-}
-void SendEnd(const SessionPtr& aSession, uint64_t aStream) {
-  aSession->Send(ResponseEndFrame{.stream = aStream, .whole = true});
-}
-
 const std::vector<UnfitCase> kUnfit = {
     {"an end without a head",
      [](const SessionPtr& aSession, uint64_t aStream) {
--- a/tests/Transport/FrameChannelTest.cpp
+++ b/tests/Transport/FrameChannelTest.cpp
@@ -1,12 +1,17 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
+#include <future>
 #include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "Http1/LoopPeer.h"
 #include "Transport/FrameChannel.h"
+#include "Transport/PeerClient.h"
 #include "Transport/PeerServer.h"
 
 using namespace fescueline;
@@ -117,3 +122,113 @@
         claimed > 1000 ? 500ms : 1500ms));
   }
 }
+
+// Pattern: a target's state changes while a node connects. Guards against a
+// connection that ends for a frame within the handshake, with the requests that
+// wait for it, and against a state that is told to anybody.
+TEST_CASE("no state is pushed before the handshake is done") {
+  asio::io_context io{1};
+  PeerServer server(
+      {.io = io,
+       .self = {"n1", Id128::Generate(), "secret"},
+       .host = "127.0.0.1",
+       .handlers = {.onClosed = [](const PeerServer::SessionPtr&) {},
+                    .state = [] { return StateWire{.service = "fees"}; }}});
+  server.Start();
+  RawPeer dialler(io);
+  dialler.Connect(server.Port());
+  const HelloFrame hello{.nodeId = "n2",
+                         .incarnation = Id128::Generate().ToString(),
+                         .nonce = std::string(16, 'x')};
+  dialler.Send(EncodeFrame(hello));
+  REQUIRE(RunPromptly(io, [&dialler] { return !dialler.received.empty(); }));
+  const size_t answer = dialler.received.size();
+  server.PushState();
+  // The connection is closed for want of a proof.
+  REQUIRE(RunPromptly(io, [&dialler] { return dialler.closed; }));
+  CHECK(dialler.received.size() == answer);
+}
+
+// Pattern: callers leave while a long request is being written. Guards against
+// requests that run for nobody: the other side was never told of their end.
+TEST_CASE("a request is cancelled although others are written before it") {
+  asio::io_context io{1};
+  size_t requests = 0;
+  std::vector<uint64_t> cancelled;
+  PeerServer server(
+      {.io = io,
+       .self = {"n1", Id128::Generate(), "secret"},
+       .host = "127.0.0.1",
+       .handlers = {
+           .onRequest = [&requests](const PeerServer::SessionPtr&, RequestFrame,
+                                    Duration) { ++requests; },
+           .onCancel = [&cancelled](
+                           const PeerServer::SessionPtr&,
+                           uint64_t aStream) { cancelled.push_back(aStream); },
+           .onClosed = [](const PeerServer::SessionPtr&) {},
+           .state = [] { return StateWire{}; }}});
+  server.Start();
+  const auto client = std::make_shared<PeerClient>(PeerClient::Settings{
+      .io = io,
+      .self = {"n2", Id128::Generate(), "secret"},
+      .address = {.nodeId = "n1", .host = "127.0.0.1", .port = server.Port()}});
+  client->Start();
+  REQUIRE(RunPromptly(io, [&client] { return client->IsReady(); }));
+  const PeerStreamHandlers ignored{.onLost = [](bool) {}};
+  client->Request(
+      RequestFrame{.method = "POST", .body = std::string(1'000'000, 'x')},
+      ignored);
+  const uint64_t stream =
+      client->Request(RequestFrame{.method = "GET"}, ignored);
+  client->Cancel(stream);
+  REQUIRE(RunPromptly(io, [&requests] { return requests == 2; }));
+  CHECK(RunPromptly(
+      io, [&cancelled] { return !cancelled.empty(); }, 500ms));
+  CHECK(cancelled == std::vector<uint64_t>{stream});
+  client->Close("done");
+  RunUntil(
+      io, [] { return false; }, 50ms);
+}
+
+// Pattern: a busy node gets to a connection late, behind other work. Guards
+// against a connection that is closed as silent although the other side's
+// bytes wait in the socket, with the requests on it.
+TEST_CASE("a connection with unread bytes is not silent") {
+  asio::io_context io;
+  Tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+  Tcp::socket other(io);
+  other.connect(acceptor.local_endpoint());
+  const Strand strand = asio::make_strand(io);
+  const auto channel = std::make_shared<FrameChannel>(
+      FrameChannel::Settings{.socket = acceptor.accept(strand),
+                             .strand = strand,
+                             .peer = "p",
+                             .pingPeriod = 50ms,
+                             .silenceLimit = 150ms});
+  std::atomic<size_t> frames{0};
+  std::promise<std::string> reason;
+  channel->Post([&] {
+    channel->Start({.onFrame = [&frames](const DecodedFrame&) { ++frames; },
+                    .onClosed =
+                        [&reason](const std::string& aReason) {
+                          reason.set_value(aReason);
+                        }});
+  });
+  // Events of the socket and of the timer queue up behind this, the timer's
+  // first.
+  channel->Post([] { std::this_thread::sleep_for(250ms); });
+  std::vector<std::thread> workers;
+  for (int i = 0; i < 2; ++i) {
+    workers.emplace_back([&io] { io.run(); });
+  }
+  std::this_thread::sleep_for(120ms);
+  asio::write(other, asio::buffer(EncodeFrame(PingFrame{.sequence = 1})));
+  auto closed = reason.get_future();
+  REQUIRE(closed.wait_for(5s) == std::future_status::ready);
+  // It does end once nothing more comes.
+  CHECK(closed.get() == "silent");
+  CHECK(frames == 1);
+  for (std::thread& worker : workers) {
+    worker.join();
+  }
+}
