--- a/src/Mesh/IssuerLease.cpp
+++ b/src/Mesh/IssuerLease.cpp
@@ -102,6 +102,7 @@
   this->calling = true;
   const BootTime sentAt = BootClock::now();
   const uint64_t expected = this->version;
+  const bool renews = this->held;
   // Rounded up: an early time would let others take the lease too soon.
   const auto renewed = std::chrono::ceil<std::chrono::milliseconds>(
       this->storeTime + (sentAt - this->askedAt));
@@ -111,13 +112,11 @@
        .expected = expected,
        .value = fmt::format("{} {} {}", this->settings.node,
                             this->settings.incarnation, renewed.count())},
-      [this, sentAt](const StoreReply& aReply) {
+      [this, sentAt, expected, renews](const StoreReply& aReply) {
         this->calling = false;
         if (this->released) {
           // The node began to stop while this was on its way.
-          if (aReply.status == StoreStatus::Done) {
-            this->Remove(aReply.version);
-          }
+          this->RemoveAfter(aReply, renews ? expected : 0);
           return;
         }
         const Duration jitter =
@@ -152,6 +151,27 @@
   }
 }
 
+void IssuerLease::RemoveAfter(const StoreReply& aReply, uint64_t aRenewed) {
+  if (aReply.status == StoreStatus::Done) {
+    this->Remove(aReply.version);
+    return;
+  }
+  if (aReply.status != StoreStatus::Conflict) {
+    // Unless the write is done after all, the row is still the one before.
+    if (aRenewed != 0) {
+      this->Remove(aRenewed);
+    }
+    return;
+  }
+  for (const StoredRow& row : aReply.rows) {
+    this->OnRow(row);
+    // An earlier write whose answer was lost.
+    if (this->holderIncarnation == this->settings.incarnation) {
+      this->Remove(row.version);
+    }
+  }
+}
+
 void IssuerLease::Remove(uint64_t aVersion) {
   this->settings.store.Write({.table = this->settings.table,
                               .key = this->settings.key,
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -168,6 +168,7 @@
                 [this](std::function<void()> aDone) {
                   this->publisher.Leave(std::move(aDone));
                 },
+            .refuse = [this] { this->entryService.RefuseNew(); },
             .end = [this] { this->End(); }}) {
   this->Listen();
 }
@@ -373,7 +374,7 @@
     if (!ownSeen) {
       this->publisher.OnAbsent();
     }
-    this->fleet.OnSnapshot(aRows);
+    this->fleet.OnSnapshot(aRows, this->fleetFollower.ReadUpTo());
   } else {
     this->fleet.OnChanges(aRows);
   }
--- a/src/Mesh/PlannedStop.cpp
+++ b/src/Mesh/PlannedStop.cpp
@@ -7,6 +7,10 @@
 constexpr Duration kCallersLeave = std::chrono::milliseconds(2600);
 /// Part of the limit that is left for the end itself.
 constexpr Duration kEndMargin = std::chrono::milliseconds(800);
+/// Callers that still send are refused from here on. The platform keeps sending
+/// to a node that is not ready while most nodes of its data centre are not; the
+/// end would cut off what such callers have in flight.
+constexpr Duration kCallersRefused = std::chrono::milliseconds(3200);
 }  // namespace
 
 bool PlannedStop::Begin(TimePoint aNow) {
@@ -26,6 +30,10 @@
     this->leaving = true;
     this->settings.leave([this] { this->left = true; });
   }
+  if (age >= kCallersRefused && !this->refusing) {
+    this->refusing = true;
+    this->settings.refuse();
+  }
   // Looked at after the row is gone: requests may arrive until the very end.
   const bool idle = this->settings.isIdle();
   const bool late = age >= this->settings.limit() - kEndMargin;
