--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -10,13 +10,6 @@
 namespace fescueline {
 
 namespace {
-/// Responses to other requests that one may have to wait through. Each answers
-/// an earlier request of the connection that its server answered twice.
-constexpr size_t kMaxSkipped = 4;
-/// Body bytes of such responses; as long as the longest body that is held for a
-/// caller. More may never end.
-constexpr uint64_t kMaxSkippedBytes = uint64_t{1} << 20;
-
 /// Whether the end of a response that answers another request is certain. It
 /// is not if that request may have been a HEAD, if the body ends with the
 /// connection, or if a length contradicts the status.
@@ -54,8 +47,6 @@
       connectTimer(aIo),
       reader({.kind = HttpReaderKind::Response,
               .maxHeadBytes = size_t{64} * 1024,
-              .maxSkipped = kMaxSkipped,
-              .maxSkippedBytes = kMaxSkippedBytes,
               .events = this->ReaderEvents()}),
       onUnasked(std::move(aOnUnasked)) {}
 
@@ -164,7 +155,7 @@
     if (aError == asio::error::eof && this->busy && this->accepted &&
         this->reader.FinishAtEof()) {
       this->keepAlive = false;
-      this->EndExchange(0);
+      this->EndExchange({});
     }
     this->Close("read: " + aError.message());
     return;
@@ -182,7 +173,7 @@
       }
       bytes.remove_prefix(this->reader.Feed(bytes));
       if (this->complete) {
-        this->EndExchange(bytes.size());
+        this->EndExchange(bytes);
         break;
       }
       if (!this->giveUpReason.empty()) {
@@ -229,10 +220,10 @@
   return false;
 }
 
-void HttpClientConnection::EndExchange(size_t aSurplus) {
+void HttpClientConnection::EndExchange(std::string_view aSurplus) {
   this->complete = false;
   this->restingSince = SteadyClock().Now();
-  if (aSurplus > 0) {
+  if (!aSurplus.empty()) {
     // Belongs to no request, and the next one must not get it.
     this->fault = ResponseFault::Surplus;
   } else if (this->writing) {
@@ -246,6 +237,7 @@
                             this->skipped == 0 &&
                             this->fault == ResponseFault::None,
                 .fault = this->fault,
+                .surplus = aSurplus,
                 .error = {}});
 }
 
@@ -261,6 +253,7 @@
                   .sent = this->sent,
                   .reusable = false,
                   .fault = this->fault,
+                  .surplus = {},
                   .error = aReason});
   }
 }
