Bound all decoders of outside input and confine failures of handlers

Member rows were unpacked without limits. An exception that left any handler ended io.run() and the process.

A configuration is refused as a whole, as a part of one could drop routes and keys; the next version is complete and replaces it. RunEventLoop outlives failing handlers, logs and counts them (fescueline_handler_failures_total); a connection whose handler fails is closed; periodic tasks are rescheduled before they run; an exception no longer passes through the frames of http_parser.

Ruled out: taking the valid rest of a configuration (see above); catching only in main, which would leave a timer or a follower without its next step.

--- a/apps/Fescueline.cpp
+++ b/apps/Fescueline.cpp
@@ -12,6 +12,7 @@
 #include "Mesh/MeshReloader.h"
 #include "Node/Node.h"
 #include "Settings/SettingsLoader.h"
+#include "Transport/EventLoop.h"
 
 namespace {
 
@@ -69,7 +70,8 @@
   fescueline::MeshReloader reloader(io, file, node);
   reloader.Start();
   node.Start();
-  io.run();
+  fescueline::RunEventLoop(
+      io, [&node](const std::exception&) { node.OnHandlerFailure(); });
   return 0;
 }
 
--- a/src/Config/JsonReader.cpp
+++ b/src/Config/JsonReader.cpp
@@ -7,14 +7,16 @@
 
 #include "Config/ConfigError.h"
 #include "Config/PolicyLabels.h"
+#include "Core/BoundedJson.h"
 
 namespace fescueline {
 
 namespace {
-// Above the size of any valid record: 64 labels or 1,000 voucher names.
-constexpr size_t kMaxDocumentBytes = 256UL * 1024;
-// Records nest two levels; the parser's recursion must stay bounded.
-constexpr int kMaxNesting = 8;
+// Above the size of any valid record: 64 labels or 1,000 voucher names. Records
+// nest two levels.
+constexpr JsonLimits kRecordLimits{.maxBytes = size_t{256} * 1024,
+                                   .maxNesting = 8,
+                                   .allowDuplicateFields = false};
 constexpr size_t kMaxLabels = 64;
 constexpr size_t kMaxListItemLength = 255;
 
@@ -41,33 +43,15 @@
 }  // namespace
 
 JsonReader::JsonReader(std::string_view aText) {
-  if (aText.size() > kMaxDocumentBytes) {
+  if (aText.size() > kRecordLimits.maxBytes) {
     throw ConfigError("", fmt::format("the record must be at most {} bytes",
-                                      kMaxDocumentBytes));
-  }
-  std::vector<std::set<std::string>> keys;
-  const auto checkStructure = [&](int aDepth,
-                                  nlohmann::json::parse_event_t aEvent,
-                                  nlohmann::json& aParsed) {
-    using Event = nlohmann::json::parse_event_t;
-    if (aDepth > kMaxNesting) {
-      throw ConfigError("", "the record is nested too deeply");
-    }
-    if (aEvent == Event::object_start) {
-      keys.emplace_back();
-    } else if (aEvent == Event::object_end) {
-      keys.pop_back();
-    } else if (aEvent == Event::key &&
-               !keys.back().insert(aParsed.get<std::string>()).second) {
-      throw ConfigError("", "the record names a field twice");
-    }
-    return true;
-  };
+                                      kRecordLimits.maxBytes));
+  }
   try {
-    this->object = nlohmann::json::parse(aText, checkStructure);
-  } catch (const nlohmann::json::exception&) {
-    // The library's message may quote untrusted input.
-    throw ConfigError("", "the record is not valid JSON");
+    this->object = ParseJson(aText, kRecordLimits);
+  } catch (const JsonError& failure) {
+    throw ConfigError("",
+                      fmt::format("the record {}", ToName(failure.Fault())));
   }
   if (!this->object.is_object()) {
     throw ConfigError("", "the record must be a JSON object");
--- a/src/Ctl/CtlSession.cpp
+++ b/src/Ctl/CtlSession.cpp
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "Core/BoundedJson.h"
 #include "Core/Identifiers.h"
 
 namespace fescueline {
@@ -19,8 +20,13 @@
 
 /// The body as a JSON object; an empty object if it is anything else.
 Json ParseBody(const std::string& aBody) {
-  Json body = Json::parse(aBody, nullptr, false);
-  return body.is_object() ? body : Json::object();
+  try {
+    Json body = ParseJson(aBody, {});
+    return body.is_object() ? body : Json::object();
+  } catch (const JsonError&) {
+    // The caller reports the fields that are missing.
+    return Json::object();
+  }
 }
 
 std::string TextOf(const Json& aBody, const char* aField) {
--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -153,12 +153,16 @@
   if (aError) {
     // A response without a length ends only with an orderly close, not with a
     // reset.
-    if (aError == asio::error::eof && this->busy && this->accepted &&
-        this->reader.FinishAtEof()) {
-      this->keepAlive = false;
-      this->EndExchange({});
+    try {
+      if (aError == asio::error::eof && this->busy && this->accepted &&
+          this->reader.FinishAtEof()) {
+        this->keepAlive = false;
+        this->EndExchange({});
+      }
+      this->Close("read: " + aError.message());
+    } catch (const std::exception& failure) {
+      this->Close(failure.what());
     }
-    this->Close("read: " + aError.message());
     return;
   }
   std::string_view bytes = aBytes;
@@ -181,7 +185,8 @@
         return;
       }
     }
-  } catch (const Error& failure) {
+  } catch (const std::exception& failure) {
+    // A malformed response, or a handler that failed with it.
     if (this->closeReason.empty()) {
       this->fault = ResponseFault::Malformed;
       this->closeReason = failure.what();
--- a/src/Http1/HttpReader.cpp
+++ b/src/Http1/HttpReader.cpp
@@ -1,5 +1,7 @@
 #include "Http1/HttpReader.h"
 
+#include <utility>
+
 #include "Core/Error.h"
 
 namespace fescueline {
@@ -66,20 +68,41 @@
       return reader.CheckHeadSize();
     };
     callbacks.on_headers_complete = [](http_parser* aParser) {
-      return Of(aParser).OnHeadersComplete();
+      return Of(aParser).Guard(
+          [](HttpReader& aReader) { return aReader.OnHeadersComplete(); });
     };
     callbacks.on_body = [](http_parser* aParser, const char* aData,
                            size_t aSize) {
-      return Of(aParser).OnBody({aData, aSize});
+      return Of(aParser).Guard([aData, aSize](HttpReader& aReader) {
+        return aReader.OnBody({aData, aSize});
+      });
     };
     callbacks.on_message_complete = [](http_parser* aParser) {
-      return Of(aParser).OnMessageComplete();
+      return Of(aParser).Guard(
+          [](HttpReader& aReader) { return aReader.OnMessageComplete(); });
     };
     return callbacks;
   }();
   return sCallbacks;
 }
 
+template <typename F>
+int HttpReader::Guard(F aCallback) {
+  try {
+    return aCallback(*this);
+  } catch (const std::exception&) {
+    // Rethrown by RethrowFailure, once the frames of the parser have returned.
+    this->failure = std::current_exception();
+    return kStopParsing;
+  }
+}
+
+void HttpReader::RethrowFailure() {
+  if (this->failure) {
+    std::rethrow_exception(std::exchange(this->failure, nullptr));
+  }
+}
+
 void HttpReader::AppendField(std::string_view aBytes) {
   if (this->head.headers.empty() || this->lastWasValue) {
     this->head.headers.emplace_back();
@@ -251,6 +274,7 @@
   this->messageDone = false;
   const size_t used =
       http_parser_execute(&this->parser, &Callbacks(), aBytes.data(), size);
+  this->RethrowFailure();
   if (this->messageDone) {
     http_parser_pause(&this->parser, 0);
   }
@@ -274,6 +298,7 @@
   }
   this->ended = false;
   http_parser_execute(&this->parser, &Callbacks(), nullptr, 0);
+  this->RethrowFailure();
   if (this->ended) {
     this->settings.events.onEnd();
   }
--- a/src/Http1/HttpReader.h
+++ b/src/Http1/HttpReader.h
@@ -3,6 +3,7 @@
 #include <http_parser.h>
 
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <optional>
 #include <string>
@@ -79,7 +80,8 @@
   /// Parses bytes up to the end of the current message and returns how many
   /// were consumed. Throws Error if they are not a valid HTTP message.
   size_t Feed(std::string_view aBytes);
-  /// Signals the end of input; true if that completes a message.
+  /// Signals the end of input; true if that completes a message. Like Feed, it
+  /// passes on exceptions of the handlers.
   bool FinishAtEof();
   /// Whether the next response belongs to a HEAD request and so has no body.
   void ExpectNoBody(bool aNoBody) { this->noBody = aNoBody; }
@@ -93,6 +95,11 @@
     return *static_cast<HttpReader*>(aParser->data);
   }
   static const http_parser_settings& Callbacks();
+  /// Runs a callback of http_parser. An exception must not pass through the
+  /// frames of the C library, so it is kept for RethrowFailure.
+  template <typename F>
+  int Guard(F aCallback);
+  void RethrowFailure();
   int OnHeadersComplete();
   int OnMessageComplete();
   /// Parses up to the end of a head, a chunked body or the message; returns the
@@ -119,6 +126,8 @@
   HttpLineChecker lines;
   /// Why the message is rejected; empty if it is not.
   std::string_view fault;
+  /// Exception of a handler, on its way past http_parser.
+  std::exception_ptr failure;
   /// Size of the head so far.
   size_t headBytes = 0;
   /// Number of header fields and trailers so far.
--- a/src/Http1/LoopHttpConnection.cpp
+++ b/src/Http1/LoopHttpConnection.cpp
@@ -159,6 +159,10 @@
       this->inbox.insert(0, bytes, used);
     } catch (const Error&) {
       this->Reject(this->reader.HasHead() ? kBadRequest : kHeadTooLarge);
+    } catch (const std::exception& failure) {
+      Log(LogLevel::Error, "request handler failed",
+          {{"error", std::string(failure.what())}});
+      this->Close();
     }
     if (begins) {
       this->requestStart = SteadyClock().Now();
--- a/src/Mesh/MeshMember.cpp
+++ b/src/Mesh/MeshMember.cpp
@@ -1,6 +1,6 @@
 #include "Mesh/MeshMember.h"
 
-#include <msgpack.hpp>
+#include "Core/BoundedMsgPack.h"
 
 namespace fescueline {
 
@@ -14,6 +14,10 @@
   std::string peers;
   MSGPACK_DEFINE_ARRAY(node, incarnation, dataCentre, region, service, peers)
 };
+
+/// A row is one array of six texts; later versions may add some.
+constexpr MsgPackLimits kMemberLimits{
+    .maxBytes = size_t{4} * 1024, .maxElements = 32, .maxNesting = 2};
 }  // namespace
 
 std::string EncodeMeshMember(const MeshMember& aRecord) {
@@ -31,10 +35,10 @@
 std::optional<MeshMember> DecodeMeshMember(const std::string& aValue) {
   try {
     MemberWire wire;
-    msgpack::unpack(aValue.data(), aValue.size()).get().convert(wire);
+    UnpackBounded(aValue, kMemberLimits).get().convert(wire);
     const auto incarnation = Id128::Parse(wire.incarnation);
     const auto peers = SocketAddress::Parse(wire.peers);
-    if (!incarnation || !peers || wire.node.empty()) {
+    if (!incarnation || !peers || peers->port == 0 || wire.node.empty()) {
       return std::nullopt;
     }
     return MeshMember{.node = wire.node,
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -276,8 +276,9 @@
     if (aError) {
       return;
     }
-    function();
+    // Scheduled first, so that a failure of one run does not end the others.
     this->RunEvery(aPeriod, function);
+    function();
   });
 }
 
@@ -318,7 +319,7 @@
       break;
     case ReportKind::Malformed:
       Log(LogLevel::Warning, "malformed report ignored",
-          {{"call", aExchange->Request().target}});
+          {{"call", aExchange->Request().target}, {"error", call.problem}});
       aExchange->Respond({.status = kBadRequest});
       return;
     case ReportKind::Unknown:
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -36,6 +36,8 @@
   void Stop();
   /// Applies the settings that can change at run time.
   void Reload(const MeshSettings& aSettings);
+  /// Counts an exception that left an event handler.
+  void OnHandlerFailure() { this->metrics.CountHandlerFailure(); }
   /// Whether callers should send requests to this node.
   bool IsReady() const;
   /// Number of targets that are ready and reachable.
--- a/src/Mesh/MeshReloader.cpp
+++ b/src/Mesh/MeshReloader.cpp
@@ -58,9 +58,9 @@
   this->changedAt = ChangeTime(this->file);
   try {
     this->node.Reload(LoadMeshSettings(this->file));
-  } catch (const Error& failure) {
+  } catch (const std::exception& failure) {
     Log(LogLevel::Error, "settings not reloaded",
-        {{"step", failure.Step()}, {"error", failure.what()}});
+        {{"file", this->file}, {"error", std::string(failure.what())}});
   }
 }
 
--- a/src/Mesh/PlatformBindings.h
+++ b/src/Mesh/PlatformBindings.h
@@ -30,6 +30,8 @@
   TargetReportMessage report;
   /// For Leave: start time of the process that leaves, if given.
   std::optional<uint64_t> startedAt;
+  /// For Malformed: what is wrong.
+  std::string problem;
 };
 
 /// Platform-specific parts of a mesh node: header names, decoders and the
--- a/src/Node/ControlMessages.h
+++ b/src/Node/ControlMessages.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "Core/BoundedMsgPack.h"
 #include "Limits/ShareMessages.h"
 #include "Platform/TableStore.h"
 
@@ -88,7 +89,10 @@
 template <typename T>
 std::optional<T> DecodePayload(const std::string& aPayload) {
   try {
-    return msgpack::unpack(aPayload.data(), aPayload.size()).get().as<T>();
+    // Each element takes at least one byte.
+    const MsgPackLimits limits{.maxBytes = aPayload.size(),
+                               .maxElements = aPayload.size()};
+    return UnpackBounded(aPayload, limits).get().as<T>();
   } catch (const std::exception&) {
     return std::nullopt;
   }
--- a/src/Node/Metrics.cpp
+++ b/src/Node/Metrics.cpp
@@ -79,6 +79,12 @@
           .Name("fescueline_node")
           .Help("Current values of the node")
           .Register(this->registry);
+  prometheus::Family<prometheus::Counter>& handlerFailureFamily =
+      prometheus::BuildCounter()
+          .Name("fescueline_handler_failures_total")
+          .Help("Exceptions that left an event handler")
+          .Register(this->registry);
+  prometheus::Counter& handlerFailures = this->handlerFailureFamily.Add({});
   prometheus::Counter& firstAttempts = this->attempts.Add({{"kind", "first"}});
   prometheus::Counter& retries = this->attempts.Add({{"kind", "retry"}});
   /// Guards `organisations`; no other lock is taken while it is held.
@@ -123,6 +129,8 @@
   this->impl->responseFaults.Add({{"fault", Label(aFault)}}).Increment();
 }
 
+void Metrics::CountHandlerFailure() { this->impl->handlerFailures.Increment(); }
+
 void Metrics::SetGauge(const std::string& aName, double aValue) {
   this->impl->gauges.Add({{"value", aName}}).Set(aValue);
 }
--- a/src/Node/Metrics.h
+++ b/src/Node/Metrics.h
@@ -33,6 +33,8 @@
   /// Counts a response that was dropped or whose connection was closed. aFault
   /// is a constant in the calling code.
   void CountResponseFault(std::string_view aFault);
+  /// Counts an exception that left an event handler.
+  void CountHandlerFailure();
   /// Sets a gauge; aName is a constant in the calling code.
   void SetGauge(const std::string& aName, double aValue);
 
--- a/src/Node/Node.cpp
+++ b/src/Node/Node.cpp
@@ -7,6 +7,7 @@
 #include "Node/TableReadRule.h"
 #include "Node/TargetAnnouncements.h"
 #include "Platform/HttpTableStore.h"
+#include "Transport/EventLoop.h"
 
 namespace fescueline {
 
@@ -234,7 +235,11 @@
   this->RunEvery(this->settings.refreshInterval, [this] { this->ReadTable(); });
   this->RunEvery(kMaintenancePeriod, [this] { this->Maintain(); });
   for (uint64_t i = 0; i < this->settings.workers; ++i) {
-    this->workers.emplace_back([this] { this->io.run(); });
+    this->workers.emplace_back([this] {
+      RunEventLoop(this->io, [this](const std::exception&) {
+        this->metrics.CountHandlerFailure();
+      });
+    });
   }
   Log(LogLevel::Info, "node started",
       {{"node", this->self.nodeId},
--- a/src/Node/TargetAnnouncements.cpp
+++ b/src/Node/TargetAnnouncements.cpp
@@ -1,7 +1,11 @@
 #include "Node/TargetAnnouncements.h"
 
+#include <fmt/format.h>
+
 #include <nlohmann/json.hpp>
 
+#include "Core/BoundedJson.h"
+
 namespace fescueline {
 
 namespace {
@@ -71,7 +75,13 @@
     result.error = "method: expected POST";
     return result;
   }
-  const Json object = Json::parse(aBody, nullptr, false);
+  Json object;
+  try {
+    object = ParseJson(aBody, {});
+  } catch (const JsonError& failure) {
+    result.error = fmt::format("body: {}", ToName(failure.Fault()));
+    return result;
+  }
   if (!object.is_object()) {
     result.error = "body: expected a JSON object";
     return result;
--- a/src/Platform/TableCodec.cpp
+++ b/src/Platform/TableCodec.cpp
@@ -4,12 +4,16 @@
 
 #include <nlohmann/json.hpp>
 
+#include "Core/BoundedJson.h"
+
 namespace fescueline {
 
 namespace {
 
 using Json = nlohmann::json;
 
+constexpr JsonLimits kTableLimits{.maxBytes = size_t{64} * 1024 * 1024};
+
 std::string Dump(const Json& aJson) {
   try {
     return aJson.dump();
@@ -20,8 +24,8 @@
 
 Json Parse(std::string_view aText) {
   try {
-    return Json::parse(aText);
-  } catch (const Json::exception& error) {
+    return ParseJson(aText, kTableLimits);
+  } catch (const JsonError& error) {
     throw TableFormatError(error.what());
   }
 }
--- a/src/Settings/SocketAddress.cpp
+++ b/src/Settings/SocketAddress.cpp
@@ -21,13 +21,21 @@
 }
 }  // namespace
 
+std::optional<uint16_t> ParsePort(std::string_view aText) {
+  const auto port = ParseUnsigned(aText);
+  if (!port || *port > std::numeric_limits<uint16_t>::max()) {
+    return std::nullopt;
+  }
+  return static_cast<uint16_t>(*port);
+}
+
 std::optional<SocketAddress> SocketAddress::Parse(std::string_view aText) {
   const size_t colon = aText.rfind(':');
   if (colon == std::string_view::npos || colon == 0) {
     return std::nullopt;
   }
-  const auto port = ParseUnsigned(aText.substr(colon + 1));
-  if (!port || *port > std::numeric_limits<uint16_t>::max()) {
+  const auto port = ParsePort(aText.substr(colon + 1));
+  if (!port) {
     return std::nullopt;
   }
   std::string_view host = aText.substr(0, colon);
@@ -35,8 +43,7 @@
   if (bracketed) {
     host = host.substr(1, host.size() - 2);
   }
-  SocketAddress address{.host = std::string(host),
-                        .port = static_cast<uint16_t>(*port)};
+  SocketAddress address{.host = std::string(host), .port = *port};
   if (!IsAddress(bracketed ? AF_INET6 : AF_INET, address.host)) {
     return std::nullopt;
   }
--- a/src/Settings/SocketAddress.h
+++ b/src/Settings/SocketAddress.h
@@ -7,6 +7,9 @@
 
 namespace fescueline {
 
+/// A port in decimal digits, 0 to 65535; nullopt otherwise.
+std::optional<uint16_t> ParsePort(std::string_view aText);
+
 /// An IP address and a port.
 struct SocketAddress {
   /// IPv4 or IPv6 address, without brackets.
--- a/src/Transport/ControlSocket.cpp
+++ b/src/Transport/ControlSocket.cpp
@@ -11,6 +11,7 @@
 #include <thread>
 #include <unordered_map>
 
+#include "Core/BoundedMsgPack.h"
 #include "Core/Digest.h"
 #include "Core/Error.h"
 #include "Core/ScopeGuard.h"
@@ -120,7 +121,9 @@
     }
     try {
       EnvelopeWire wire;
-      msgpack::unpack(body.data(), body.size()).get().convert(wire);
+      UnpackBounded(body, {.maxBytes = body.size(), .maxElements = 32})
+          .get()
+          .convert(wire);
       const auto incarnation = Id128::Parse(wire.incarnation);
       if (!incarnation) {
         return;
--- a/src/Transport/FrameCodec.cpp
+++ b/src/Transport/FrameCodec.cpp
@@ -1,14 +1,13 @@
 #include "Transport/FrameCodec.h"
 
+#include "Core/BoundedMsgPack.h"
+
 namespace fescueline {
 
 namespace {
-/// Maximum number of elements in one array. Bounds the memory that a malicious
-/// length field can make the decoder allocate.
-constexpr size_t kMaxArrayElements = 1024;
-/// Maximum nesting depth. Frames use four levels: frame, content, array, array
-/// element.
-constexpr size_t kMaxNesting = 8;
+/// Frames nest four levels: frame, content, array, array element.
+constexpr MsgPackLimits kFrameLimits{
+    .maxBytes = kMaxFrameBytes, .maxElements = 1024, .maxNesting = 8};
 }  // namespace
 
 size_t DecodeFrameLength(std::string_view aPrefix) {
@@ -25,10 +24,7 @@
 DecodedFrame DecodeFrame(std::string_view aBytes) {
   DecodedFrame frame;
   try {
-    const msgpack::unpack_limit limit(kMaxArrayElements, 0, kMaxFrameBytes,
-                                      kMaxFrameBytes, 0, kMaxNesting);
-    frame.handle =
-        msgpack::unpack(aBytes.data(), aBytes.size(), nullptr, nullptr, limit);
+    frame.handle = UnpackBounded(aBytes, kFrameLimits);
   } catch (const std::exception& failure) {
     throw Error("frame.decode", "", failure.what());
   }
--- a/src/Transport/RequestContext.cpp
+++ b/src/Transport/RequestContext.cpp
@@ -2,6 +2,7 @@
 
 #include <msgpack.hpp>
 
+#include "Core/BoundedMsgPack.h"
 #include "Core/Digest.h"
 
 namespace fescueline {
@@ -112,7 +113,7 @@
   }
   try {
     ContextWire wire;
-    msgpack::unpack(bytes->data(), bytes->size()).get().convert(wire);
+    UnpackBounded(*bytes, {.maxBytes = kMaxContextToken}).get().convert(wire);
     if (!IsValid(wire)) {
       return std::nullopt;
     }
