Refuse callers of a stopping node before 3 s have passed

Cause: new requests were taken until 3.2 s after SIGTERM. With a stop limit of 6 s, one that was sent between 3.0 and 3.2 s and takes longer than 2 s was cut at the end without an answer.

Change: refused from 2.9 s on, with 503 (not run).

--- a/src/Mesh/PlannedStop.cpp
+++ b/src/Mesh/PlannedStop.cpp
@@ -12,8 +12,9 @@
 /// Time after which callers that still send are refused. The platform keeps
 /// sending to a node that is not ready while most nodes of its data centre are
 /// not ready; the termination would abort the requests in flight of such
-/// callers.
-constexpr Duration kRefuseAfter = std::chrono::milliseconds(3200);
+/// callers. Callers count on an answer to what they send later than 3 s after
+/// the stop began.
+constexpr Duration kRefuseAfter = std::chrono::milliseconds(2900);
 }  // namespace
 
 bool PlannedStop::Begin(TimePoint aNow) {
