Read the store by three nodes and relay changes between peers

Cause: each node followed both tables of the store by long polls and read a row of every other node; each change of a member woke all of them. A node sent its whole configuration and all rows to each peer with an older version, once a second.

Change: FollowSchedule lets three primary nodes follow the store; others call it only when their copy is too old, after a random delay that bounds the calls of the whole fleet. MemberTable keeps rows and removals by version, so that a peer gets only what it lacks. RelayTree gives each node one parent in its data centre and at most eight children. PeerSync requests what is missing from one peer at a time. Rows of unreachable nodes are removed by the first node, and after 5 s more by two others, not by all. First reads of the issuer's lease are spread. Connections without requests are checked every second in fleets above 32 nodes.

Ruled out: comparing only versions of rows (a removal has no row, so equal versions do not mean equal tables; a digest does). Applying a new row ahead of the changes before it (tables could no longer be compared by version).

--- a/src/Mesh/MemberPublisher.h
+++ b/src/Mesh/MemberPublisher.h
@@ -32,6 +32,8 @@
   void Tick();
   /// Removes the row permanently; aDone runs when the store has replied.
   void Leave(std::function<void()> aDone);
+  /// Whether the row at the store is the current one.
+  bool IsPublished() const { return this->published; }
   const std::string& Key() const { return this->key; }
 
  private:
--- a/src/Mesh/MeshFleet.cpp
+++ b/src/Mesh/MeshFleet.cpp
@@ -17,6 +17,12 @@
 /// host was unreachable, and is retransmitted only after a second.
 constexpr Duration kStaleDial = std::chrono::milliseconds(50);
 
+/// Number of members above which unused connections are checked less often:
+/// their number grows with the fleet, and each is used less.
+constexpr size_t kLargeFleet = 32;
+constexpr Duration kPingPeriod = std::chrono::milliseconds(500);
+constexpr Duration kLargeFleetPingPeriod = std::chrono::milliseconds(1000);
+
 std::string NodeOf(const std::string& aKey) {
   return aKey.starts_with(kMeshMemberPrefix)
              ? aKey.substr(kMeshMemberPrefix.size())
@@ -30,13 +36,9 @@
       picker(this->table, this->settings.picker),
       dialTimer(this->settings.io) {}
 
-void MeshFleet::OnSnapshot(const std::vector<StoredRow>& aRows,
-                           uint64_t aVersion) {
-  // Rows that were removed before the read have versions up to aVersion, too.
-  this->readUpTo = std::max(this->readUpTo, aVersion);
+void MeshFleet::OnSnapshot(const std::vector<StoredRow>& aRows) {
   std::set<std::string> present;
   for (const StoredRow& row : aRows) {
-    this->readUpTo = std::max(this->readUpTo, row.version);
     present.insert(NodeOf(row.key));
     this->Apply(row);
   }
@@ -53,22 +55,10 @@
 
 void MeshFleet::OnChanges(const std::vector<StoredRow>& aRows) {
   for (const StoredRow& row : aRows) {
-    this->readUpTo = std::max(this->readUpTo, row.version);
     this->Apply(row);
   }
 }
 
-void MeshFleet::OnPeerRows(const std::vector<FleetRowWire>& aRows) {
-  for (const FleetRowWire& row : aRows) {
-    // This node has already read the table beyond an older version. If it lacks
-    // the row, the row has been removed since, and no further change would
-    // remove it again.
-    if (row.version > this->readUpTo) {
-      this->Apply({.key = row.key, .value = row.value, .version = row.version});
-    }
-  }
-}
-
 void MeshFleet::Apply(const StoredRow& aRow) {
   const std::string node = NodeOf(aRow.key);
   if (node.empty()) {
@@ -90,8 +80,8 @@
   Member& member = this->members[node];
   const bool changed = !(member.record == *record);
   member.record = *record;
-  member.value = aRow.value;
   member.version = aRow.version;
+  member.rank = RankOf(node);
   if (!changed) {
     return;
   }
@@ -143,6 +133,9 @@
                   .host = aMember.record.peers.host,
                   .port = aMember.record.peers.port},
       .connectTimeout = std::chrono::milliseconds(500),
+      .quietPingPeriod = this->members.size() > kLargeFleet
+                             ? kLargeFleetPingPeriod
+                             : kPingPeriod,
       .onState =
           [this, node](const StateWire& aState,
                        const std::string& aIncarnation) {
@@ -280,15 +273,10 @@
 template <typename F>
 bool MeshFleet::IsAmongFirstOf(const std::string& aNode, size_t aCount,
                                F aPredicate) const {
-  const auto rank = [](const std::string& aName) {
-    return std::make_pair(std::hash<std::string>{}(aName), aName);
-  };
-  const auto own = rank(aNode);
+  const uint64_t own = RankOf(aNode);
   size_t before = 0;
   for (const auto& [node, member] : this->members) {
-    if (node != aNode && rank(node) < own && aPredicate(node, member)) {
-      ++before;
-    }
+    before += member.rank < own && aPredicate(node, member) ? 1 : 0;
   }
   return before < aCount;
 }
@@ -296,7 +284,7 @@
 bool MeshFleet::IsAmongFirst(const std::string& aNode, size_t aCount) const {
   return this->IsAmongFirstOf(aNode, aCount,
                               [](const std::string&, const Member& aMember) {
-                                return IsAlive(aMember);
+                                return IsConnected(aMember);
                               });
 }
 
@@ -304,10 +292,27 @@
                                   size_t aCount) const {
   return this->IsAmongFirstOf(
       aNode, aCount, [this](const std::string& aOther, const Member& aMember) {
-        return IsAlive(aMember) && this->IsReady(aOther);
+        return IsConnected(aMember) && this->IsReady(aOther);
       });
 }
 
+std::vector<RelayTree::Node> MeshFleet::Nodes() const {
+  std::vector<RelayTree::Node> nodes;
+  nodes.reserve(this->members.size());
+  for (const auto& [node, member] : this->members) {
+    nodes.push_back({.name = node, .dataCentre = member.record.dataCentre});
+  }
+  return nodes;
+}
+
+size_t MeshFleet::ConnectedPeers() const {
+  return static_cast<size_t>(std::count_if(
+      this->members.begin(), this->members.end(), [this](const auto& aEntry) {
+        return aEntry.first != this->settings.self.nodeId &&
+               IsConnected(aEntry.second);
+      }));
+}
+
 bool MeshFleet::IsReady(const std::string& aNode) const {
   const auto target = this->table.Find(aNode);
   const auto* known = target ? this->table.Get(*target) : nullptr;
@@ -337,16 +342,6 @@
   return found != this->members.end() && found->second.refused;
 }
 
-std::vector<FleetRowWire> MeshFleet::Rows() const {
-  std::vector<FleetRowWire> rows;
-  for (const auto& [node, member] : this->members) {
-    rows.push_back({.key = std::string(kMeshMemberPrefix) + node,
-                    .value = member.value,
-                    .version = member.version});
-  }
-  return rows;
-}
-
 std::vector<StoredRow> MeshFleet::Unreachable(TimePoint aNow,
                                               Duration aFor) const {
   std::vector<StoredRow> rows;
--- a/src/Mesh/MeshFleet.h
+++ b/src/Mesh/MeshFleet.h
@@ -10,6 +10,7 @@
 
 #include "Core/RandomSource.h"
 #include "Mesh/MeshMember.h"
+#include "Mesh/RelayTree.h"
 #include "Mesh/RowStore.h"
 #include "Routing/TargetPicker.h"
 #include "Routing/TargetTable.h"
@@ -48,12 +49,9 @@
 
   explicit MeshFleet(Settings aSettings);
 
-  /// Replaces all rows by those of a version of the table.
-  void OnSnapshot(const std::vector<StoredRow>& aRows, uint64_t aVersion);
+  /// Replaces all rows.
+  void OnSnapshot(const std::vector<StoredRow>& aRows);
   void OnChanges(const std::vector<StoredRow>& aRows);
-  /// Applies rows received from a peer that are newer than the last version of
-  /// the table that this node has read. Removes no rows.
-  void OnPeerRows(const std::vector<FleetRowWire>& aRows);
 
   /// Handles an incoming connection from a node, which shows that its process
   /// runs: connects to it now unless it is connected or a connection attempt
@@ -81,9 +79,12 @@
   bool HasMember(const std::string& aNode) const {
     return this->members.contains(aNode);
   }
-  /// Whether a node is among the first aCount reachable nodes. The order is by
-  /// a hash of the names, so that the first nodes are spread over the data
-  /// centres.
+  /// Names and data centres of all members.
+  std::vector<RelayTree::Node> Nodes() const;
+  /// Number of other nodes to which a connection is open.
+  size_t ConnectedPeers() const;
+  /// Whether a node is among the first aCount connected nodes, in the order of
+  /// RankOf.
   bool IsAmongFirst(const std::string& aNode, size_t aCount) const;
   /// Whether the node is among the first aCount reachable nodes whose targets
   /// are ready.
@@ -93,8 +94,6 @@
   /// Whether the node's host refused the last connection, so that no process of
   /// the node is running.
   bool IsDown(const std::string& aNode) const;
-  /// All member rows, to send to a peer.
-  std::vector<FleetRowWire> Rows() const;
   /// Rows of nodes that have been unreachable for longer than aFor.
   std::vector<StoredRow> Unreachable(TimePoint aNow, Duration aFor) const;
   /// Closes all connections.
@@ -103,8 +102,9 @@
  private:
   struct Member {
     MeshMember record;
-    std::string value;
     uint64_t version = 0;
+    /// RankOf the node's name.
+    uint64_t rank = 0;
     ClientPtr client;
     /// Start of the last connection attempt.
     TimePoint dialledAt{};
@@ -117,13 +117,14 @@
     bool refused = false;
   };
 
-  static bool IsAlive(const Member& aMember) {
-    return aMember.client && !aMember.client->IsClosed();
+  static bool IsConnected(const Member& aMember) {
+    return aMember.client && !aMember.client->IsClosed() &&
+           aMember.client->IsReady();
   }
   /// Whether a node's target is ready and reachable.
   bool IsReady(const std::string& aNode) const;
   /// Whether fewer than aCount of the other nodes for which aPredicate is true
-  /// precede aNode in the order of a hash of the names.
+  /// have a lower rank than aNode.
   template <typename F>
   bool IsAmongFirstOf(const std::string& aNode, size_t aCount,
                       F aPredicate) const;
@@ -140,8 +141,6 @@
 
   Settings settings;
   std::map<std::string, Member> members;
-  /// Version up to which this node has read the member table.
-  uint64_t readUpTo = 0;
   TargetTable table;
   TargetPicker picker;
   asio::steady_timer dialTimer;
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -6,23 +6,9 @@
 namespace fescueline {
 
 namespace {
-/// Number of nodes that confirm the configuration at the store every second;
-/// the others learn its age from them. Three, so that two may fail at the same
-/// time.
-constexpr size_t kConfirmingNodes = 3;
-/// Age of the configuration above which a node confirms it by itself. Pongs
-/// arrive every half second, and the age that they carry is about a second.
-constexpr Duration kMaxUnconfirmedAge = std::chrono::milliseconds(2000);
-/// Time over which changes of members are batched before the next call. Without
-/// it, each node's row would wake every other node when a fleet starts.
-constexpr Duration kFleetBatchTime = std::chrono::milliseconds(400);
 constexpr Duration kFleetPeriod = std::chrono::milliseconds(500);
 constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(300);
 constexpr Duration kStopPeriod = std::chrono::milliseconds(50);
-/// Time after which the row of an unreachable node is removed. Longer than the
-/// outages that a node recovers from, since a removed node has to write its row
-/// again.
-constexpr Duration kUnreachableFor = std::chrono::seconds(20);
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -64,29 +50,39 @@
              .onState =
                  [this](const std::string& aNode, const StateWire& aState) {
                    this->tokens.OnPeerState(aNode, aState.isIssuer);
+                   this->replica.OnPeerState(aNode, aState);
                  },
              .onPong =
-                 [this](const std::string& aNode, const StateWire& aState,
+                 [this](const std::string&, const StateWire& aState,
                         TimePoint aPingSentAt) {
-                   this->peerSync.OnPong(aNode, aState, aPingSentAt);
+                   this->replica.OnPong(aState, aPingSentAt);
                  },
              .onMessage =
                  [this](const std::string& aNode, const DecodedFrame& aFrame) {
                    this->OnPeerMessage(aNode, aFrame);
                  }}),
-      peerSync(
-          {.config = this->config,
+      replica(
+          {.io = this->io,
+           .store = *this->bindings.store,
+           .config = this->config,
            .fleet = this->fleet,
+           .node = this->self.nodeId,
+           .configTable = this->bindings.configTable,
+           .configKey = this->bindings.configKey,
+           .connectedNodes =
+               [this] { return this->peerServer->ConnectedNodes(); },
+           .send =
+               [this](const std::string& aNode, const PeerSyncFrame& aFrame) {
+                 return this->SendToPeer(aNode, aFrame);
+               },
+           .isPublished = [this] { return this->publisher.IsPublished(); },
            .onConfig =
-               [this](const std::string& aStored, const std::string& aNode) {
-                 this->ApplyConfig(aStored, aNode);
+               [this](const std::string& aStored, std::string_view aSource) {
+                 this->ApplyConfig(aStored, aSource);
                },
-           .onRows =
-               [this](const std::vector<FleetRowWire>& aRows) {
-                 if (!this->fleetFollower.IsAvailable()) {
-                   this->fleet.OnPeerRows(aRows);
-                   this->tokens.ApplyLimits();
-                 }
+           .onMembers =
+               [this](const std::vector<StoredRow>& aRows, bool aSnapshot) {
+                 this->OnFleetRows(aRows, aSnapshot);
                }}),
       tokens({.io = this->io,
               .config = this->config,
@@ -130,36 +126,6 @@
                             .region = this->settings.region,
                             .service = this->settings.service,
                             .peers = this->settings.listenPeers}}),
-      configFollower(
-          {.io = this->io,
-           .store = *this->bindings.store,
-           .table = this->bindings.configTable,
-           .isUrgent = [this] { return this->NeedsConfirmation(); },
-           .onSnapshot =
-               [this](const std::vector<StoredRow>& aRows) {
-                 this->OnConfigRows(aRows);
-               },
-           .onChanges =
-               [this](const std::vector<StoredRow>& aRows) {
-                 this->OnConfigRows(aRows);
-               },
-           .onConfirmed =
-               [this](BootTime aMoment) { this->config.Confirm(aMoment); }}),
-      fleetFollower(
-          {.io = this->io,
-           .store = *this->bindings.store,
-           .table = std::string(kFleetTable),
-           .isUrgent = [this] { return this->MembersMayBeOutdated(); },
-           .onSnapshot =
-               [this](const std::vector<StoredRow>& aRows) {
-                 this->OnFleetRows(aRows, true);
-               },
-           .onChanges =
-               [this](const std::vector<StoredRow>& aRows) {
-                 this->OnFleetRows(aRows, false);
-               },
-           .onConfirmed = [](BootTime) {},
-           .batchTime = kFleetBatchTime}),
       stop({.limit = [this] { return this->settings.stopLimit; },
             .isIdle =
                 [this] {
@@ -233,6 +199,7 @@
           .onReady =
               [this](const Session& aSession) {
                 this->fleet.OnPeerUp(aSession->RemoteNode());
+                this->replica.OnPeerConnected(aSession->RemoteNode());
               },
           .onMessage =
               [this](const Session& aSession, const DecodedFrame& aFrame) {
@@ -243,6 +210,10 @@
                 StateWire state = this->targetService.State();
                 state.isIssuer = this->tokens.IsIssuing();
                 return state;
+              },
+          .describe =
+              [this](const std::string& aNode, StateWire& aState) {
+                this->replica.Describe(aNode, aState);
               }};
 }
 
@@ -255,8 +226,7 @@
   this->callers->Start();
   this->ready->Start();
   this->reports->Start();
-  this->configFollower.Start();
-  this->fleetFollower.Start();
+  this->replica.Start();
   this->RunEvery(kFleetPeriod, [this] {
     const TimePoint now = SteadyClock().Now();
     this->fleet.Tick(now);
@@ -342,14 +312,6 @@
   aExchange->Respond(this->bindings.reportAcknowledgement);
 }
 
-void MeshNode::OnConfigRows(const std::vector<StoredRow>& aRows) {
-  for (const StoredRow& row : aRows) {
-    if (row.key == this->bindings.configKey && !row.removed) {
-      this->ApplyConfig(row.value, "store");
-    }
-  }
-}
-
 void MeshNode::ApplyConfig(const std::string& aStored,
                            std::string_view aSource) {
   const MeshConfigPtr before = this->config.Current();
@@ -361,6 +323,7 @@
   this->callers->SetLimits(now.All().limits);
   this->tokens.ApplyLimits();
   this->targetService.OnConfigChanged();
+  this->AnnounceChange();
   this->ProbeTarget();
 }
 
@@ -377,20 +340,41 @@
     if (!ownSeen) {
       this->publisher.OnAbsent();
     }
-    this->fleet.OnSnapshot(aRows, this->fleetFollower.ReadUpTo());
+    this->fleet.OnSnapshot(aRows);
   } else {
     this->fleet.OnChanges(aRows);
   }
-  this->tokens.ApplyLimits();
+  this->tokens.OnMembers();
+  this->AnnounceChange();
   this->Maintain();
 }
 
+void MeshNode::AnnounceChange() {
+  this->peerServer->PushStateTo([this](const std::string& aNode) {
+    return this->replica.Announces(aNode);
+  });
+}
+
+bool MeshNode::SendToPeer(const std::string& aNode,
+                          const PeerSyncFrame& aFrame) {
+  const auto client = this->fleet.ClientOf(aNode);
+  if (client && client->IsReady()) {
+    client->SendMessage(aFrame);
+    return true;
+  }
+  const auto session = this->peerServer->SessionOf(aNode);
+  if (session) {
+    session->Send(aFrame);
+  }
+  return session != nullptr;
+}
+
 void MeshNode::OnPeerMessage(const std::string& aNode,
                              const DecodedFrame& aFrame) {
   if (aFrame.type == FrameType::TokenGrant) {
     this->tokens.OnGrant(aFrame.As<TokenGrantFrame>());
   } else if (aFrame.type == FrameType::PeerSync) {
-    this->peerSync.Apply(aFrame.As<PeerSyncFrame>(), aNode);
+    this->replica.OnFrame(aNode, aFrame.As<PeerSyncFrame>());
   }
 }
 
@@ -399,29 +383,8 @@
   if (aFrame.type == FrameType::TokenRequest) {
     aSession->Send(this->tokens.Grant(aFrame.As<TokenRequestFrame>()));
   } else if (aFrame.type == FrameType::PeerSync) {
-    const auto frame = aFrame.As<PeerSyncFrame>();
-    this->peerSync.Apply(frame, aSession->RemoteNode());
-    if (frame.wantsReply && this->config.Version() > frame.configVersion) {
-      aSession->Send(this->peerSync.Frame(false));
-    }
-  }
-}
-
-bool MeshNode::NeedsConfirmation() const {
-  return this->context.config.Age(BootClock::now()) > kMaxUnconfirmedAge ||
-         this->fleet.IsAmongFirst(this->self.nodeId, kConfirmingNodes);
-}
-
-bool MeshNode::MembersMayBeOutdated() {
-  if (this->context.config.Age(BootClock::now()) > kMaxUnconfirmedAge) {
-    return true;
-  }
-  for (const std::string& node : this->peerServer->ConnectedNodes()) {
-    if (!this->fleet.HasMember(node)) {
-      return true;
-    }
+    this->replica.OnFrame(aSession->RemoteNode(), aFrame.As<PeerSyncFrame>());
   }
-  return false;
 }
 
 void MeshNode::ProbeTarget() {
@@ -436,8 +399,7 @@
 
 void MeshNode::Maintain() {
   this->ProbeTarget();
-  this->configFollower.ReplaceIfUrgent();
-  this->fleetFollower.ReplaceIfUrgent();
+  this->replica.Maintain();
   this->wasFresh = this->wasFresh || this->context.IsFresh();
   this->publisher.Tick();
   this->tokens.Maintain();
@@ -446,11 +408,10 @@
 }
 
 void MeshNode::RemoveUnreachable() {
-  if (!this->fleetFollower.IsAvailable() || this->stop.HasBegun()) {
+  if (this->stop.HasBegun()) {
     return;
   }
-  for (const StoredRow& row :
-       this->fleet.Unreachable(SteadyClock().Now(), kUnreachableFor)) {
+  for (const StoredRow& row : this->replica.RowsToRemove()) {
     if (row.key == this->publisher.Key()) {
       continue;
     }
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -9,10 +9,9 @@
 #include "Mesh/MemberPublisher.h"
 #include "Mesh/MeshContext.h"
 #include "Mesh/MeshFleet.h"
-#include "Mesh/PeerSync.h"
 #include "Mesh/PlannedStop.h"
 #include "Mesh/PlatformBindings.h"
-#include "Mesh/TableFollower.h"
+#include "Mesh/StoreReplica.h"
 #include "Mesh/TargetProbe.h"
 #include "Mesh/TargetService.h"
 #include "Mesh/TokenExchange.h"
@@ -48,7 +47,6 @@
   void RunEvery(Duration aPeriod, std::function<void()> aFunction);
   void OnReadyRequest(const HttpExchangePtr& aExchange);
   void OnReport(const HttpExchangePtr& aExchange);
-  void OnConfigRows(const std::vector<StoredRow>& aRows);
   void OnFleetRows(const std::vector<StoredRow>& aRows, bool aSnapshot);
   /// Applies a stored configuration if it is newer than the current one.
   void ApplyConfig(const std::string& aStored, std::string_view aSource);
@@ -58,13 +56,11 @@
   /// Queries the health of the local target if it has not reported yet.
   void ProbeTarget();
   void Maintain();
-  /// Whether this node has to confirm its configuration at the store, for its
-  /// own use or on behalf of the other nodes.
-  bool NeedsConfirmation() const;
-  /// Whether the member table may be outdated: the store does not answer, or a
-  /// node without a known row is connected. The latter happens when a
-  /// connection to the store stalls without an error.
-  bool MembersMayBeOutdated();
+  /// Tells the nodes that learn changes from this one that there are some.
+  void AnnounceChange();
+  /// Sends a frame on a connection in either direction; returns false if there
+  /// is none.
+  bool SendToPeer(const std::string& aNode, const PeerSyncFrame& aFrame);
   void RemoveUnreachable();
   void End();
   PeerServer::Handlers PeerHandlers();
@@ -80,14 +76,12 @@
   MeshContext context;
   LocalTargetState target;
   MeshFleet fleet;
-  PeerSync peerSync;
+  StoreReplica replica;
   TokenExchange tokens;
   TargetService targetService;
   TargetProbe probe;
   EntryService entryService;
   MemberPublisher publisher;
-  TableFollower configFollower;
-  TableFollower fleetFollower;
   PlannedStop stop;
   std::unique_ptr<PeerServer> peerServer;
   std::unique_ptr<LoopHttpServer> callers;
--- a/src/Mesh/TableFollower.cpp
+++ b/src/Mesh/TableFollower.cpp
@@ -18,13 +18,71 @@
 TableFollower::TableFollower(Settings aSettings)
     : settings(std::move(aSettings)), timer(this->settings.io) {}
 
-void TableFollower::Start() { this->ReadPage(""); }
+void TableFollower::Start() { this->Next(); }
 
 void TableFollower::Stop() {
   this->stopped = true;
   this->timer.cancel();
 }
 
+void TableFollower::Next() {
+  if (this->stopped) {
+    return;
+  }
+  this->idle = this->Mode() == FollowMode::Idle;
+  if (this->idle) {
+    return;
+  }
+  if (this->synced) {
+    this->Follow();
+  } else {
+    this->ReadPage("");
+  }
+}
+
+void TableFollower::Reconsider() {
+  if (this->idle) {
+    this->Next();
+    return;
+  }
+  const FollowMode mode = this->longPolling ? this->Mode() : FollowMode::Idle;
+  if (mode == FollowMode::ShortPoll || mode == FollowMode::Immediate) {
+    this->longPolling = false;
+    this->Follow();
+  }
+}
+
+void TableFollower::SkipTo(uint64_t aVersion) {
+  this->after = std::max(this->after, aVersion);
+  this->synced = this->synced || aVersion > 0;
+}
+
+Duration TableFollower::WaitOf(FollowMode aMode) const {
+  switch (aMode) {
+    case FollowMode::LongPoll:
+      return this->settings.longWait;
+    case FollowMode::ShortPoll:
+      return this->settings.shortWait;
+    case FollowMode::Idle:
+    case FollowMode::Immediate:
+      break;
+  }
+  return Duration::zero();
+}
+
+void TableFollower::Deliver(
+    const std::function<void(const std::vector<StoredRow>&)>& aReceiver,
+    const std::vector<StoredRow>& aRows) const {
+  try {
+    aReceiver(aRows);
+  } catch (const std::exception& failure) {
+    Log(LogLevel::Error, "rows not applied",
+        {{"table", this->settings.table},
+         {"after", std::to_string(this->after)},
+         {"error", std::string(failure.what())}});
+  }
+}
+
 void TableFollower::ReadPage(const std::string& aAfter) {
   if (this->stopped) {
     return;
@@ -34,6 +92,9 @@
     this->readRows.clear();
     this->readSince = sentAt;
   }
+  if (this->settings.onCall) {
+    this->settings.onCall();
+  }
   this->settings.store.Read(
       this->settings.table, aAfter, [this, sentAt](const StoreReply& aReply) {
         if (aReply.status != StoreStatus::Done) {
@@ -55,9 +116,9 @@
           return;
         }
         this->synced = true;
-        this->settings.onSnapshot(this->readRows);
+        this->Deliver(this->settings.onSnapshot, this->readRows);
         this->settings.onConfirmed(this->readSince);
-        this->Follow();
+        this->Next();
       });
 }
 
@@ -66,48 +127,57 @@
     return;
   }
   const BootTime sentAt = BootClock::now();
-  const bool urgent = !this->available || this->IsUrgent();
-  this->longPolling = !urgent;
+  // A store that was lost is asked for an early sign of its return.
+  FollowMode mode = this->Mode();
+  if (!this->available && mode == FollowMode::LongPoll) {
+    mode = FollowMode::ShortPoll;
+  }
+  this->longPolling = mode == FollowMode::LongPoll;
   const uint64_t number = ++this->call;
-  this->settings.store.Follow(
-      this->settings.table, this->after,
-      urgent ? this->settings.urgentWait : this->settings.wait,
-      [this, sentAt, number](const StoreReply& aReply) {
-        if (number != this->call) {
-          return;
-        }
-        if (aReply.status == StoreStatus::HistoryLost) {
-          Log(LogLevel::Warning, "table history lost",
-              {{"table", this->settings.table},
-               {"after", std::to_string(this->after)}});
-          this->synced = false;
-          this->ReadPage("");
-          return;
-        }
-        if (aReply.status != StoreStatus::Done) {
-          this->SetAvailable(false, aReply.status);
-          this->Retry();
-          return;
-        }
-        this->SetAvailable(true, aReply.status);
-        this->after = std::max(this->after, aReply.version);
-        if (!aReply.rows.empty()) {
-          this->settings.onChanges(aReply.rows);
-        }
-        this->settings.onConfirmed(this->ToBootTime(aReply.storeTime, sentAt));
-        if (!aReply.rows.empty() &&
-            this->settings.batchTime > Duration::zero()) {
-          this->ContinueAfter(this->settings.batchTime);
-        } else {
-          this->Follow();
-        }
-      });
+  if (this->settings.onCall) {
+    this->settings.onCall();
+  }
+  this->settings.store.Follow(this->settings.table, this->after,
+                              this->WaitOf(mode),
+                              [this, sentAt, number](const StoreReply& aReply) {
+                                if (number == this->call) {
+                                  this->longPolling = false;
+                                  this->OnFollowed(aReply, sentAt);
+                                }
+                              });
 }
 
-void TableFollower::ReplaceIfUrgent() {
-  if (this->longPolling && this->IsUrgent()) {
-    this->longPolling = false;
-    this->Follow();
+void TableFollower::OnFollowed(const StoreReply& aReply, BootTime aSentAt) {
+  if (aReply.status == StoreStatus::HistoryLost) {
+    Log(LogLevel::Warning, "table history lost",
+        {{"table", this->settings.table},
+         {"after", std::to_string(this->after)}});
+    this->synced = false;
+    // A store that keeps discarding its history must not be read in a loop.
+    if (++this->historyLosses > 1) {
+      this->SetAvailable(false, aReply.status);
+      this->Retry();
+    } else {
+      this->Next();
+    }
+    return;
+  }
+  if (aReply.status != StoreStatus::Done) {
+    this->SetAvailable(false, aReply.status);
+    this->Retry();
+    return;
+  }
+  this->historyLosses = 0;
+  this->SetAvailable(true, aReply.status);
+  this->after = std::max(this->after, aReply.version);
+  if (!aReply.rows.empty()) {
+    this->Deliver(this->settings.onChanges, aReply.rows);
+  }
+  this->settings.onConfirmed(this->ToBootTime(aReply.storeTime, aSentAt));
+  if (!aReply.rows.empty() && this->settings.batchTime > Duration::zero()) {
+    this->ContinueAfter(this->settings.batchTime);
+  } else {
+    this->Next();
   }
 }
 
@@ -143,13 +213,8 @@
 void TableFollower::ContinueAfter(Duration aPause) {
   this->timer.expires_after(aPause);
   this->timer.async_wait([this](const asio::error_code& aError) {
-    if (aError || this->stopped) {
-      return;
-    }
-    if (this->synced) {
-      this->Follow();
-    } else {
-      this->ReadPage("");
+    if (!aError) {
+      this->Next();
     }
   });
 }
--- a/src/Mesh/TableFollower.h
+++ b/src/Mesh/TableFollower.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "Core/BootClock.h"
+#include "Mesh/FollowSchedule.h"
 #include "Mesh/RowStore.h"
 
 namespace fescueline {
@@ -18,13 +19,14 @@
     asio::io_context& io;
     RowStore& store;
     std::string table;
-    /// Long-poll time of a Follow call while the age of the table does not
-    /// matter (wait) and while it does (urgentWait).
-    Duration wait = std::chrono::seconds(10);
-    Duration urgentWait = std::chrono::seconds(1);
-    /// Whether the known state of the table has to be confirmed soon. Optional;
-    /// without it no call is urgent.
-    std::function<bool()> isUrgent;
+    /// Time that a Follow call waits for a change in the modes LongPoll and
+    /// ShortPoll.
+    Duration longWait = std::chrono::seconds(10);
+    Duration shortWait = std::chrono::seconds(1);
+    /// Returns how to follow the table now. Optional; LongPoll without it.
+    std::function<FollowMode()> mode;
+    /// Called at the start of each call to the store. Optional.
+    std::function<void()> onCall;
     /// Receives all rows of the table after a full read.
     std::function<void(const std::vector<StoredRow>&)> onSnapshot;
     /// Receives changed rows.
@@ -45,14 +47,26 @@
   bool IsAvailable() const { return this->available; }
   /// Version up to which changes of the table have been read.
   uint64_t ReadUpTo() const { return this->after; }
-  /// Replaces a pending long poll by an urgent call if one is needed. Call
-  /// periodically.
-  void ReplaceIfUrgent();
+  /// Resumes calls if the mode is no longer Idle, and replaces a pending long
+  /// poll if the mode demands an earlier answer. Call periodically.
+  void Reconsider();
+  /// Records that changes up to aVersion were learned elsewhere, so that they
+  /// need not be read.
+  void SkipTo(uint64_t aVersion);
 
  private:
-  bool IsUrgent() const {
-    return this->settings.isUrgent && this->settings.isUrgent();
+  FollowMode Mode() const {
+    return this->settings.mode ? this->settings.mode() : FollowMode::LongPoll;
   }
+  Duration WaitOf(FollowMode aMode) const;
+  /// Starts the next call, unless the mode is Idle.
+  void Next();
+  /// Passes rows on. A failure of the receiver is logged and does not end the
+  /// calls.
+  void Deliver(
+      const std::function<void(const std::vector<StoredRow>&)>& aReceiver,
+      const std::vector<StoredRow>& aRows) const;
+  void OnFollowed(const StoreReply& aReply, BootTime aSentAt);
   void ReadPage(const std::string& aAfter);
   void Follow();
   void Retry();
@@ -79,6 +93,10 @@
   uint64_t call = 0;
   /// Whether the current Follow call is a long poll.
   bool longPolling = false;
+  /// Whether no call is made until Reconsider finds another mode.
+  bool idle = false;
+  /// Replies in succession that reported a lost history.
+  uint32_t historyLosses = 0;
   /// Consecutive failures; determines the pause before the next call.
   uint32_t failures = 0;
   /// Largest observed difference between the boot clock at sending and the
--- a/src/Mesh/TokenExchange.cpp
+++ b/src/Mesh/TokenExchange.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Core/RandomSource.h"
 #include "Mesh/MeshMember.h"
 
 namespace fescueline {
@@ -20,9 +21,13 @@
 /// In addition, each node reads it after its start, since its earlier process
 /// may have held it.
 constexpr size_t kIssuerCandidates = 3;
-/// Time after the start of a node in which it reads the lease even if it is not
-/// among the candidates.
+/// Time after its first read in which a starting node reads the lease even if
+/// it is not among the candidates.
 constexpr Duration kStartupWindow = std::chrono::milliseconds(1500);
+/// Mean time between the first reads of two nodes of a fleet that starts. The
+/// first one acquires the lease and announces it before most others read it.
+constexpr Duration kFirstReadSpacing = std::chrono::milliseconds(5);
+constexpr Duration kMaxFirstReadDelay = std::chrono::seconds(1);
 }  // namespace
 
 TokenExchange::TokenExchange(Settings aSettings)
@@ -70,6 +75,17 @@
   });
 }
 
+void TokenExchange::OnMembers() {
+  this->ApplyLimits();
+  if (!this->firstReadAt) {
+    const Duration spread = std::min<Duration>(
+        kMaxFirstReadDelay, kFirstReadSpacing * this->settings.fleet.Size());
+    this->firstReadAt =
+        SteadyClock().Now() +
+        FromSeconds(ToSeconds(spread) * ThreadRandom().NextDouble());
+  }
+}
+
 void TokenExchange::ApplyReachableNodes() {
   const MeshConfigPtr& now = this->settings.config.Current();
   if (!now || !this->IsIssuing()) {
@@ -171,11 +187,12 @@
 }
 
 bool TokenExchange::IsCandidate(TimePoint aNow) const {
+  const bool starts = this->firstReadAt && aNow >= *this->firstReadAt &&
+                      aNow - *this->firstReadAt < kStartupWindow;
   // A node whose target is not ready may be about to stop.
   return this->settings.target.State() == TargetState::Ready &&
-         (aNow - this->startedAt < kStartupWindow ||
-          this->settings.fleet.IsAmongFirstReady(this->settings.node,
-                                                 kIssuerCandidates));
+         (starts || this->settings.fleet.IsAmongFirstReady(this->settings.node,
+                                                           kIssuerCandidates));
 }
 
 void TokenExchange::Maintain() {
--- a/src/Mesh/TokenExchange.h
+++ b/src/Mesh/TokenExchange.h
@@ -47,6 +47,8 @@
 
   /// Applies the configured rates and the size of the fleet.
   void ApplyLimits();
+  /// Handles a change of the members.
+  void OnMembers();
   /// Handles a peer's state: whether it issues tokens.
   void OnPeerState(const std::string& aNode, bool aIsIssuer);
   /// Handles the issuer's reply to a token request.
@@ -82,7 +84,8 @@
   IssuerLease lease;
   asio::steady_timer timer;
   bool timerRunning = false;
-  TimePoint startedAt = SteadyClock().Now();
+  /// When this node first reads the lease; unset until members are known.
+  std::optional<TimePoint> firstReadAt;
   /// Peer that last announced that it issues tokens, and when.
   std::string lastIssuer;
   TimePoint lastIssuerSeenAt{};
--- a/src/Transport/FrameChannel.cpp
+++ b/src/Transport/FrameChannel.cpp
@@ -9,6 +9,11 @@
 namespace {
 /// A liveness timer that fires this late indicates that the process was paused.
 constexpr Duration kPauseThreshold = std::chrono::seconds(1);
+/// Time after the last use for which a connection is checked as often as one
+/// in use.
+constexpr Duration kQuietAfter = std::chrono::seconds(5);
+/// Longest additional time between pings that a remote side may announce.
+constexpr Duration kMaxExtraPeriod = std::chrono::seconds(10);
 /// Maximum number of frames combined into one write.
 constexpr size_t kMaxFramesPerWrite = 16;
 }  // namespace
@@ -19,6 +24,7 @@
       peer(std::move(aSettings.peer)),
       sendsPings(aSettings.sendsPings),
       pingPeriod(aSettings.pingPeriod),
+      quietPingPeriod(aSettings.quietPingPeriod),
       idleTimeout(aSettings.idleTimeout),
       frameTimeout(aSettings.frameTimeout),
       maxFrameBytes(aSettings.maxFrameBytes),
@@ -30,6 +36,7 @@
   asio::error_code ignored;
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   this->lastReceived = SteadyClock().Now();
+  this->lastUse = this->lastReceived;
   this->socket.non_blocking(true, ignored);
   this->Read();
   this->ScheduleLiveness();
@@ -154,6 +161,13 @@
 void FrameChannel::OnFrameBody(std::string_view aBody) {
   try {
     const DecodedFrame frame = DecodeFrame(aBody);
+    if (IsUse(frame.type)) {
+      this->lastUse = this->lastReceived;
+    } else if (frame.type == FrameType::Ping) {
+      this->extraPeriod = std::min<Duration>(
+          kMaxExtraPeriod,
+          std::chrono::milliseconds(frame.As<PingFrame>().extraPeriod));
+    }
     if (this->handlers.onFrame) {
       // Closing the connection clears the handlers; the copy keeps this one
       // alive while it runs.
@@ -166,7 +180,8 @@
 }
 
 void FrameChannel::ScheduleLiveness() {
-  this->livenessExpiry = SteadyClock().Now() + this->pingPeriod;
+  const Duration extra = this->sendsPings ? this->extraPeriod : Duration(0);
+  this->livenessExpiry = SteadyClock().Now() + this->pingPeriod + extra;
   this->livenessTimer.expires_at(this->livenessExpiry);
   this->livenessTimer.async_wait(
       [self = this->shared_from_this()](const asio::error_code& aError) {
@@ -192,13 +207,22 @@
     this->Close("frame without end");
     return;
   }
-  if (now - this->lastReceived > this->idleTimeout && !this->HasUnreadBytes()) {
+  if (now - this->lastReceived > this->idleTimeout + this->extraPeriod &&
+      !this->HasUnreadBytes()) {
     this->Close("silent");
     return;
   }
   if (this->sendsPings) {
+    const bool quiet = now - this->lastUse > kQuietAfter;
+    this->extraPeriod =
+        quiet ? this->quietPingPeriod - this->pingPeriod : Duration(0);
     this->pingSentAt = now;
-    this->Send(PingFrame{.sequence = ++this->pingSequence});
+    this->Send(
+        PingFrame{.sequence = ++this->pingSequence,
+                  .extraPeriod = static_cast<uint32_t>(
+                      std::chrono::duration_cast<std::chrono::milliseconds>(
+                          this->extraPeriod)
+                          .count())});
   }
   this->ScheduleLiveness();
 }
--- a/src/Transport/FrameChannel.h
+++ b/src/Transport/FrameChannel.h
@@ -31,7 +31,11 @@
     bool sendsPings = false;
     /// Time between pings.
     Duration pingPeriod = std::chrono::milliseconds(500);
-    /// The connection is closed when no bytes arrive for this long.
+    /// Time between pings while only liveness checks use the connection. Not
+    /// shorter than pingPeriod.
+    Duration quietPingPeriod = std::chrono::milliseconds(500);
+    /// The connection is closed when no bytes arrive for this long; longer by
+    /// the additional time between pings.
     Duration idleTimeout = std::chrono::milliseconds(1500);
     /// Maximum time from the first to the last byte of a frame. The largest
     /// frame takes half of it at 4 Mbit/s.
@@ -57,6 +61,9 @@
   /// to the socket.
   template <typename T>
   void Send(const T& aFrame, const std::function<void()>& aOnWriting = {}) {
+    if (IsUse(T::kType)) {
+      this->lastUse = SteadyClock().Now();
+    }
     this->SendBytes(EncodeFrame(aFrame), aOnWriting);
   }
 
@@ -91,6 +98,11 @@
     std::function<void()> onWriting;
   };
 
+  /// Whether a frame is more than a liveness check.
+  static constexpr bool IsUse(FrameType aType) {
+    return aType != FrameType::Ping && aType != FrameType::Pong &&
+           aType != FrameType::StateUpdate;
+  }
   void SendBytes(std::string aBytes, const std::function<void()>& aOnWriting);
   void WriteNext();
   void Read();
@@ -111,6 +123,7 @@
   bool sendsPings;
   /// Time between pings and liveness checks.
   Duration pingPeriod;
+  Duration quietPingPeriod;
   Duration idleTimeout;
   Duration frameTimeout;
   size_t maxFrameBytes;
@@ -120,6 +133,11 @@
   /// Expiry time of the liveness timer, to detect that it fires late.
   TimePoint livenessExpiry;
   TimePoint lastReceived;
+  /// When a frame other than a liveness check was last sent or received.
+  TimePoint lastUse{};
+  /// Additional time until the next ping, as sent or as announced by the remote
+  /// side.
+  Duration extraPeriod{};
   /// Sequence number of the latest ping.
   uint64_t pingSequence = 0;
   TimePoint pingSentAt{};
--- a/src/Transport/Frames.h
+++ b/src/Transport/Frames.h
@@ -198,7 +198,10 @@
 struct PingFrame {
   static constexpr FrameType kType = FrameType::Ping;
   uint64_t sequence = 0;
-  MSGPACK_DEFINE_ARRAY(sequence)
+  /// Additional time until the next ping, beyond the usual period,
+  /// milliseconds.
+  uint32_t extraPeriod = 0;
+  MSGPACK_DEFINE_ARRAY(sequence, extraPeriod)
 };
 
 /// State of the target that the sending node serves.
@@ -224,8 +227,17 @@
   /// Share of recent requests that failed because of the target itself, in
   /// units of 1/10,000.
   uint32_t failureRate = 0;
+  /// Version of the store up to which the sender knows the member rows; 0 if
+  /// the receiver is not to learn them from the sender.
+  uint64_t membersReadUpTo = 0;
+  /// Digest of the member rows that the sender knows.
+  uint32_t membersDigest = 0;
+  /// Time since the member rows were last known to be current, milliseconds;
+  /// negative if never.
+  int64_t membersAge = -1;
   MSGPACK_DEFINE_ARRAY(service, state, load, limit, thresholds, configVersion,
-                       configAge, isIssuer, failureRate)
+                       configAge, isIssuer, failureRate, membersReadUpTo,
+                       membersDigest, membersAge)
 };
 
 /// Response to Ping.
@@ -247,24 +259,39 @@
 struct FleetRowWire {
   std::string key;
   std::string value;
-  /// Version of the row in the store.
+  /// Version of the row in the store, or of its removal.
   uint64_t version = 0;
-  MSGPACK_DEFINE_ARRAY(key, value, version)
+  bool removed = false;
+  MSGPACK_DEFINE_ARRAY(key, value, version, removed)
 };
 
-/// Configuration and member rows of the sender, for a node that cannot read the
-/// store.
+/// Request for the configuration and the changes of member rows that the sender
+/// lacks, or a reply to one.
 struct PeerSyncFrame {
   static constexpr FrameType kType = FrameType::PeerSync;
   /// Version of the configuration; 0 if the sender has none.
   uint64_t configVersion = 0;
-  /// The configuration as stored; empty if the frame only requests the
-  /// receiver's.
+  /// The configuration as stored; empty in a request, and if the receiver has
+  /// it.
   std::string config;
   std::vector<FleetRowWire> rows;
-  /// Whether the receiver is to reply with its own configuration and rows.
+  /// Whether the frame is a request.
   bool wantsReply = false;
-  MSGPACK_DEFINE_ARRAY(configVersion, config, rows, wantsReply)
+  /// Version of the store after which changes of rows are requested or begin.
+  uint64_t since = 0;
+  /// Version of the store up to which the sender knows the rows.
+  uint64_t readUpTo = 0;
+  /// Whether `rows` are all rows instead of the changed ones.
+  bool complete = false;
+  /// Whether further frames of the reply follow.
+  bool more = false;
+  /// Time since the configuration was last known to be the newest,
+  /// microseconds; negative if never.
+  int64_t configAge = -1;
+  /// Digest of all member rows that the sender knows.
+  uint32_t digest = 0;
+  MSGPACK_DEFINE_ARRAY(configVersion, config, rows, wantsReply, since, readUpTo,
+                       complete, more, configAge, digest)
 };
 
 /// Requests tokens of an organisation's rate from the issuer.
--- a/src/Transport/PeerClient.cpp
+++ b/src/Transport/PeerClient.cpp
@@ -53,7 +53,8 @@
       .strand = this->strand,
       .peer = this->settings.address.host + ":" +
               std::to_string(this->settings.address.port),
-      .sendsPings = true});
+      .sendsPings = true,
+      .quietPingPeriod = this->settings.quietPingPeriod});
   this->channel->Start(
       {.onFrame = [self = this->shared_from_this()](
                       const DecodedFrame& aFrame) { self->OnFrame(aFrame); },
--- a/src/Transport/PeerClient.h
+++ b/src/Transport/PeerClient.h
@@ -45,6 +45,8 @@
     PeerAddress address;
     /// Timeout for the TCP connection and the handshake together.
     Duration connectTimeout = std::chrono::milliseconds(500);
+    /// Time between pings while no request uses the connection.
+    Duration quietPingPeriod = std::chrono::milliseconds(500);
     /// State of the remote node's target; after each Pong and StateUpdate.
     std::function<void(const StateWire&, const std::string& aIncarnation)>
         onState;
--- a/src/Transport/PeerServer.cpp
+++ b/src/Transport/PeerServer.cpp
@@ -77,7 +77,7 @@
       break;
     case FrameType::Ping:
       this->Send(PongFrame{.sequence = aFrame.As<PingFrame>().sequence,
-                           .state = handlers.state()});
+                           .state = this->server.StateFor(this->hello.nodeId)});
       break;
     case FrameType::PeerSync:
     case FrameType::TokenRequest:
@@ -121,7 +121,7 @@
   this->channel->SetMaxFrameBytes(kMaxFrameBytes);
   if (this->server.settings.sendsStateOnConnect) {
     this->Send(
-        StateUpdateFrame{.state = this->server.settings.handlers.state()});
+        StateUpdateFrame{.state = this->server.StateFor(this->hello.nodeId)});
   }
   if (this->server.settings.handlers.onReady) {
     this->server.settings.handlers.onReady(this->shared_from_this());
@@ -193,19 +193,42 @@
   return nodes;
 }
 
+StateWire PeerServer::StateFor(const std::string& aNode) const {
+  StateWire state = this->settings.handlers.state();
+  if (this->settings.handlers.describe) {
+    this->settings.handlers.describe(aNode, state);
+  }
+  return state;
+}
+
 void PeerServer::PushState() {
+  this->PushStateTo([](const std::string&) { return true; });
+}
+
+void PeerServer::PushStateTo(
+    const std::function<bool(const std::string& aNode)>& aIsReceiver) {
   for (const SessionPtr& session : this->Sessions()) {
-    session->Post([this, session] {
+    session->Post([this, session, aIsReceiver] {
       // During the handshake the remote side does not accept this frame, and a
       // side that has not proved the fleet secret must not get the state.
-      if (session->IsReady()) {
+      if (session->IsReady() && aIsReceiver(session->RemoteNode())) {
         session->Send(
-            StateUpdateFrame{.state = this->settings.handlers.state()});
+            StateUpdateFrame{.state = this->StateFor(session->RemoteNode())});
       }
     });
   }
 }
 
+PeerServer::SessionPtr PeerServer::SessionOf(const std::string& aNode) {
+  for (const SessionPtr& session : this->Sessions()) {
+    if (session->IsReady() && session->IsOpen() &&
+        session->RemoteNode() == aNode) {
+      return session;
+    }
+  }
+  return nullptr;
+}
+
 void PeerServer::StopAccepting() {
   asio::post(this->acceptor.get_executor(), [this] {
     asio::error_code ignored;
--- a/src/Transport/PeerServer.h
+++ b/src/Transport/PeerServer.h
@@ -83,6 +83,8 @@
     std::function<void(const SessionPtr&, const DecodedFrame&)> onMessage;
     /// Returns the state of the local target.
     std::function<StateWire()> state;
+    /// Adds what is meant for one connected node only. Optional.
+    std::function<void(const std::string& aNode, StateWire&)> describe;
   };
 
   struct Settings {
@@ -108,6 +110,11 @@
   uint16_t Port() const;
   /// Sends the target's state to all connected nodes.
   void PushState();
+  /// Sends the target's state to the connected nodes that aIsReceiver selects.
+  void PushStateTo(
+      const std::function<bool(const std::string& aNode)>& aIsReceiver);
+  /// Session of a connected node; null if there is none.
+  SessionPtr SessionOf(const std::string& aNode);
   /// Ids of the nodes that are connected and have completed the handshake.
   std::set<std::string> ConnectedNodes();
   /// Stops accepting; open connections stay.
@@ -118,6 +125,7 @@
   friend class PeerSession;
 
   void Accept();
+  StateWire StateFor(const std::string& aNode) const;
   void Remove(const SessionPtr& aSession);
   std::set<SessionPtr> Sessions();
 
--- a/tests/Mesh/TableFollowerTest.cpp
+++ b/tests/Mesh/TableFollowerTest.cpp
@@ -1,6 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <stdexcept>
+
 #include "Http1/RawPeer.h"
+#include "Log/Log.h"
 #include "Mesh/FakeRowStore.h"
 #include "Mesh/TableFollower.h"
 
@@ -127,7 +130,11 @@
   TableFollower follower({.io = fixture.io,
                           .store = fixture.store,
                           .table = "t",
-                          .isUrgent = [&urgent] { return urgent; },
+                          .mode =
+                              [&urgent] {
+                                return urgent ? FollowMode::ShortPoll
+                                              : FollowMode::LongPoll;
+                              },
                           .onSnapshot = [](const std::vector<StoredRow>&) {},
                           .onChanges = [](const std::vector<StoredRow>&) {},
                           .onConfirmed =
@@ -137,11 +144,11 @@
   follower.Start();
   fixture.store.Answer();
   REQUIRE(fixture.store.calls.size() == 1);
-  follower.ReplaceIfUrgent();
+  follower.Reconsider();
   CHECK(fixture.store.calls.size() == 1);
   urgent = true;
-  follower.ReplaceIfUrgent();
-  follower.ReplaceIfUrgent();
+  follower.Reconsider();
+  follower.Reconsider();
   REQUIRE(fixture.store.calls.size() == 2);
   // The late reply to the first call must not start a second chain of calls.
   fixture.store.Answer();
@@ -199,7 +206,9 @@
         .onChanges = [](const std::vector<StoredRow>&) {},
         .onConfirmed = [](BootTime) {}};
     if (row.hasUrgency) {
-      settings.isUrgent = [&urgent] { return urgent; };
+      settings.mode = [&urgent] {
+        return urgent ? FollowMode::ShortPoll : FollowMode::LongPoll;
+      };
     }
     TableFollower follower(std::move(settings));
     follower.Start();
@@ -207,10 +216,98 @@
     REQUIRE(store.calls.size() == 1);
     CHECK(store.calls.front().wait == row.wait);
     urgent = row.hasUrgency;
-    follower.ReplaceIfUrgent();
+    follower.Reconsider();
     // A long poll is replaced as soon as a call is urgent.
     const bool replaced = row.hasUrgency && !row.urgent;
     CHECK(store.calls.size() == (replaced ? 2 : 1));
     CHECK(store.calls.back().wait == (row.hasUrgency ? 1s : 10s));
   }
 }
+
+namespace {
+/// A follower whose mode the test sets.
+struct ModeFixture : Fixture {
+  FollowMode mode = FollowMode::Idle;
+  size_t calls = 0;
+  TableFollower modal{
+      {.io = this->io,
+       .store = this->store,
+       .table = "t",
+       .mode = [this] { return this->mode; },
+       .onCall = [this] { ++this->calls; },
+       .onSnapshot = [this](const std::vector<StoredRow>&) { this->Fail(); },
+       .onChanges = [this](const std::vector<StoredRow>&) { this->Fail(); },
+       .onConfirmed = [](BootTime) {}}};
+  bool failing = false;
+
+  void Fail() const {
+    if (this->failing) {
+      throw std::runtime_error("receiver");
+    }
+  }
+};
+}  // namespace
+
+// Guards against a node that calls the store although its peers keep it
+// current, and against one that never calls again.
+TEST_CASE("an idle follower makes no calls until its mode changes") {
+  ModeFixture fixture;
+  fixture.modal.Start();
+  fixture.modal.Reconsider();
+  CHECK(fixture.store.calls.empty());
+  fixture.mode = FollowMode::Immediate;
+  fixture.modal.Reconsider();
+  REQUIRE(fixture.store.calls.size() == 1);
+  CHECK(fixture.store.calls.front().what == "read");
+  fixture.mode = FollowMode::Idle;
+  fixture.store.Answer();
+  CHECK(fixture.store.calls.empty());
+  // Changes that were learned elsewhere are not read again.
+  fixture.modal.SkipTo(40);
+  fixture.mode = FollowMode::Immediate;
+  fixture.modal.Reconsider();
+  REQUIRE(fixture.store.calls.size() == 1);
+  CHECK(fixture.store.calls.front().what == "follow");
+  CHECK(fixture.store.calls.front().after == 40);
+  CHECK(fixture.store.calls.front().wait == Duration::zero());
+  CHECK(fixture.calls == 2);
+}
+
+// Guards against a node that stops following a table because one of its rows
+// could not be applied.
+TEST_CASE("a follower goes on after a receiver that fails") {
+  DisableLog();
+  ModeFixture fixture;
+  fixture.failing = true;
+  fixture.mode = FollowMode::LongPoll;
+  fixture.modal.Start();
+  fixture.store.Answer();
+  REQUIRE(fixture.store.calls.size() == 1);
+  fixture.store.Put("a", "1");
+  fixture.store.Answer();
+  REQUIRE(fixture.store.calls.size() == 1);
+  CHECK(fixture.store.calls.front().what == "follow");
+  CHECK(fixture.store.calls.front().after == fixture.store.version);
+}
+
+// A store keeps discarding its history. Guards against a node that reads it in
+// a loop without a pause.
+TEST_CASE("a follower pauses if the history is lost repeatedly") {
+  ModeFixture fixture;
+  fixture.mode = FollowMode::LongPoll;
+  fixture.modal.Start();
+  fixture.store.Answer();
+  for (int round = 0; round < 3; ++round) {
+    CAPTURE(round);
+    REQUIRE(fixture.WaitCall());
+    fixture.store.Fail(StoreStatus::HistoryLost);
+    if (round == 0) {
+      // The first loss leads to a read at once.
+      REQUIRE(fixture.store.calls.size() == 1);
+    } else {
+      CHECK(fixture.store.calls.empty());
+      REQUIRE(fixture.WaitCall());
+    }
+    fixture.store.Answer();
+  }
+}
