Read the configuration at once if a starting node's peers have none

Change: the first members read the configuration with their first rows, others after 150 ms; requests are always answered; a peer that has a configuration is asked in place of one that may not.

--- a/src/Mesh/FollowSchedule.h
+++ b/src/Mesh/FollowSchedule.h
@@ -17,7 +17,7 @@
   LongPoll,
   /// Calls that wait briefly, to confirm often that nothing has changed.
   ShortPoll,
-  /// A call that does not wait, to confirm now that nothing has changed.
+  /// A call that hardly waits, to confirm now that nothing has changed.
   Immediate
 };
 
--- a/src/Mesh/MemberTable.cpp
+++ b/src/Mesh/MemberTable.cpp
@@ -38,7 +38,6 @@
   this->removed.clear();
   this->digest = 0;
   this->readUpTo = aVersion;
-  this->forgottenUpTo = aVersion;
   for (const StoredRow& row : aRows) {
     if (!row.removed) {
       this->Put(row);
@@ -91,7 +90,7 @@
 }
 
 MemberChanges MemberTable::Since(uint64_t aVersion) const {
-  const bool complete = aVersion < this->forgottenUpTo;
+  const bool complete = aVersion == 0 || aVersion < this->forgottenUpTo;
   MemberChanges changes{
       .since = aVersion, .readUpTo = this->readUpTo, .complete = complete};
   for (const auto& [key, row] : this->rows) {
--- a/src/Mesh/MemberTable.h
+++ b/src/Mesh/MemberTable.h
@@ -44,7 +44,9 @@
   /// whose digest differs from that of a peer with the same version.
   void Distrust() { this->readUpTo = 0; }
 
-  /// Changes after aVersion, or all rows if older changes are forgotten.
+  /// Changes after aVersion, or all rows if aVersion is 0 or older changes are
+  /// forgotten. Lacks removals that this table did not learn, as before its
+  /// first snapshot; the receiver then finds that the digests differ.
   MemberChanges Since(uint64_t aVersion) const;
   /// Version up to which all changes are known; 0 if nothing has been read.
   uint64_t ReadUpTo() const { return this->readUpTo; }
--- a/src/Mesh/MeshFleet.cpp
+++ b/src/Mesh/MeshFleet.cpp
@@ -288,6 +288,12 @@
                               });
 }
 
+bool MeshFleet::IsAmongFirstMembers(const std::string& aNode,
+                                    size_t aCount) const {
+  return this->IsAmongFirstOf(
+      aNode, aCount, [](const std::string&, const Member&) { return true; });
+}
+
 bool MeshFleet::IsAmongFirstReady(const std::string& aNode,
                                   size_t aCount) const {
   return this->IsAmongFirstOf(
--- a/src/Mesh/MeshFleet.h
+++ b/src/Mesh/MeshFleet.h
@@ -86,6 +86,8 @@
   /// Whether a node is among the first aCount connected nodes, in the order of
   /// RankOf.
   bool IsAmongFirst(const std::string& aNode, size_t aCount) const;
+  /// Like IsAmongFirst, but among all members, connected or not.
+  bool IsAmongFirstMembers(const std::string& aNode, size_t aCount) const;
   /// Whether the node is among the first aCount reachable nodes whose targets
   /// are ready.
   bool IsAmongFirstReady(const std::string& aNode, size_t aCount) const;
--- a/src/Mesh/PeerSync.cpp
+++ b/src/Mesh/PeerSync.cpp
@@ -12,6 +12,14 @@
 /// Time that a node waits for its parent before it requests a change from
 /// another peer.
 constexpr Duration kParentTimeout = std::chrono::milliseconds(300);
+/// Minimum time between two requests for rows alone. Rows change in quick
+/// succession while a fleet starts.
+constexpr Duration kRowsInterval = std::chrono::milliseconds(200);
+/// Maximum number of complete tables that a node sends in a period, which
+/// bounds the memory for its replies. Other requests get no reply and are
+/// repeated.
+constexpr Duration kReplyPeriod = std::chrono::milliseconds(250);
+constexpr size_t kMaxCompleteReplies = 2 * RelayTree::kFanOut;
 /// Maximum number of rows in one frame.
 constexpr size_t kMaxRowsPerFrame = 400;
 
@@ -23,27 +31,45 @@
 }
 }  // namespace
 
-bool PeerSync::IsNewer(const StateWire& aState) const {
-  return aState.configVersion > this->settings.config.Version() ||
-         (aState.membersReadUpTo > this->settings.members.ReadUpTo() &&
-          aState.membersDigest != this->settings.members.Digest());
+bool PeerSync::IsNewer(const StateWire& aState, TimePoint aNow) const {
+  if (aState.configVersion > this->settings.config.Version()) {
+    return true;
+  }
+  const bool recent = this->rowsAt && aNow - *this->rowsAt < kRowsInterval;
+  return !recent &&
+         aState.membersReadUpTo > this->settings.members.ReadUpTo() &&
+         aState.membersDigest != this->settings.members.Digest();
+}
+
+bool PeerSync::MaySendComplete(TimePoint aNow) {
+  if (aNow - this->repliesSince > kReplyPeriod) {
+    this->repliesSince = aNow;
+    this->completeReplies = 0;
+  }
+  return ++this->completeReplies <= kMaxCompleteReplies;
 }
 
 void PeerSync::OnConnected(const std::string& aNode, TimePoint aNow) {
   if (this->settings.config.Version() == 0 ||
       this->settings.members.Size() == 0) {
-    this->Request(aNode, aNow);
+    this->Request(aNode, aNow, false);
   }
 }
 
 void PeerSync::OnState(const std::string& aNode, const StateWire& aState,
                        TimePoint aNow) {
-  if (!this->IsNewer(aState)) {
+  if (!this->IsNewer(aState, aNow)) {
     return;
   }
   this->lackingSince = this->lackingSince.value_or(aNow);
+  const bool hasConfig = aState.configVersion > 0;
+  if (hasConfig && this->settings.config.Version() == 0 && this->pending &&
+      !this->pending->hasConfig) {
+    // The peer that was asked first may have no configuration either.
+    this->pending.reset();
+  }
   if (this->MayRequest(aNode, aNow)) {
-    this->Request(aNode, aNow);
+    this->Request(aNode, aNow, hasConfig);
   }
 }
 
@@ -54,7 +80,8 @@
          aNow - *this->lackingSince >= kParentTimeout;
 }
 
-void PeerSync::Request(const std::string& aNode, TimePoint aNow) {
+void PeerSync::Request(const std::string& aNode, TimePoint aNow,
+                       bool aHasConfig) {
   if (this->pending && aNow - this->pending->sentAt < kRequestTimeout) {
     return;
   }
@@ -66,6 +93,7 @@
     this->pending = Pending{.node = aNode,
                             .sentAt = aNow,
                             .bootSentAt = BootClock::now(),
+                            .hasConfig = aHasConfig,
                             .changes = {}};
   }
 }
@@ -107,14 +135,14 @@
 void PeerSync::Reply(const std::string& aNode, const PeerSyncFrame& aRequest) {
   const ConfigHolder& config = this->settings.config;
   const bool newerConfig = config.Version() > aRequest.configVersion;
-  const bool newerRows = this->settings.members.ReadUpTo() > aRequest.since;
-  if (!newerConfig && !newerRows) {
-    return;
-  }
   MemberChanges changes;
-  if (newerRows) {
+  if (this->settings.members.ReadUpTo() > aRequest.since) {
     changes = this->settings.members.Since(aRequest.since);
+    if (changes.complete && !this->MaySendComplete(SteadyClock().Now())) {
+      changes = {};
+    }
   }
+  // Sent without content, too, so that the receiver can ask another peer.
   PeerSyncFrame frame{.configVersion = config.Version(),
                       .config = newerConfig ? config.Stored() : std::string(),
                       .since = changes.since,
@@ -163,6 +191,7 @@
   changes.complete = aFrame.complete;
   this->Confirm(aFrame);
   const MemberChanges received = std::move(changes);
+  this->rowsAt = this->pending->sentAt;
   this->pending.reset();
   this->lackingSince.reset();
   if (this->settings.members.Apply(received)) {
--- a/src/Mesh/PeerSync.h
+++ b/src/Mesh/PeerSync.h
@@ -56,14 +56,18 @@
     std::string node;
     TimePoint sentAt;
     BootTime bootSentAt;
+    /// Whether the peer is known to have a configuration.
+    bool hasConfig = false;
     /// Rows of a reply in several frames.
     MemberChanges changes;
   };
 
-  bool IsNewer(const StateWire& aState) const;
+  bool IsNewer(const StateWire& aState, TimePoint aNow) const;
+  /// Whether another complete table may be sent now.
+  bool MaySendComplete(TimePoint aNow);
   /// Whether this node may send a request to aNode now.
   bool MayRequest(const std::string& aNode, TimePoint aNow);
-  void Request(const std::string& aNode, TimePoint aNow);
+  void Request(const std::string& aNode, TimePoint aNow, bool aHasConfig);
   void Reply(const std::string& aNode, const PeerSyncFrame& aRequest);
   void OnRows(const PeerSyncFrame& aFrame);
   /// Adopts the ages of the copies in the reply.
@@ -73,6 +77,11 @@
   std::optional<Pending> pending;
   /// When a peer first showed something that this node still lacks.
   std::optional<TimePoint> lackingSince;
+  /// When the last rows arrived.
+  std::optional<TimePoint> rowsAt;
+  /// Start of the current period of replies, and complete tables sent in it.
+  TimePoint repliesSince{};
+  size_t completeReplies = 0;
 };
 
 }  // namespace fescueline
--- a/src/Mesh/StoreReplica.cpp
+++ b/src/Mesh/StoreReplica.cpp
@@ -16,9 +16,12 @@
 /// Age of the member rows above which a node reads them by itself: longer than
 /// a long poll of the primary nodes.
 constexpr Duration kMaxMembersAge = std::chrono::seconds(12);
-/// Time after the start in which a node expects its peers to send the
-/// configuration and later changes of rows.
+/// Time after the start in which a node expects its peers to send later changes
+/// of rows.
 constexpr Duration kStartupGrace = std::chrono::milliseconds(400);
+/// Time after its first rows for which a node waits for the configuration. The
+/// first nodes of the fleet read it at once.
+constexpr Duration kConfigGrace = std::chrono::milliseconds(150);
 /// Time over which changes of members are batched before the next call. Without
 /// it, each node's row would need a call when a fleet starts.
 constexpr Duration kMembersBatchTime = std::chrono::milliseconds(400);
@@ -36,6 +39,7 @@
 
 StoreReplica::StoreReplica(Settings aSettings)
     : settings(std::move(aSettings)),
+      startTimer(this->settings.io),
       startedAt(SteadyClock().Now()),
       configSchedule(
           {.primaryMode = FollowMode::ShortPoll, .maxAge = kMaxConfigAge}),
@@ -108,21 +112,50 @@
 }
 
 void StoreReplica::Maintain() {
+  this->UpdatePrimary();
   this->configFollower.Reconsider();
   this->membersFollower.Reconsider();
 }
 
-bool StoreReplica::IsPrimary() const {
-  return this->settings.fleet.IsAmongFirst(this->settings.node, kPrimaryNodes);
+void StoreReplica::UpdatePrimary() {
+  const bool isPrimary =
+      this->settings.fleet.IsAmongFirst(this->settings.node, kPrimaryNodes);
+  if (isPrimary != this->primary) {
+    this->primary = isPrimary;
+    Log(LogLevel::Info,
+        isPrimary ? "follows the store for the fleet"
+                  : "relies on peers for the store",
+        {{"node", this->settings.node},
+         {"peers", std::to_string(this->settings.fleet.ConnectedPeers())}});
+  }
+}
+
+bool StoreReplica::AwaitsConfig(TimePoint aNow) const {
+  if (this->settings.config.Current()) {
+    return false;
+  }
+  if (!this->firstRowsAt) {
+    return aNow - this->startedAt < kStartupGrace;
+  }
+  return aNow - *this->firstRowsAt < kConfigGrace &&
+         !this->settings.fleet.IsAmongFirstMembers(this->settings.node,
+                                                   kPrimaryNodes);
+}
+
+void StoreReplica::OnFirstRows() {
+  this->firstRowsAt = SteadyClock().Now();
+  this->startTimer.expires_after(kConfigGrace);
+  this->startTimer.async_wait([this](const asio::error_code& aError) {
+    if (!aError) {
+      this->Maintain();
+    }
+  });
 }
 
 FollowMode StoreReplica::ConfigMode() {
   const TimePoint now = SteadyClock().Now();
   const size_t peers = this->settings.fleet.ConnectedPeers();
-  const bool expectsPeers =
-      now - this->startedAt < kStartupGrace &&
-      (this->members.ReadUpTo() == 0 || this->members.Size() > 1);
-  if (expectsPeers) {
+  if (this->AwaitsConfig(now)) {
     return FollowMode::Idle;
   }
   return this->configSchedule.Mode(
@@ -189,6 +222,10 @@
                                 bool aSnapshot) {
   this->settings.onMembers(aRows, aSnapshot);
   this->tree.Build(this->settings.fleet.Nodes());
+  if (!this->firstRowsAt) {
+    this->OnFirstRows();
+    this->configFollower.Reconsider();
+  }
 }
 
 void StoreReplica::OnPeerConnected(const std::string& aNode) {
--- a/src/Mesh/StoreReplica.h
+++ b/src/Mesh/StoreReplica.h
@@ -3,6 +3,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -74,7 +75,15 @@
   std::vector<StoredRow> RowsToRemove();
 
  private:
-  bool IsPrimary() const;
+  /// Whether this node follows the store for the fleet.
+  bool IsPrimary() const { return this->primary; }
+  /// Evaluates whether this node is a primary node.
+  void UpdatePrimary();
+  /// Whether a node that has just started waits for its peers to send the
+  /// configuration.
+  bool AwaitsConfig(TimePoint aNow) const;
+  /// Reads the configuration soon after the first rows if no peer has sent it.
+  void OnFirstRows();
   FollowMode ConfigMode();
   FollowMode MembersMode();
   /// Time since the member rows were last known to be current.
@@ -85,7 +94,11 @@
   void OnMemberRows(const std::vector<StoredRow>& aRows, bool aSnapshot);
 
   Settings settings;
+  asio::steady_timer startTimer;
   TimePoint startedAt;
+  /// When the first member rows were known.
+  std::optional<TimePoint> firstRowsAt;
+  bool primary = false;
   MemberTable members;
   RelayTree tree;
   BootTime membersConfirmedAt{};
--- a/src/Mesh/TableFollower.cpp
+++ b/src/Mesh/TableFollower.cpp
@@ -67,7 +67,7 @@
     case FollowMode::Immediate:
       break;
   }
-  return Duration::zero();
+  return this->settings.immediateWait;
 }
 
 void TableFollower::Deliver(
--- a/src/Mesh/TableFollower.h
+++ b/src/Mesh/TableFollower.h
@@ -23,6 +23,9 @@
     /// ShortPoll.
     Duration longWait = std::chrono::seconds(10);
     Duration shortWait = std::chrono::seconds(1);
+    /// The same in the mode Immediate. Not zero, which the store's protocol
+    /// does not define.
+    Duration immediateWait = std::chrono::milliseconds(10);
     /// Returns how to follow the table now. Optional; LongPoll without it.
     std::function<FollowMode()> mode;
     /// Called at the start of each call to the store. Optional.
--- a/src/Mesh/TokenExchange.cpp
+++ b/src/Mesh/TokenExchange.cpp
@@ -64,6 +64,7 @@
   if (!now) {
     return;
   }
+  this->appliedMembers = this->settings.fleet.Size();
   const TimePoint at = SteadyClock().Now();
   for (const MeshOrganisation& organisation : now->All().organisations) {
     this->grants.SetLimit(organisation.name, organisation.rate,
@@ -76,7 +77,9 @@
 }
 
 void TokenExchange::OnMembers() {
-  this->ApplyLimits();
+  if (this->settings.fleet.Size() != this->appliedMembers) {
+    this->ApplyLimits();
+  }
   if (!this->firstReadAt) {
     const Duration spread = std::min<Duration>(
         kMaxFirstReadDelay, kFirstReadSpacing * this->settings.fleet.Size());
--- a/src/Mesh/TokenExchange.h
+++ b/src/Mesh/TokenExchange.h
@@ -84,6 +84,8 @@
   IssuerLease lease;
   asio::steady_timer timer;
   bool timerRunning = false;
+  /// Number of members for which the limits were last applied.
+  size_t appliedMembers = 0;
   /// When this node first reads the lease; unset until members are known.
   std::optional<TimePoint> firstReadAt;
   /// Peer that last announced that it issues tokens, and when.
--- a/tests/Mesh/PeerSyncTest.cpp
+++ b/tests/Mesh/PeerSyncTest.cpp
@@ -230,3 +230,23 @@
   fleet.Converge(primary, 60);
   CHECK(fleet.CountBehind(primary) == 0);
 }
+
+// All nodes restart, and the first peer that connects has no configuration yet.
+// Guards against a node that waits for its reply although another peer has one.
+TEST_CASE("a node without a configuration asks the next peer at once") {
+  SimulatedFleet fleet(30, 1);
+  SimulatedFleet::Node& primary = fleet.Begin();
+  SimulatedFleet::Node& empty = *fleet.nodes.at("n1");
+  SimulatedFleet::Node& other = *fleet.nodes.at("n2");
+  other.sync->OnConnected(empty.name, fleet.clock.Now());
+  REQUIRE(fleet.messages.size() == 1);
+  other.sync->OnState(primary.name, fleet.StateOf(primary), fleet.clock.Now());
+  REQUIRE(fleet.messages.size() == 2);
+  CHECK(fleet.messages.back().to == &primary);
+  // A second state does not repeat the request.
+  other.sync->OnState(primary.name, fleet.StateOf(primary), fleet.clock.Now());
+  CHECK(fleet.messages.size() == 2);
+  // A peer that has nothing replies, too.
+  empty.sync->OnFrame(other.name, fleet.messages.front().frame);
+  CHECK(fleet.messages.size() == 3);
+}
