--- a/src/Mesh/FollowSchedule.h
+++ b/src/Mesh/FollowSchedule.h
@@ -55,8 +55,7 @@
     size_t peers = 0;
   };
 
-  explicit FollowSchedule(Settings aSettings)
-      : settings(std::move(aSettings)) {}
+  explicit FollowSchedule(const Settings& aSettings) : settings(aSettings) {}
 
   FollowMode Mode(const View& aView, TimePoint aNow, RandomSource& aRandom);
   /// Records that a call was made, so that the next one needs a new delay.
