Let the first nodes of a starting fleet follow its members at once

Cause: for 0.4 s after its start a node made no call for member rows, and the next one came up to 0.3 s later.

--- a/src/Mesh/StoreReplica.cpp
+++ b/src/Mesh/StoreReplica.cpp
@@ -17,7 +17,7 @@
 /// a long poll of the primary nodes.
 constexpr Duration kMaxMembersAge = std::chrono::seconds(12);
 /// Time after the start in which a node expects its peers to send later changes
-/// of rows.
+/// of rows. The first nodes of the fleet follow them at once.
 constexpr Duration kStartupGrace = std::chrono::milliseconds(400);
 /// Time after its first rows for which a node waits for the configuration. The
 /// first nodes of the fleet read it at once.
@@ -170,7 +170,10 @@
   if (this->members.ReadUpTo() == 0) {
     return FollowMode::LongPoll;
   }
-  if (now - this->startedAt < kStartupGrace) {
+  const bool expectsChanges = now - this->startedAt < kStartupGrace &&
+                              !this->settings.fleet.IsAmongFirstMembers(
+                                  this->settings.node, kPrimaryNodes);
+  if (expectsChanges) {
     return FollowMode::Idle;
   }
   return this->membersSchedule.Mode(
