--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -592,7 +592,35 @@
     const std::lock_guard lock(this->mutex);
     return this->drainAck;
   }
-  void StopBeats() { this->stopped = true; }
+  /// Leaves as an upstream that never reports `draining`: deregisters and runs
+  /// on. Returns whether the node acknowledged it.
+  bool Leave() {
+    this->stopped = true;
+    this->draining = true;
+    const std::string text = Json{{"born", this->born}}.dump();
+    const bool done =
+        this->Post("/v1/Instances.Deregister/" + this->id, text) == 200;
+    Note("leave  " + this->id + (done ? " acknowledged" : " NOT acknowledged"));
+    const std::lock_guard lock(this->mutex);
+    if (done && !this->drainAck) {
+      this->drainAck = Now();
+    }
+    return done;
+  }
+  /// The body of the next heartbeat, to be delivered later.
+  std::string NextBeat() { return this->BeatBody(); }
+  int DeliverBeat(const std::string& aBody) {
+    const int status =
+        this->Post("/v1/Instances.Heartbeat/" + this->id, aBody);
+    Note("late heartbeat of " + this->id + ": " + std::to_string(status) + " " +
+         aBody);
+    return status;
+  }
+  /// Exits: closes its connections and refuses new ones.
+  void Exit() {
+    this->exited = true;
+    Note("exits  " + this->id);
+  }
   std::vector<Run> Runs() {
     const std::lock_guard lock(this->mutex);
     return this->runs;
@@ -608,7 +636,7 @@
   }
 
  private:
-  void Beat() {
+  std::string BeatBody() {
     const Json body = {
         {"address", "127.0.0.1:" + std::to_string(this->server.Port())},
         {"born", this->born},
@@ -621,32 +649,41 @@
          {{"state", this->draining ? "draining" : "ready"},
           {"sequence", ++this->sequence},
           {"cold-left-ms", 0}}}};
+    return body.dump();
+  }
+  /// Sends a call to the node's control address; its status, 0 for none.
+  int Post(const std::string& aPath, const std::string& aBody) {
     const int socket = Connect(this->reportPort);
     if (socket < 0) {
-      return;
+      return 0;
     }
-    const std::string text = body.dump();
-    const bool wasDraining = this->draining;
-    SendAll(socket, "POST /v1/Instances.Heartbeat/" + this->id +
+    SendAll(socket, "POST " + aPath +
                         " HTTP/1.1\r\nHost: x\r\nContent-Type: "
                         "application/json\r\nContent-Length: " +
-                        std::to_string(text.size()) + "\r\n\r\n" + text);
+                        std::to_string(aBody.size()) + "\r\n\r\n" + aBody);
     Reader reader(socket);
     reader.until = Clock::now() + milliseconds(1000);
     Message answer;
-    if (reader.Next(answer) && answer.Status() == 200 && wasDraining) {
+    const int status = reader.Next(answer) ? answer.Status() : 0;
+    ::close(socket);
+    return status;
+  }
+  void Beat() {
+    const bool wasDraining = this->draining;
+    const int status =
+        this->Post("/v1/Instances.Heartbeat/" + this->id, this->BeatBody());
+    if (status == 200 && wasDraining) {
       const std::lock_guard lock(this->mutex);
       if (!this->drainAck) {
         this->drainAck = Now();
       }
     }
-    ::close(socket);
   }
 
   void Serve(int aSocket) {
     Reader reader(aSocket);
     Message request;
-    while (reader.Next(request)) {
+    while (!this->exited && reader.Next(request) && !this->exited) {
       const std::string target = request.Target();
       const std::string load =
           "0,0," + std::to_string(this->slots);
@@ -696,7 +733,7 @@
       // Most upstreams drop a request when its connection closes.
       const auto until = Clock::now() + milliseconds(work);
       bool gone = false;
-      while (Clock::now() < until && !gone) {
+      while (Clock::now() < until && !gone && !this->exited) {
         const auto left =
             std::chrono::duration_cast<milliseconds>(until - Clock::now());
         pollfd waiting{aSocket, POLLIN | POLLRDHUP, 0};
@@ -704,6 +741,11 @@
                                                                20)));
         gone = (waiting.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
       }
+      if (this->exited) {
+        Note("loses  " + id + " at " + this->id + ", which exits");
+        finish(false);
+        break;
+      }
       if (gone) {
         Note("drops  " + id + " at " + this->id +
              ": its connection was closed while it was at work");
@@ -736,6 +778,7 @@
   int64_t born;
   std::atomic<bool> draining{false};
   std::atomic<bool> stopped{false};
+  std::atomic<bool> exited{false};
   std::atomic<bool> beatNow{false};
   std::atomic<uint64_t> sequence{0};
   std::mutex mutex;
