--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -583,6 +583,9 @@
     }).detach();
   }
   Override override;
+  /// How fast the upstream reads; a pause of 0 for at once.
+  size_t readPart = 65536;
+  int readPauseMs = 0;
   const std::string& Id() const { return this->id; }
   void Drain() {
     this->draining = true;
@@ -682,6 +685,8 @@
 
   void Serve(int aSocket) {
     Reader reader(aSocket);
+    reader.part = this->readPart;
+    reader.pauseMs = this->readPauseMs;
     Message request;
     while (!this->exited && reader.Next(request) && !this->exited) {
       const std::string target = request.Target();
@@ -970,6 +975,9 @@
   int receiveBuffer = 0;
   size_t readPart = 65536;
   int pauseMs = 0;
+  /// If set, the connection is a kept one: a request without a body to this
+  /// path has been answered on it before.
+  std::string firstPath;
 };
 
 inline std::string NewId() {
@@ -991,6 +999,16 @@
     Note("client " + aId + " not connected");
     return answer;
   }
+  Reader reader(socket);
+  if (!aAsk.firstPath.empty()) {
+    SendAll(socket, aAsk.method + " " + aAsk.firstPath + " HTTP/1.1\r\nHost: " +
+                        aAsk.host + "\r\nX-Request-Id: " + NewId() +
+                        "\r\nX-Timeout-Ms: " + std::to_string(aAsk.timeoutMs) +
+                        "\r\nApi-Key: " + aAsk.key +
+                        "\r\nContent-Length: 0\r\n\r\n");
+    reader.until = Clock::now() + milliseconds(aAsk.timeoutMs + 500);
+    reader.Next(answer.message);
+  }
   std::string head = aAsk.method + " " + aAsk.path +
                      " HTTP/1.1\r\nHost: " + aAsk.host +
                      "\r\nX-Request-Id: " + aId +
@@ -1005,7 +1023,6 @@
   answer.sentAt = Now();
   Note("sends  " + aId + " " + aAsk.method + " " + aAsk.path);
   SendAll(socket, head + "\r\n" + aAsk.body);
-  Reader reader(socket);
   reader.part = aAsk.readPart;
   reader.pauseMs = aAsk.pauseMs;
   reader.until = Clock::now() + milliseconds(aAsk.timeoutMs + 500);
@@ -1102,7 +1119,7 @@
 class Fleet {
  public:
   Fleet(const std::string& aRoot, const std::vector<std::string>& aServices,
-        const std::vector<Route>& aRoutes)
+        const std::vector<Route>& aRoutes, int aSlots = 50)
       : store(FreePort()) {
     char folder[] = "/tmp/review-XXXXXX";
     this->folder = ::mkdtemp(folder);
@@ -1118,7 +1135,7 @@
           aServices[i], this->store.Port()));
       this->upstreams.push_back(std::make_unique<Upstream>(
           aServices[i], "i-" + std::to_string(i + 1) + NewId().substr(0, 6),
-          this->nodes.back()->App(), this->nodes.back()->Control()));
+          this->nodes.back()->App(), this->nodes.back()->Control(), aSlots));
     }
     for (const auto& node : this->nodes) {
       node->Start();
