--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -558,7 +558,8 @@
     std::map<std::string, std::string> headers;
     std::string body;
   };
-  /// Replaces the usual handling of a request. Returns false to use the usual.
+  /// Replaces the usual answer. Returns false to use the usual one. The
+  /// connection is kept.
   using Override =
       std::function<bool(int aSocket, const Message& aRequest, Run& aRun)>;
 
@@ -725,7 +726,7 @@
       };
       if (this->override && this->override(aSocket, request, run)) {
         finish(true);
-        return;
+        continue;
       }
       int work = 10;
       size_t bytes = 10;
