--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -110,12 +110,18 @@
   return socket;
 }
 
-inline int Connect(int aPort, int aReceiveBuffer = 0) {
+/// aMaxSegment: size of the segments of the connection, as on a network; 0
+/// leaves that of loopback, 64 KB.
+inline int Connect(int aPort, int aReceiveBuffer = 0, int aMaxSegment = 0) {
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (aReceiveBuffer > 0) {
     ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &aReceiveBuffer,
                  sizeof aReceiveBuffer);
   }
+  if (aMaxSegment > 0) {
+    ::setsockopt(socket, IPPROTO_TCP, TCP_MAXSEG, &aMaxSegment,
+                 sizeof aMaxSegment);
+  }
   const int on = 1;
   ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   sockaddr_in address{};
@@ -974,6 +980,7 @@
   std::string body;
   /// Bound of the receive buffer and of the reading speed; 0: none.
   int receiveBuffer = 0;
+  int maxSegment = 0;
   size_t readPart = 65536;
   int pauseMs = 0;
   /// If set, the connection is a kept one: a request without a body to this
@@ -993,7 +1000,7 @@
 
 inline Answer Send(const Ask& aAsk, const std::string& aId = NewId()) {
   Answer answer{.id = aId, .sentAt = Now()};
-  const int socket = Connect(aAsk.port, aAsk.receiveBuffer);
+  const int socket = Connect(aAsk.port, aAsk.receiveBuffer, aAsk.maxSegment);
   if (socket < 0) {
     answer.endedAt = Now();
     answer.message.error = "not connected";
