--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -562,7 +562,6 @@
     /// Whether the answer was written whole; false if the connection closed.
     bool answered = false;
     std::map<std::string, std::string> headers;
-    std::string body;
   };
   /// Replaces the usual answer. Returns false to use the usual one. The
   /// connection is kept.
@@ -717,7 +716,6 @@
       }
       Run run{.id = id, .instance = this->id, .from = Now()};
       run.headers = request.headers;
-      run.body = request.body;
       size_t index = 0;
       {
         const std::lock_guard lock(this->mutex);
