--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -54,8 +54,17 @@
     return sRecord;
   }
   void Open(const std::string& aPath) { this->file.open(aPath); }
+  /// Writes the last line.
+  void Close(const std::string& aText) {
+    this->Line(aText);
+    const std::lock_guard lock(this->mutex);
+    this->closed = true;
+  }
   void Line(const std::string& aText) {
     const std::lock_guard lock(this->mutex);
+    if (this->closed) {
+      return;
+    }
     char stamp[32];
     std::snprintf(stamp, sizeof stamp, "%8.3f ", Now());
     if (this->file.is_open()) {
@@ -67,6 +76,7 @@
  private:
   std::mutex mutex;
   std::ofstream file;
+  bool closed = false;
 };
 inline void Note(const std::string& aText) { Record::Get().Line(aText); }
 
@@ -1186,7 +1196,7 @@
 }
 /// Ends the case: 1 the rule was broken, 0 it held, 2 the case could not run.
 [[noreturn]] inline void End(int aCode, const std::string& aWhy) {
-  Note(std::string(aCode == 0   ? "HELD: "
+  Record::Get().Close(std::string(aCode == 0   ? "HELD: "
                    : aCode == 1 ? "BROKEN: "
                                 : "COULD NOT RUN: ") +
        aWhy);
