Keep the connection to a departed member until its requests have ended

Cause: a stopping node removes its member row while requests are in flight. Each node that read the removal closed its connection to that node at once, which failed all requests on it. Ruled out: an early end of the process (it ran on when the target answered) and an abort at the target's node.

Change: such a connection gets no new requests and closes when its last one has ended. Its states no longer count for the member. Silent connections are closed as before, so a host that has failed holds no request for longer.

--- a/src/Mesh/MeshFleet.cpp
+++ b/src/Mesh/MeshFleet.cpp
@@ -97,7 +97,8 @@
     return;
   }
   if (member.client) {
-    member.client->Close("node has a new incarnation");
+    // The earlier process may still serve requests until its planned stop ends.
+    member.client->CloseWhenIdle("node has a new incarnation");
     member.client = nullptr;
   }
   member.pause = kFirstDialPause;
@@ -112,7 +113,8 @@
   }
   Log(LogLevel::Info, "member left", {{"node", aNode}});
   if (found->second.client) {
-    found->second.client->Close("member left");
+    // A stopping node removes its row before its last responses are sent.
+    found->second.client->CloseWhenIdle("member left");
   }
   if (const auto target = this->table.Find(aNode)) {
     this->table.Remove(*target);
@@ -126,6 +128,12 @@
   aMember.nextDial = aNow + aMember.pause;
   aMember.pause = std::min(kLongestDialPause, aMember.pause * 2);
   const auto holder = std::make_shared<std::weak_ptr<PeerClient>>();
+  // A connection that closes when idle says nothing about the member any more.
+  const auto isCurrent = [this, node, holder] {
+    const auto found = this->members.find(node);
+    return found != this->members.end() && found->second.client &&
+           found->second.client == holder->lock();
+  };
   aMember.client = std::make_shared<PeerClient>(PeerClient::Settings{
       .io = this->settings.io,
       .self = this->settings.self,
@@ -137,20 +145,26 @@
                              ? kLargeFleetPingPeriod
                              : kPingPeriod,
       .onState =
-          [this, node](const StateWire& aState,
-                       const std::string& aIncarnation) {
-            this->OnState(node, aState, aIncarnation);
-            this->settings.onState(node, aState);
+          [this, node, isCurrent](const StateWire& aState,
+                                  const std::string& aIncarnation) {
+            if (isCurrent()) {
+              this->OnState(node, aState, aIncarnation);
+              this->settings.onState(node, aState);
+            }
           },
       .onPong =
-          [this, node](const StateWire& aState, TimePoint aPingSentAt) {
-            this->settings.onPong(node, aState, aPingSentAt);
+          [this, node, isCurrent](const StateWire& aState,
+                                  TimePoint aPingSentAt) {
+            if (isCurrent()) {
+              this->settings.onPong(node, aState, aPingSentAt);
+            }
           },
       .onMessage =
-          [this, node](const DecodedFrame& aFrame) {
-            this->settings.onMessage(node, aFrame);
+          [this, node, isCurrent](const DecodedFrame& aFrame) {
+            if (isCurrent()) {
+              this->settings.onMessage(node, aFrame);
+            }
           },
-
       .onClosed =
           [this, node, holder](const std::string& aReason) {
             this->OnClosed(node, holder->lock(), aReason);
--- a/src/Transport/PeerClient.cpp
+++ b/src/Transport/PeerClient.cpp
@@ -295,9 +295,24 @@
   });
 }
 
+void PeerClient::CloseWhenIdle(const std::string& aReason) {
+  asio::post(this->strand, [self = this->shared_from_this(), aReason] {
+    self->idleCloseReason = aReason;
+    self->CloseIfIdle();
+  });
+}
+
+void PeerClient::CloseIfIdle() {
+  if (this->idleCloseReason && (!this->ready || this->streams.empty())) {
+    this->Close(*this->idleCloseReason);
+  }
+}
+
 std::unique_ptr<PeerClient::Stream> PeerClient::ExtractStream(
     uint64_t aStream) {
   auto node = this->streams.extract(aStream);
+  // Has no effect before the events of the extracted stream: Close is posted.
+  this->CloseIfIdle();
   return node.empty() ? nullptr : std::move(node.mapped());
 }
 
--- a/src/Transport/PeerClient.h
+++ b/src/Transport/PeerClient.h
@@ -3,6 +3,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -86,6 +87,10 @@
                });
   }
   void Close(const std::string& aReason);
+  /// Closes the connection as soon as no stream is open, so that requests in
+  /// flight get their responses. Before the handshake it is closed at once, as
+  /// none of its requests has been sent.
+  void CloseWhenIdle(const std::string& aReason);
   /// Whether the handshake is done. Call on the strand only.
   bool IsReady() const { return this->ready; }
   /// Whether the connection has ended or failed.
@@ -112,6 +117,9 @@
   void OnStreamFrame(const DecodedFrame& aFrame);
   void OnChannelClosed(const std::string& aReason);
   void FailStreams();
+  /// Closes the connection if CloseWhenIdle was called and no request of an
+  /// open stream has been sent.
+  void CloseIfIdle();
   void SendWhenReady(uint64_t aStream, std::function<void()> aSend);
   /// Removes a stream from the table and returns it; null if absent.
   std::unique_ptr<Stream> ExtractStream(uint64_t aStream);
@@ -135,6 +143,8 @@
   std::string remoteIncarnation;
   /// Open streams by id.
   std::unordered_map<uint64_t, std::unique_ptr<Stream>> streams;
+  /// Reason given to CloseWhenIdle; nothing before the call.
+  std::optional<std::string> idleCloseReason;
   /// Sends that are deferred until the handshake is done.
   std::vector<std::function<void()>> deferredSends;
 };
--- a/tests/Mesh/MeshFleetStateTest.cpp
+++ b/tests/Mesh/MeshFleetStateTest.cpp
@@ -27,8 +27,21 @@
        .self = {"n1", this->incarnation, "secret"},
        .host = "127.0.0.1",
        .sendsStateOnConnect = true,
-       .handlers = {.onClosed = [](const PeerServer::SessionPtr&) {},
+       .handlers = {.onRequest =
+                        [this](const PeerServer::SessionPtr& aSession,
+                               const RequestFrame& aFrame, Duration) {
+                          this->session = aSession;
+                          this->stream = aFrame.stream;
+                        },
+                    .onClosed =
+                        [this](const PeerServer::SessionPtr&) {
+                          ++this->closedSessions;
+                        },
                     .state = [this] { return this->state; }}}};
+  /// Session and stream of the last request at n1, which the test answers.
+  PeerServer::SessionPtr session;
+  uint64_t stream = 0;
+  size_t closedSessions = 0;
   /// A second node, if a test starts one.
   std::unique_ptr<PeerServer> second;
   bool isIssuer = false;
@@ -172,3 +185,76 @@
   fixture.fleet.OnPeerUp("n1");
   CHECK(fixture.fleet.ClientOf("n1") == connected);
 }
+
+namespace {
+
+/// A change of the table after which n1's connection is no longer used.
+struct DepartureCase {
+  const char* what;
+  void (*change)(Fixture& aFixture);
+};
+
+const std::vector<DepartureCase> kDepartures = {
+    {"the row is removed",
+     [](Fixture& aFixture) {
+       aFixture.fleet.OnChanges({{.key = std::string(kMeshMemberPrefix) + "n1",
+                                  .version = 2,
+                                  .removed = true}});
+     }},
+    {"the row is missing from a snapshot",
+     [](Fixture& aFixture) { aFixture.fleet.OnSnapshot({}); }},
+    {"the row names another process", [](Fixture& aFixture) {
+       aFixture.fleet.OnChanges(
+           {MemberRow(LocalMember("n1", aFixture.server.Port()), 2)});
+     }}};
+
+}  // namespace
+
+// A stopping node removes its row while its target runs requests. Guards
+// against aborting them, and against an unused connection that stays open.
+TEST_CASE("a member that leaves still answers the requests in flight") {
+  for (const DepartureCase& row : kDepartures) {
+    for (const bool inFlight : {true, false}) {
+      CAPTURE(row.what);
+      CAPTURE(inFlight);
+      Fixture fixture;
+      const auto client = fixture.fleet.ClientOf("n1");
+      REQUIRE(client);
+      std::string end;
+      if (inFlight) {
+        client->Request(
+            {.method = "POST", .target = "/"},
+            {.onHead = [](const ResponseHeadFrame&) {},
+             .onData = [](const std::string&) {},
+             .onEnd = [&end](const ResponseEndFrame&) { end = "response"; },
+             .onRefusal = [&end](const RefusalFrame&) { end = "refusal"; },
+             .onAttemptReply = [](const AttemptReplyFrame&) {},
+             .onConnectionLost = [&end](bool) { end = "connection lost"; }});
+        REQUIRE(RunUntil(fixture.io, [&] { return fixture.stream != 0; }));
+      }
+      row.change(fixture);
+      CHECK(fixture.fleet.ClientOf("n1") != client);
+      if (inFlight) {
+        // Longer than the checks that close silent connections.
+        RunUntil(
+            fixture.io, [&end] { return !end.empty(); }, 2000ms);
+        CHECK(end.empty());
+        CHECK_FALSE(client->IsClosed());
+        // States of the earlier connection do not describe the member.
+        fixture.state.isIssuer = true;
+        fixture.session->Send(StateUpdateFrame{.state = fixture.state});
+        fixture.session->Send(
+            ResponseHeadFrame{.stream = fixture.stream, .status = 200});
+        fixture.session->Send(
+            ResponseEndFrame{.stream = fixture.stream, .complete = true});
+        REQUIRE(RunUntil(fixture.io, [&end] { return !end.empty(); }));
+        CHECK(end == "response");
+        CHECK((fixture.fleet.HasMember("n1") || !fixture.isIssuer));
+      }
+      CHECK(RunUntil(fixture.io, [&client] { return client->IsClosed(); }));
+      CHECK(RunUntil(fixture.io,
+                     [&fixture] { return fixture.closedSessions > 0; }));
+      fixture.session.reset();
+    }
+  }
+}
