Confirm the first reports of a target after a start of its node

Cause: that a target left is known only to the process that acknowledged it. A new process took the first report of any target as current, although reports may arrive seconds late, and although its own probe had been answered with 503. For the same reason, a late report of an ended process replaced a target that a probe had found. Ruled out: states from peers that lag; a probe answered 200.

Change: until a target has been ready in the lifetime of the node, a report of readiness is kept and starts a probe. It is applied when the health path answers 200 with the same identifier, or when reports of the process have continued for as long as a silent target is tolerated, for targets whose health check fails while they serve. Reports of draining and departures apply at once.

--- a/src/Mesh/LocalTargetState.cpp
+++ b/src/Mesh/LocalTargetState.cpp
@@ -21,6 +21,53 @@
   } else if (!this->id.empty() && aReport.startedAt <= this->startedAt) {
     return ReportResult::Outdated;
   }
+  if (!sameProcess && this->NeedsConfirmation(aReport)) {
+    return this->KeepUnconfirmed(aReport, aNow);
+  }
+  return this->Apply(aReport, aNow);
+}
+
+bool LocalTargetState::NeedsConfirmation(
+    const TargetReportMessage& aReport) const {
+  if (aReport.draining) {
+    return false;
+  }
+  // A probe tells the target's identifier but not when its process started.
+  const bool onlyProbed = this->startedAt == 0 && aReport.id != this->id;
+  return !this->confirmed || onlyProbed;
+}
+
+ReportResult LocalTargetState::KeepUnconfirmed(
+    const TargetReportMessage& aReport, TimePoint aNow) {
+  if (this->unconfirmed) {
+    UnconfirmedProcess& known = *this->unconfirmed;
+    const bool sameProcess = aReport.id == known.lastReport.id &&
+                             aReport.startedAt == known.lastReport.startedAt;
+    const bool outdated = sameProcess
+                              ? aReport.sequence <= known.lastReport.sequence
+                              : aReport.startedAt <= known.lastReport.startedAt;
+    if (outdated) {
+      return ReportResult::Outdated;
+    }
+    const bool continues =
+        sameProcess && aNow - known.lastAt <= this->settings.reportTimeout;
+    if (continues) {
+      known.lastReport = aReport;
+      known.lastAt = aNow;
+      return aNow - known.firstAt >= this->settings.reportTimeout
+                 ? this->Apply(aReport, aNow)
+                 : ReportResult::Unconfirmed;
+    }
+  }
+  this->unconfirmed = UnconfirmedProcess{
+      .lastReport = aReport, .firstAt = aNow, .lastAt = aNow};
+  return ReportResult::Unconfirmed;
+}
+
+ReportResult LocalTargetState::Apply(const TargetReportMessage& aReport,
+                                     TimePoint aNow) {
+  const bool sameProcess =
+      aReport.id == this->id && aReport.startedAt == this->startedAt;
   const bool changed = !sameProcess || this->slots != aReport.slots;
   if (!sameProcess) {
     this->id = aReport.id;
@@ -39,7 +86,9 @@
     this->Leave(TargetState::Draining, aNow);
   } else {
     this->state = TargetState::Ready;
+    this->confirmed = true;
   }
+  this->unconfirmed.reset();
   return changed || before != this->state ? ReportResult::Changed
                                           : ReportResult::Unchanged;
 }
@@ -47,6 +96,13 @@
 ReportResult LocalTargetState::OnLeave(const std::string& aId,
                                        std::optional<uint64_t> aStartedAt,
                                        TimePoint aNow) {
+  if (this->unconfirmed && this->unconfirmed->lastReport.id == aId) {
+    const uint64_t reported = this->unconfirmed->lastReport.startedAt;
+    if (aStartedAt.value_or(reported) >= reported) {
+      aStartedAt = aStartedAt.value_or(reported);
+      this->unconfirmed.reset();
+    }
+  }
   const bool known = aId == this->id &&
                      aStartedAt.value_or(this->startedAt) == this->startedAt;
   if (!known) {
@@ -75,17 +131,23 @@
   this->state = aState;
 }
 
-bool LocalTargetState::OnProbe(const std::string& aId, uint32_t aSlots,
-                               TimePoint aNow) {
-  if (!this->id.empty()) {
+bool LocalTargetState::OnProbe(const std::string& aId,
+                               std::optional<uint32_t> aSlots, TimePoint aNow) {
+  if (this->unconfirmed && this->unconfirmed->lastReport.id == aId) {
+    const TargetReportMessage report = this->unconfirmed->lastReport;
+    this->Apply(report, aNow);
+    return true;
+  }
+  if (!this->id.empty() || !aSlots) {
     return false;
   }
   // With start time 0, any report counts as one of a later process.
   this->id = aId;
   this->startedAt = 0;
-  this->slots = aSlots;
+  this->slots = *aSlots;
   this->lastReport = aNow;
   this->state = TargetState::Ready;
+  this->confirmed = true;
   return true;
 }
 
--- a/src/Mesh/LocalTargetState.h
+++ b/src/Mesh/LocalTargetState.h
@@ -34,6 +34,9 @@
   Changed,
   /// The report was applied and changed nothing.
   Unchanged,
+  /// The report was kept until a probe or later reports confirm it: the process
+  /// may have left before this node started.
+  Unconfirmed,
   /// The report was ignored: it is from an earlier process, has an old sequence
   /// number, or names another service.
   Outdated
@@ -41,14 +44,18 @@
 
 /// State of the local target, derived from its reports. A late report of an
 /// earlier process changes nothing, and a target that has left stays gone until
-/// a later process reports. Not thread-safe.
+/// a later process reports. A node that has just started does not know which
+/// processes have left, and reports may arrive late; so the first process
+/// counts as ready only once its health check has succeeded or its reports have
+/// continued for longer than they can be late. Not thread-safe.
 class LocalTargetState {
  public:
   /// Service and time limits.
   struct Settings {
     /// Service that the target must belong to; reports of others are ignored.
     std::string service;
-    /// A target that has not reported for this long is considered gone.
+    /// A target that has not reported for this long is considered gone. Reports
+    /// that continue for as long confirm their process.
     Duration reportTimeout = std::chrono::seconds(6);
     /// Time for which requests are still sent to a target that has announced
     /// its departure.
@@ -63,12 +70,16 @@
   /// time it applies to the current process.
   ReportResult OnLeave(const std::string& aId,
                        std::optional<uint64_t> aStartedAt, TimePoint aNow);
-  /// Handles a successful health probe of a target that has not reported yet.
-  /// The result is valid until the first report, or as long as a report would
-  /// be. Returns false if the target has already reported.
-  bool OnProbe(const std::string& aId, uint32_t aSlots, TimePoint aNow);
-  /// Whether neither a report nor a probe has identified the target yet.
-  bool IsUnknown() const { return this->id.empty(); }
+  /// Handles a successful health probe. It confirms an unconfirmed report of
+  /// the same target. If there is none and the target is unknown, the probe
+  /// itself is valid until the first report, or as long as a report would be;
+  /// it must then state the slots. Returns whether the state changed.
+  bool OnProbe(const std::string& aId, std::optional<uint32_t> aSlots,
+               TimePoint aNow);
+  /// Whether a probe can confirm or identify the target.
+  bool NeedsProbe() const {
+    return this->id.empty() || this->unconfirmed.has_value();
+  }
   /// Marks the target as gone if its reports have stopped; returns whether the
   /// state changed.
   bool Expire(TimePoint aNow);
@@ -82,6 +93,23 @@
   bool AcceptsRequests(TimePoint aNow) const;
 
  private:
+  /// A process whose reports have not been confirmed.
+  struct UnconfirmedProcess {
+    TargetReportMessage lastReport;
+    /// When the first and the last of its reports arrived.
+    TimePoint firstAt{};
+    TimePoint lastAt{};
+  };
+
+  /// Whether a report of readiness may be that of a process which left before
+  /// this node started.
+  bool NeedsConfirmation(const TargetReportMessage& aReport) const;
+  /// Keeps a report until it is confirmed, or applies it if the reports of its
+  /// process have continued for long enough.
+  ReportResult KeepUnconfirmed(const TargetReportMessage& aReport,
+                               TimePoint aNow);
+  /// Applies a report that is neither outdated nor unconfirmed.
+  ReportResult Apply(const TargetReportMessage& aReport, TimePoint aNow);
   void Leave(TargetState aState, TimePoint aNow);
 
   Settings settings;
@@ -99,6 +127,10 @@
   bool draining = false;
   /// Whether the current process has deregistered.
   bool left = false;
+  /// Whether a process has been ready in the lifetime of this node. A process
+  /// that starts later cannot have left before.
+  bool confirmed = false;
+  std::optional<UnconfirmedProcess> unconfirmed;
 };
 
 }  // namespace fescueline
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -108,7 +108,7 @@
                                             SteadyClock().Now())) {
                      Log(LogLevel::Info, "target ready by a probe",
                          {{"target", aAnswer.id},
-                          {"slots", std::to_string(aAnswer.slots)}});
+                          {"slots", std::to_string(this->target.Slots())}});
                      this->targetService.OnTargetChanged();
                      this->peerServer->PushState();
                    }
@@ -304,6 +304,12 @@
          {"sequence", std::to_string(call.report.sequence)}});
     this->targetService.OnTargetChanged();
     this->peerServer->PushState();
+  } else if (result == ReportResult::Unconfirmed) {
+    Log(LogLevel::Info, "report not confirmed",
+        {{"target", call.report.id},
+         {"sequence", std::to_string(call.report.sequence)}});
+    this->probe.Renew();
+    this->ProbeTarget();
   } else if (result == ReportResult::Outdated) {
     Log(LogLevel::Info, "outdated report ignored",
         {{"target", call.report.id},
@@ -389,7 +395,7 @@
 
 void MeshNode::ProbeTarget() {
   const MeshConfigPtr& now = this->config.Current();
-  if (!now || this->stop.HasBegun() || !this->target.IsUnknown()) {
+  if (!now || this->stop.HasBegun() || !this->target.NeedsProbe()) {
     return;
   }
   if (const MeshService* service = now->FindService(this->settings.service)) {
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -53,7 +53,8 @@
   void OnPeerMessage(const std::string& aNode, const DecodedFrame& aFrame);
   void OnSessionMessage(const PeerServer::SessionPtr& aSession,
                         const DecodedFrame& aFrame);
-  /// Queries the health of the local target if it has not reported yet.
+  /// Queries the health of the local target if it has not reported yet, or if
+  /// its reports are not confirmed.
   void ProbeTarget();
   void Maintain();
   /// Tells the nodes that learn changes from this one that there are some.
--- a/src/Mesh/TargetProbe.cpp
+++ b/src/Mesh/TargetProbe.cpp
@@ -9,7 +9,7 @@
 namespace fescueline {
 
 namespace {
-/// Maximum number of probes per process. A target that answers none of them is
+/// Maximum number of probes until Renew. A target that answers none of them is
 /// discovered by its next report.
 constexpr uint32_t kMaxProbes = 3;
 /// Shorter than the shortest report interval, after which the target is known
@@ -110,11 +110,14 @@
   const HeaderNames& names = this->settings.headers;
   const auto id = FindHeader(aHead.headers, names.targetId);
   const auto load = FindHeader(aHead.headers, names.load);
-  const auto slots = load ? ParseSlots(*load) : std::nullopt;
-  if (aHead.status != kOk || !id || !slots) {
+  if (aHead.status != kOk || !id) {
+    Log(LogLevel::Info, "target not ready by a probe",
+        {{"target", std::string(id.value_or(""))},
+         {"status", std::to_string(aHead.status)}});
     return std::nullopt;
   }
-  return ProbeResult{.id = std::string(*id), .slots = *slots};
+  return ProbeResult{.id = std::string(*id),
+                     .slots = load ? ParseSlots(*load) : std::nullopt};
 }
 
 }  // namespace fescueline
--- a/src/Mesh/TargetProbe.h
+++ b/src/Mesh/TargetProbe.h
@@ -17,12 +17,14 @@
 struct ProbeResult {
   /// Identifier of the target.
   std::string id;
-  /// Number of requests that the target handles concurrently.
-  uint32_t slots = 0;
+  /// Number of requests that the target handles concurrently; nothing if the
+  /// target does not tell its load.
+  std::optional<uint32_t> slots;
 };
 
 /// Queries the health of the local target, so that a node that starts beside a
-/// running target need not wait for the target's next report. Each probe uses a
+/// running target need not wait for the target's next report, and takes no late
+/// report of a target that has left for a current one. Each probe uses a
 /// new connection: the response carries no request identifier, so a late
 /// duplicate would be taken for the response to the next request on the
 /// connection. Runs on the event loop.
@@ -43,6 +45,8 @@
   /// Sends one probe to aPath unless the maximum number of probes has been
   /// sent.
   void Start(const std::string& aPath);
+  /// Allows the maximum number of probes again.
+  void Renew() { this->sentProbes = 0; }
 
  private:
   using ConnectionPtr = std::shared_ptr<HttpClientConnection>;
