Bound the memory of responses that arrive in tiny chunks

An operator of another system reported that a faulty server sent bytes without end, in a head or in a body, and that its caller ran out of memory.

Cause: the credit of a response counts body bytes, but each chunk became a frame of its own, with buffers and callbacks at both nodes that are far larger than one byte.

Change: HttpReader reports the body bytes of a read as one part, and a target's node stops reading from the target while 128 parts of its response are not credited. Bytes that the target sends meanwhile arrive in larger reads.

--- a/src/Http1/HttpReader.cpp
+++ b/src/Http1/HttpReader.cpp
@@ -231,7 +231,17 @@
 
 int HttpReader::OnBody(std::string_view aBytes) {
   if (!this->skipped) {
-    this->settings.events.onBody(aBytes);
+    if (this->bodyPart.empty()) {
+      this->bodyPart = aBytes;
+    } else {
+      // A server may send chunks of a single byte; reported one by one, each
+      // would cost its receivers far more memory than its size.
+      if (this->joinedBody.empty()) {
+        this->joinedBody = this->bodyPart;
+      }
+      this->joinedBody.append(aBytes);
+      this->bodyPart = this->joinedBody;
+    }
     return kContinueParsing;
   }
   this->skippedBytes += aBytes.size();
@@ -242,6 +252,14 @@
   return kContinueParsing;
 }
 
+void HttpReader::FlushBody() {
+  const std::string joined = std::exchange(this->joinedBody, {});
+  const std::string_view part = std::exchange(this->bodyPart, {});
+  if (!part.empty()) {
+    this->settings.events.onBody(joined.empty() ? part : joined);
+  }
+}
+
 int HttpReader::OnMessageComplete() {
   this->messageDone = true;
   this->inMessage = false;
@@ -258,6 +276,7 @@
   while (used < aBytes.size() && !this->ended) {
     used += this->ParsePart(aBytes.substr(used));
   }
+  this->FlushBody();
   if (this->ended) {
     // Called only here, since the handler may feed the next message.
     this->settings.events.onEnd();
@@ -280,12 +299,14 @@
   }
   const auto error = HTTP_PARSER_ERRNO(&this->parser);
   if (error != HPE_OK) {
+    this->FlushBody();
     throw Error(
         "http.parse", "",
         this->fault.empty() ? http_errno_description(error) : this->fault);
   }
   const bool partEnded = inHead ? this->headDone : this->messageDone;
   if (hasLines && partEnded != linesEnded) {
+    this->FlushBody();
     throw Error("http.parse", "",
                 "parser and line checker disagree on the end of the message");
   }
--- a/src/Http1/HttpReader.h
+++ b/src/Http1/HttpReader.h
@@ -46,7 +46,8 @@
     /// Start line and headers. Returning false skips a response: its body and
     /// end are not reported.
     std::function<bool(HttpHead)> onHead;
-    /// Part of the body.
+    /// Part of the body: all of its bytes within one call of Feed. The view is
+    /// valid during the call only.
     std::function<void(std::string_view)> onBody;
     /// The message is complete.
     std::function<void()> onEnd;
@@ -114,6 +115,8 @@
   /// text if the fields are valid.
   std::string_view ValidateFields();
   int OnBody(std::string_view aBytes);
+  /// Reports the body bytes parsed so far.
+  void FlushBody();
   /// Stops the parser if the head or the trailers are too large.
   int CheckHeadSize();
 
@@ -128,6 +131,10 @@
   std::string_view fault;
   /// Exception of a handler, on its way past http_parser.
   std::exception_ptr failure;
+  /// Body bytes that have not been reported: a part of the input, or all of
+  /// joinedBody if there were several parts.
+  std::string_view bodyPart;
+  std::string joinedBody;
   /// Size of the head so far.
   size_t headBytes = 0;
   /// Number of header fields and trailers so far.
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -25,6 +25,10 @@
 /// reused. Reading more costs more than a new connection, and an endless body
 /// would take processor time from other requests until the deadline.
 constexpr uint64_t kMaxDiscardedBody = uint64_t{1} << 20;
+/// Maximum number of body parts on their way to the caller. A target that sends
+/// a few bytes at a time is not read faster than the caller takes them, since
+/// each part costs both nodes more memory than its bytes.
+constexpr size_t kMaxPartsInFlight = 128;
 constexpr std::string_view kRepeatedReason = "begun again within its body";
 constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
@@ -241,7 +245,7 @@
     }
   }
   this->SendBody(aPart);
-  if (this->credit <= 0) {
+  if (!this->MayReadBody()) {
     this->connection->SetPaused(true);
   }
 }
@@ -252,9 +256,14 @@
     this->session->Send(ResponseDataFrame{.stream = this->frame.stream,
                                           .data = std::string(part)});
     aPart.remove_prefix(part.size());
+    ++this->partsInFlight;
   }
 }
 
+bool TargetAttempt::MayReadBody() const {
+  return this->credit > 0 && this->partsInFlight < kMaxPartsInFlight;
+}
+
 void TargetAttempt::DiscardBody(std::string_view aPart) {
   this->discardedBytes += aPart.size();
   if (this->discardedBytes > kMaxDiscardedBody) {
@@ -280,7 +289,12 @@
   this->credit =
       std::min(kInitialCredit,
                this->credit + static_cast<int64_t>(std::min(aBytes, most)));
-  if (this->credit > 0 && this->state == State::Running) {
+  // A peer returns the credit of each part on its own.
+  this->partsInFlight -= std::min<size_t>(this->partsInFlight, 1);
+  if (this->credit == kInitialCredit) {
+    this->partsInFlight = 0;
+  }
+  if (this->MayReadBody() && this->state == State::Running) {
     this->connection->SetPaused(false);
   }
 }
--- a/src/Mesh/TargetAttempt.h
+++ b/src/Mesh/TargetAttempt.h
@@ -44,6 +44,8 @@
   ResponseVerdict OnHead(HttpHead aHead);
   void OnBody(std::string_view aPart);
   void SendBody(std::string_view aPart);
+  /// Whether the caller has room for more of the body.
+  bool MayReadBody() const;
   /// Counts a discarded part of the body; closes the connection if there are
   /// too many bytes.
   void DiscardBody(std::string_view aPart);
@@ -102,6 +104,8 @@
   std::string lastPart;
   /// Remaining flow-control credit, in body bytes.
   int64_t credit = kInitialCredit;
+  /// Number of body parts sent for which no credit has returned.
+  size_t partsInFlight = 0;
   /// Whether the sender no longer waits for the response.
   bool abandoned = false;
   /// Number of discarded body bytes.
--- a/tests/Mesh/EndlessResponseTest.cpp
+++ b/tests/Mesh/EndlessResponseTest.cpp
@@ -1,4 +1,5 @@
 #include <fmt/format.h>
+#include <malloc.h>
 
 #include <algorithm>
 
@@ -54,6 +55,7 @@
     {"a body with a length", kStart + kHuge, kBody, kSteady},
     {"a body without a length", kStart + "\r\n", kBody, kSteady},
     {"tiny chunks", kChunked, Times("1\r\na\r\n", 100), kSteady},
+    {"tiny chunks one by one", kChunked, "1\r\na\r\n", kSteady},
     {"slow fields", kStart, "A: b\r\n", kSlow},
     {"a slow value", kStart + "A: ", "x", kSlow},
     {"a slow reason phrase", "HTTP/1.1 200 ", "x", kSlow},
@@ -184,3 +186,63 @@
   CHECK(caller.received.starts_with("HTTP/1.1 503"));
   CHECK(path.connections[0]->written < kMaxDiscarded);
 }
+
+namespace {
+/// Number of requests that get the same endless response.
+constexpr size_t kCallers = 8;
+/// Upper bound of the bytes that two nodes hold for one response: a buffered
+/// response, the credit of its stream at each of them, and a read of each.
+constexpr size_t kMaxHeldBytes = size_t{1} << 20;
+
+/// Bytes allocated by this process.
+size_t AllocatedBytes() {
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+}  // namespace
+
+// A target sends bytes without end in a head or in a body, and the callers read
+// nothing. Guards against nodes that keep all of them and run out of memory.
+TEST_CASE("nodes hold a bounded part of an endless response") {
+  for (size_t i = 0; i < kEndless.size(); ++i) {
+    if (kEndless[i].pause == kSlow) {
+      continue;
+    }
+    CAPTURE(kEndless[i].what);
+    uint64_t offered = 0;
+    // Sent without a pause, as fast as the nodes read.
+    TargetPath path([i](TargetConnection& aConnection, const std::string&) {
+      std::string begin = kEndless[i].begin;
+      if (const size_t id = begin.find("ID"); id != std::string::npos) {
+        begin.replace(id, 2, "r");
+      }
+      aConnection.Send(begin, [&aConnection, i] {
+        aConnection.SendRepeatedly(kEndless[i].piece, 0ms);
+      });
+    });
+    RunPromptly(
+        path.io, [] { return false; }, 20ms);
+    const size_t before = AllocatedBytes();
+    size_t most = 0;
+    for (size_t caller = 0; caller < kCallers; ++caller) {
+      RawPeer& peer = path.NewCaller();
+      peer.Pause();
+      peer.Send(TargetPath::Request("GET",
+                                    caller % 2 == 0 ? "/safe/" : "/once/", "r",
+                                    "X-Timeout: 600\r\n"));
+    }
+    RunPromptly(
+        path.io,
+        [&] {
+          most = std::max(most, AllocatedBytes());
+          return false;
+        },
+        400ms);
+    for (const auto& connection : path.connections) {
+      offered += connection->written;
+    }
+    REQUIRE(path.connections.size() >= kCallers);
+    CHECK(offered > 0);
+    CHECK(most < before + kCallers * kMaxHeldBytes);
+  }
+}
