Refuse calls that a stopping node has no time for

An operator of another system reported that requests which came late in the grace of a planned stop were passed on and cut at its end.

Seen here with real processes and a limit of 6 s: callers are refused from 2.9 s after SIGTERM on, but calls of requests that run at the stopping node's target were passed on until the process ended, 0.8 s before the limit. Of calls that take 0.1 or 0.9 s and are sent until the process is gone, 2 were passed on and cut (sent 4.72 and 5.23 s after SIGTERM). With limits below 3.7 s the node ended before it refused callers at all.

"a stopping node passes on no request that it cannot finish" guards the requests themselves.

--- a/src/Mesh/EntryCall.cpp
+++ b/src/Mesh/EntryCall.cpp
@@ -48,7 +48,9 @@
   this->parent = this->context.running.ParentOf(this->request.Id());
   if (this->parent) {
     this->request.Inherit(*this->parent);
-  } else if (this->service.refusesNew && !this->request.IsDownstreamCall()) {
+  }
+  const bool isCall = this->parent || this->request.IsDownstreamCall();
+  if (isCall ? this->service.refusesCalls : this->service.refusesNew) {
     this->Refuse(Outcome::NotRun, Cause::Draining, kStopRetryAfter);
     return;
   }
--- a/src/Mesh/EntryService.h
+++ b/src/Mesh/EntryService.h
@@ -33,6 +33,8 @@
   /// Refuses requests of callers from now on. Calls made by requests that run
   /// at the local target are still served.
   void RefuseNew() { this->refusesNew = true; }
+  /// Refuses also calls made by requests that run at the local target.
+  void RefuseCalls() { this->refusesCalls = true; }
   /// Number of requests in progress.
   size_t Open() const { return this->open; }
 
@@ -54,6 +56,7 @@
   std::unordered_set<std::string> routesWithCalls;
   size_t open = 0;
   bool refusesNew = false;
+  bool refusesCalls = false;
 };
 
 }  // namespace fescueline
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -137,6 +137,7 @@
                   this->publisher.Leave(std::move(aDone));
                 },
             .refuse = [this] { this->entryService.RefuseNew(); },
+            .refuseCalls = [this] { this->entryService.RefuseCalls(); },
             .end = [this] { this->End(); }}) {
   this->Listen();
 }
--- a/src/Mesh/PlannedStop.h
+++ b/src/Mesh/PlannedStop.h
@@ -10,8 +10,9 @@
 
 /// Planned stop of a node: the node serves until callers have stopped sending
 /// and all requests in flight have ended, or until the time limit. Callers that
-/// keep sending are refused after a grace period. The owner supplies the time.
-/// Not thread-safe.
+/// keep sending are refused after a grace period, and shortly before the limit
+/// everything new is refused, since the termination would abort it. The owner
+/// supplies the time. Not thread-safe.
 class PlannedStop {
  public:
   struct Settings {
@@ -24,6 +25,8 @@
     std::function<void(std::function<void()>)> leave;
     /// Makes the node refuse new requests of callers.
     std::function<void()> refuse;
+    /// Makes the node also refuse new calls of requests that run at its target.
+    std::function<void()> refuseCalls;
     /// Terminates the node.
     std::function<void()> end;
   };
@@ -44,8 +47,9 @@
   /// Whether the node's departure from the fleet has begun, and is complete.
   bool leaving = false;
   bool left = false;
-  /// Whether new requests are refused.
+  /// Whether new requests are refused, and new calls of running ones.
   bool refusing = false;
+  bool refusingCalls = false;
 };
 
 }  // namespace fescueline
--- a/tests/Mesh/EntryCallTest.cpp
+++ b/tests/Mesh/EntryCallTest.cpp
@@ -279,3 +279,61 @@
   CHECK(Contains(world.caller.received, "Content-Length: 1234\r\n"));
   CHECK(world.caller.received.ends_with("\r\n\r\n"));
 }
+
+namespace {
+
+struct StoppingCase {
+  const char* what;
+  bool refusesCalls;
+  /// Identifier of the request; "a.1" is a call made by the request "a".
+  const char* id;
+  /// Whether the request that made the call runs at the local target.
+  bool hasParent;
+  std::string status;
+};
+
+}  // namespace
+
+// A stopping node gets requests until it ends. Guards against passing on what
+// the end of the process would abort, and against failing the requests that run
+// at its target by refusing their calls too early.
+TEST_CASE("a stopping node passes on no request that it cannot finish") {
+  for (const StoppingCase& row : std::vector<StoppingCase>{
+           {"a caller's request", false, "b", false, "503"},
+           {"a call", false, "a.1", true, "200"},
+           {"a call of an unknown request", false, "a.1", false, "200"},
+           {"a caller's request shortly before the end", true, "b", false,
+            "503"},
+           {"a call shortly before the end", true, "a.1", true, "503"},
+           {"a call of an unknown request shortly before the end", true, "a.1",
+            false, "503"}}) {
+    CAPTURE(row.what);
+    World world(LongResponse(kLength));
+    REQUIRE(RunUntil(world.io, [&world] {
+      return world.caller.received.size() >= kLength;
+    }));
+    if (row.hasParent) {
+      const TimePoint now = SteadyClock().Now();
+      world.entry.running.Add(
+          "a",
+          std::make_shared<RunningAttempt>(
+              RequestContext{.remaining = 5s},
+              RunningAttempt::Times{.rootStart = now, .deadline = now + 5s},
+              1));
+    }
+    world.entry.service.RefuseNew();
+    if (row.refusesCalls) {
+      world.entry.service.RefuseCalls();
+    }
+    const size_t before = world.first.attempts + world.second.attempts;
+    RawPeer caller(world.io);
+    caller.Connect(world.entry.callers.Port());
+    caller.Send(std::string("GET /x HTTP/1.1\r\nHost: h\r\nX-Id: ") + row.id +
+                "\r\n\r\n");
+    REQUIRE(RunUntil(world.io, [&caller] { return !caller.received.empty(); }));
+    CHECK(caller.received.substr(9, 3) == row.status);
+    CHECK(world.first.attempts + world.second.attempts ==
+          before + (row.status == "200" ? 1 : 0));
+    RunUntil(world.io, [&world] { return world.entry.service.Open() == 0; });
+  }
+}
