--- a/src/Mesh/EntryService.h
+++ b/src/Mesh/EntryService.h
@@ -33,7 +33,7 @@
   /// Refuses requests of callers from now on. Calls made by requests that run
   /// at the local target are still served.
   void RefuseNew() { this->refusesNew = true; }
-  /// Refuses also calls made by requests that run at the local target.
+  /// Also refuses calls made by requests that run at the local target.
   void RefuseCalls() { this->refusesCalls = true; }
   /// Number of requests in progress.
   size_t Open() const { return this->open; }
--- a/tests/Http1/HttpReaderTest.cpp
+++ b/tests/Http1/HttpReaderTest.cpp
@@ -13,6 +13,8 @@
 struct Parsed {
   HttpHead head;
   std::string body;
+  /// Number of parts in which the body was reported.
+  size_t parts = 0;
   bool ended = false;
 };
 
@@ -30,6 +32,7 @@
                     .onBody =
                         [this](std::string_view aPart) {
                           this->messages.back().body += aPart;
+                          ++this->messages.back().parts;
                         },
                     .onEnd = [this] { this->messages.back().ended = true; }}}) {
   }
@@ -414,3 +417,27 @@
     CHECK(fed == row.allowed);
   }
 }
+
+// A server sends chunks of a single byte. Guards against receivers that keep
+// buffers and callbacks for each of them.
+TEST_CASE("the chunks of one input are reported as one part of the body") {
+  struct Row {
+    const char* what;
+    std::string chunks;
+    std::string body;
+  };
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const Row& row : std::vector<Row>{
+           {"one chunk", "2\r\nab\r\n", "ab"},
+           {"single bytes", "1\r\na\r\n1\r\nb\r\n1\r\nc\r\n", "abc"},
+           {"chunks and the end", "1\r\na\r\n2\r\nbc\r\n0\r\n\r\n", "abc"}}) {
+    CAPTURE(row.what);
+    Recorder recorder(HttpReaderKind::Response);
+    const std::string bytes = head + row.chunks;
+    CHECK(recorder.reader.Feed(bytes) == bytes.size());
+    REQUIRE(recorder.messages.size() == 1);
+    CHECK(recorder.messages.front().body == row.body);
+    CHECK(recorder.messages.front().parts == 1);
+  }
+}
