Wait in process tests until each node has found the other targets

The test waited until the log of each node had one line "member joined" less than there are nodes, but a node logs its own row too. With its log printed on a failure, the request was seen to be sent while the node had not read the row of the second target, which had been written 30 ms before; the retry found no other target and was refused. Ruled out: the retry budget (no refusal for it), the state of the second target (never connected). Second cause, seen in the same series: a node could not bind its port ("Address already in use"), since a port was free when it was chosen and taken when the node started.

Change: a node's own row does not count; operations tests wait until lookups of each node have run at both targets; fleets hold their ports from the choice on. The check itself is unchanged and now prints the log lines of the request.

--- a/tests/PlatformAdapter/MeshTestFleet.h
+++ b/tests/PlatformAdapter/MeshTestFleet.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -247,17 +246,22 @@
 
   /// Chooses a port below the ephemeral range, so that no outgoing connection
   /// takes it before its listener does.
+  /// Chooses a port that no other process can be given until the fleet ends.
   uint16_t FreePort() {
     constexpr uint16_t kFirst = 10'000;
     constexpr uint16_t kCount = 20'000;
     while (true) {
       const auto port =
           static_cast<uint16_t>(kFirst + ThreadRandom().NextBelow(kCount));
-      asio::ip::tcp::acceptor probe(this->io);
-      probe.open(asio::ip::tcp::v4());
+      asio::ip::tcp::acceptor reservation(this->io);
+      reservation.open(asio::ip::tcp::v4());
       asio::error_code error;
-      probe.bind({asio::ip::make_address("127.0.0.1"), port}, error);
-      if (!error && this->ports.insert(port).second) {
+      reservation.bind({asio::ip::make_address("127.0.0.1"), port}, error);
+      if (!error) {
+        // The node sets this option too, and may therefore listen on the port.
+        // A reservation without it cannot be bound there.
+        reservation.set_option(asio::socket_base::reuse_address(true));
+        this->reservations.push_back(std::move(reservation));
         return port;
       }
     }
@@ -319,8 +323,8 @@
   bool targetsReport;
   bool faultyLinks;
   uint64_t seed;
-  /// Ports already chosen.
-  std::set<uint16_t> ports;
+  /// Bound sockets that hold the chosen ports; none of them listens.
+  std::vector<asio::ip::tcp::acceptor> reservations;
   std::vector<Member> members;
   uint64_t lastId = 0;
 };
--- a/tests/Process/OperationsTest.cpp
+++ b/tests/Process/OperationsTest.cpp
@@ -80,6 +80,15 @@
   return lines;
 }
 
+/// The lines as text, to show with a check that fails.
+std::string Text(const Lines& aLines) {
+  std::string text;
+  for (const nlohmann::json& line : aLines) {
+    text += line.dump() + "\n";
+  }
+  return text;
+}
+
 /// The first line of an event whose fields have these values.
 const nlohmann::json* Find(const Lines& aLines, const std::string& aEvent,
                            const std::map<std::string, std::string>& aFields) {
@@ -97,12 +106,20 @@
 
 using TestFleet = MeshTestFleetOf<ProcessNode>;
 
-/// Waits until each node serves requests, and discards the answers so far.
+/// Waits until each node serves lookups through each target, and discards the
+/// answers so far.
 void WaitServing(TestFleet& aFleet) {
+  constexpr size_t kFronts = 2;
   for (size_t node = 0; node < aFleet.Size(); ++node) {
+    const uint64_t before[kFronts] = {aFleet.Target(0).Runs(),
+                                      aFleet.Target(1).Runs()};
     REQUIRE(RunUntil(
         aFleet.io,
-        [&] { return aFleet.Call(node, "GET", "/lookup/").status == 200; },
+        [&] {
+          return aFleet.Call(node, "GET", "/lookup/").status == 200 &&
+                 aFleet.Target(0).Runs() > before[0] &&
+                 aFleet.Target(1).Runs() > before[1];
+        },
         10s));
   }
   aFleet.answers.clear();
@@ -189,8 +206,9 @@
       Find(repeated, "request repeated", {{"cause", "target-shed"}});
   REQUIRE(line != nullptr);
   const std::string id = line->at("request");
-  CHECK(fleet.answers[id].status == 200);
   const Lines lines = Run(kLinesOfRequest, id);
+  INFO(Text(lines));
+  CHECK(fleet.answers[id].status == 200);
   const nlohmann::json* attempt =
       Find(lines, "attempt failed", {{"cause", "target-shed"}});
   REQUIRE(attempt != nullptr);
--- a/tests/Process/ProcessNode.h
+++ b/tests/Process/ProcessNode.h
@@ -17,7 +17,7 @@
 class ProcessNode {
  public:
   ProcessNode(asio::io_context& /*aIo*/, const MeshSettings& aSettings)
-      : log("node-" + aSettings.node + ".log") {
+      : name(aSettings.node), log("node-" + aSettings.node + ".log") {
     std::filesystem::remove(this->log);
     const std::string file = "node-" + aSettings.node + ".yaml";
     std::ofstream(file) << Yaml(aSettings);
@@ -29,10 +29,13 @@
   /// have joined.
   bool Serves(size_t aTargets) const {
     std::ifstream lines(this->log);
+    const std::string own = fmt::format(R"("node":"{}")", this->name);
     size_t others = 0;
     bool configured = false;
     for (std::string line; std::getline(lines, line);) {
-      others += Has(line, R"("event":"member joined")") ? 1 : 0;
+      // A node also logs its own row when it reads that row.
+      const bool joined = Has(line, R"("event":"member joined")");
+      others += joined && !Has(line, own) ? 1 : 0;
       configured =
           configured || Has(line, R"("event":"configuration in force")");
     }
@@ -61,6 +64,7 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
   }
 
+  std::string name;
   std::string log;
   ChildProcess process;
 };
