Let a planned stop wait for bytes that are still to be written

Cause: the stop counted requests in progress. A request ends when the last bytes of its response are queued for the connection; up to 256 KB, the window of the flow control, were then lost with the process.

Change: the stop asks `MeshNode::OwesResponses`, which also covers bytes queued for callers and frames queued for other nodes.

--- a/src/Http1/LoopHttpConnection.h
+++ b/src/Http1/LoopHttpConnection.h
@@ -25,6 +25,7 @@
   /// Closes the connection and aborts its request.
   void Close();
 
+  bool HasUnsentBytes() const { return !this->writes.empty(); }
   /// When the connection is closed unless it makes progress.
   std::optional<TimePoint> Deadline() const;
 
--- a/src/Http1/LoopHttpServer.cpp
+++ b/src/Http1/LoopHttpServer.cpp
@@ -1,5 +1,6 @@
 #include "Http1/LoopHttpServer.h"
 
+#include <algorithm>
 #include <vector>
 
 #include "Http1/LoopHttpConnection.h"
@@ -77,6 +78,13 @@
   });
 }
 
+bool LoopHttpServer::HasUnsentBytes() const {
+  return std::any_of(this->connections.begin(), this->connections.end(),
+                     [](const ConnectionPtr& aConnection) {
+                       return aConnection->HasUnsentBytes();
+                     });
+}
+
 void LoopHttpServer::StopAccepting() {
   asio::error_code ignored;
   this->acceptor.close(ignored);
--- a/src/Http1/LoopHttpServer.h
+++ b/src/Http1/LoopHttpServer.h
@@ -66,6 +66,8 @@
   /// Stops accepting; open connections stay.
   void StopAccepting();
 
+  /// Whether bytes of any response wait to be written.
+  bool HasUnsentBytes() const;
   /// Number of open connections.
   size_t Connections() const { return this->connections.size(); }
 
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -127,11 +127,7 @@
                             .service = this->settings.service,
                             .peers = this->settings.listenPeers}}),
       stop({.limit = [this] { return this->settings.stopLimit; },
-            .isIdle =
-                [this] {
-                  return this->entryService.Open() == 0 &&
-                         this->targetService.Open() == 0;
-                },
+            .isIdle = [this] { return !this->OwesResponses(); },
             .leave =
                 [this](std::function<void()> aDone) {
                   this->publisher.Leave(std::move(aDone));
@@ -454,6 +450,11 @@
   this->RunEvery(kStopPeriod, [this] { this->stop.Tick(SteadyClock().Now()); });
 }
 
+bool MeshNode::OwesResponses() const {
+  return this->entryService.Open() > 0 || this->targetService.Open() > 0 ||
+         this->callers->HasUnsentBytes() || this->peerServer->HasUnsentFrames();
+}
+
 void MeshNode::End() {
   Log(LogLevel::Info, "node stopped",
       {{"entry_open", std::to_string(this->entryService.Open())},
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -63,6 +63,9 @@
   /// is none.
   bool SendToPeer(const std::string& aNode, const PeerSyncFrame& aFrame);
   void RemoveUnreachable();
+  /// Whether a request is in progress, or any byte of a response still has to
+  /// be written to a caller or another node.
+  bool OwesResponses() const;
   void End();
   PeerServer::Handlers PeerHandlers();
 
--- a/src/Mesh/PlannedStop.h
+++ b/src/Mesh/PlannedStop.h
@@ -19,7 +19,7 @@
     /// Time limit of the stop. Called on each tick, as the setting can
     /// change.
     std::function<Duration()> limit;
-    /// Whether nothing is in flight.
+    /// Whether no request is in progress and all responses have been written.
     std::function<bool()> isIdle;
     /// Removes the node from the fleet, then calls the given function.
     std::function<void(std::function<void()>)> leave;
--- a/src/Transport/FrameChannel.h
+++ b/src/Transport/FrameChannel.h
@@ -78,6 +78,8 @@
 
   void SetMaxFrameBytes(size_t aBytes) { this->maxFrameBytes = aBytes; }
   bool IsOpen() const { return this->open; }
+  /// Whether frames wait to be written to the socket. Only on the strand.
+  bool HasUnsentFrames() const { return this->open && !this->writes.empty(); }
   /// Send time of the ping with that sequence number; nothing unless it is the
   /// latest one.
   std::optional<TimePoint> PingSentAt(uint64_t aSequence) const {
--- a/src/Transport/PeerServer.cpp
+++ b/src/Transport/PeerServer.cpp
@@ -229,6 +229,13 @@
   return nullptr;
 }
 
+bool PeerServer::HasUnsentFrames() {
+  const std::set<SessionPtr> sessions = this->Sessions();
+  return std::any_of(
+      sessions.begin(), sessions.end(),
+      [](const SessionPtr& aSession) { return aSession->HasUnsentFrames(); });
+}
+
 void PeerServer::StopAccepting() {
   asio::post(this->acceptor.get_executor(), [this] {
     asio::error_code ignored;
--- a/src/Transport/PeerServer.h
+++ b/src/Transport/PeerServer.h
@@ -37,6 +37,8 @@
   const std::string& RemoteNode() const { return this->hello.nodeId; }
   /// Whether the handshake is done.
   bool IsReady() const { return this->ready; }
+  /// Whether frames wait to be written. Only on the strand.
+  bool HasUnsentFrames() const { return this->channel->HasUnsentFrames(); }
   /// Session id, unique within the process.
   uint64_t Number() const { return this->number; }
 
@@ -117,6 +119,9 @@
   SessionPtr SessionOf(const std::string& aNode);
   /// Ids of the nodes that are connected and have completed the handshake.
   std::set<std::string> ConnectedNodes();
+  /// Whether frames wait to be written to any node. Only where all sessions run
+  /// on the caller's loop.
+  bool HasUnsentFrames();
   /// Stops accepting; open connections stay.
   void StopAccepting();
   void CloseSessions(const std::string& aReason);
--- a/tests/Http1/LoopHttpServerTest.cpp
+++ b/tests/Http1/LoopHttpServerTest.cpp
@@ -164,6 +164,36 @@
 }
 }  // namespace
 
+// Guards against a planned stop that ends before a caller who reads slowly has
+// the whole response.
+TEST_CASE("a response counts as unsent until its last byte is written") {
+  constexpr size_t kSize = size_t{16} << 20;
+  for (const bool streamed : {false, true}) {
+    CAPTURE(streamed);
+    Listener listener;
+    RawPeer caller(listener.io);
+    listener.Receive(caller);
+    CHECK_FALSE(listener.server.HasUnsentBytes());
+    caller.Pause();
+    if (streamed) {
+      listener.exchanges[0]->StartStream(200, {}, kSize);
+      listener.exchanges[0]->Write(std::string(kSize, 'b'), {});
+      listener.exchanges[0]->EndStream(true, {});
+    } else {
+      listener.exchanges[0]->Respond(
+          {.status = 200, .headers = {}, .body = std::string(kSize, 'b')});
+    }
+    RunUntil(
+        listener.io, [] { return false; }, 50ms);
+    CHECK(listener.server.HasUnsentBytes());
+    caller.Resume();
+    CHECK(
+        RunUntil(listener.io, [&] { return caller.received.size() > kSize; }));
+    CHECK(RunUntil(listener.io,
+                   [&] { return !listener.server.HasUnsentBytes(); }));
+  }
+}
+
 // An HTTP/1.0 caller gets a long response without a length, whose body ends
 // with the connection. Guards against chunk sizes in the body, and against a
 // truncated response that looks complete.
--- a/tests/Http1/RawPeer.h
+++ b/tests/Http1/RawPeer.h
@@ -69,6 +69,16 @@
     this->socket.connect({asio::ip::make_address("127.0.0.1"), aPort});
     this->Read();
   }
+  /// Connects with small segments and a small window, so that the remote kernel
+  /// holds little of what this side has not read.
+  void ConnectSmallWindow(uint16_t aPort) {
+    using MaxSegment =
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>;
+    this->socket.open(asio::ip::tcp::v4());
+    this->socket.set_option(asio::socket_base::receive_buffer_size(4096));
+    this->socket.set_option(MaxSegment(1448));
+    this->Connect(aPort);
+  }
   /// Accepts the next connection of an acceptor.
   void Accept(asio::ip::tcp::acceptor& aAcceptor) {
     aAcceptor.async_accept(this->socket,
--- a/tests/PlatformAdapter/MeshTestFleet.h
+++ b/tests/PlatformAdapter/MeshTestFleet.h
@@ -73,13 +73,16 @@
     bool faultyLinks = false;
     /// Seed of the faulty links.
     uint64_t seed = 1;
+    /// Time limit of planned stops.
+    Duration stopLimit = std::chrono::seconds(4);
   };
 
   explicit MeshTestFleetOf(const Settings& aSettings)
       : store(this->io),
         targetsReport(aSettings.targetsReport),
         faultyLinks(aSettings.faultyLinks),
-        seed(aSettings.seed) {
+        seed(aSettings.seed),
+        stopLimit(aSettings.stopLimit) {
     DisableLog();
     this->PutConfig(1);
     for (size_t i = 0; i < aSettings.fronts; ++i) {
@@ -221,6 +224,9 @@
   /// Link to a target; only with faultyLinks.
   FaultyLink& Link(size_t aNode) { return *this->members[aNode].link; }
   TNode& Node(size_t aNode) { return *this->members[aNode].node; }
+  uint16_t CallerPort(size_t aNode) const {
+    return this->members[aNode].settings.listenCallers.port;
+  }
   size_t Size() const { return this->members.size(); }
   /// Number of runs of a request at all targets.
   size_t RunsOf(const std::string& aId) const {
@@ -283,7 +289,7 @@
       *address = {"127.0.0.1", this->FreePort()};
     }
     settings.freshnessLimit = std::chrono::seconds(3);
-    settings.stopLimit = std::chrono::seconds(4);
+    settings.stopLimit = this->stopLimit;
     member.node = std::make_unique<TNode>(this->io, settings);
     member.target = std::make_unique<PlatformTarget>(PlatformTarget::Settings{
         .io = this->io,
@@ -323,6 +329,7 @@
   bool targetsReport;
   bool faultyLinks;
   uint64_t seed;
+  Duration stopLimit;
   /// Bound sockets that hold the chosen ports; none of them listens.
   std::vector<asio::ip::tcp::acceptor> reservations;
   std::vector<Member> members;
--- a/tests/Process/ProcessNode.h
+++ b/tests/Process/ProcessNode.h
@@ -25,6 +25,11 @@
         ChildProcess("fescueline", {"mesh", "--settings", file}, this->log);
   }
 
+  /// Begins a planned stop of the process.
+  void Stop() { this->process.Terminate(); }
+  /// Waits for the exit code, like ChildProcess.
+  int WaitExit(Duration aLimit) { return this->process.WaitExit(aLimit); }
+
   /// Whether its log says that it has a configuration and that the other nodes
   /// have joined.
   bool Serves(size_t aTargets) const {
--- a/tools/PlatformStandIn/PlatformTarget.cpp
+++ b/tools/PlatformStandIn/PlatformTarget.cpp
@@ -215,7 +215,8 @@
       {"X-Server-Load",
        fmt::format("{},{},{}", this->running, this->waiting.size(),
                    this->settings.slots)}};
-  const std::string body = "answer to " + requestId;
+  const std::string body =
+      "answer to " + requestId + std::string(this->padding, 'x');
   if (ThreadRandom().NextDouble() < this->loseShare) {
     aExchange->StartStream(aStatus, headers, body.size());
     aExchange->EndStream(false);
--- a/tools/PlatformStandIn/PlatformTarget.h
+++ b/tools/PlatformStandIn/PlatformTarget.h
@@ -66,6 +66,8 @@
   /// Simulates a restart: continues as a new process.
   void Restart();
   void SetWork(Duration aWork) { this->settings.work = aWork; }
+  /// Appends padding to response bodies.
+  void SetPadding(size_t aBytes) { this->padding = aBytes; }
   /// Sets the share of the requests that are rejected as not run.
   void SetShed(double aShare) { this->shedShare = aShare; }
   /// Sets the share of the responses that are lost after the run.
@@ -99,6 +101,7 @@
   uint64_t runs = 0;
   uint32_t peak = 0;
   uint64_t calls = 0;
+  size_t padding = 0;
   double shedShare = 0;
   double loseShare = 0;
   std::vector<std::string> keys;
