--- a/tests/Mesh/RestartedResponseTest.cpp
+++ b/tests/Mesh/RestartedResponseTest.cpp
@@ -310,7 +310,7 @@
 // Guards against a whole body that is lost or held back for long because its
 // last bytes look like the head of another response.
 TEST_CASE("a body that ends like a head is delivered in time") {
-  constexpr auto kMaxDelay = 2s;
+  constexpr auto kMaxDelay = 1s;
   const std::vector<std::string> ends = {
       "H", "HTTP/1.1 20", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX-Id: "};
   std::string body;
