Take no part of an early response for a complete one

Seen by callers: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written; the caller got that part as a complete response.

Cause: the failed write takes the error of the reset from the socket, and the next read returns 0 bytes, as after an orderly close. Ruled out: a reset without a write in progress, and bodies with a length or chunks (both were rejected).

Change: a body that only the close ends is complete only if the close is orderly and the request has been written to its end. A connection whose write failed is not used again.

--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -119,6 +119,7 @@
                     [self = this->shared_from_this()](
                         const asio::error_code& aError, size_t) {
                       self->writing = false;
+                      self->writeFailed = static_cast<bool>(aError);
                       // A server may respond before it has read the request
                       // and then close; the response can still be read.
                       if (aError && self->busy && !self->reading) {
@@ -146,29 +147,31 @@
                   });
 }
 
+void HttpClientConnection::OnReadError(const asio::error_code& aError) {
+  if (this->complete) {
+    this->keepAlive = false;
+    this->EndExchange(this->trailing);
+    return;
+  }
+  try {
+    const bool mayEndBody = this->IsOrderlyEnd(aError) && this->busy;
+    if (mayEndBody && this->accepted && this->reader.FinishAtEof()) {
+      this->keepAlive = false;
+      this->EndExchange({});
+    }
+    this->Close("read: " + aError.message());
+  } catch (const std::exception& failure) {
+    this->Close(failure.what());
+  }
+}
+
 void HttpClientConnection::OnRead(const asio::error_code& aError,
                                   std::string_view aBytes) {
   if (!this->open) {
     return;
   }
-  if (aError && this->complete) {
-    this->keepAlive = false;
-    this->EndExchange(this->trailing);
-    return;
-  }
   if (aError) {
-    // A response without a length ends only with an orderly close, not with a
-    // reset.
-    try {
-      if (aError == asio::error::eof && this->busy && this->accepted &&
-          this->reader.FinishAtEof()) {
-        this->keepAlive = false;
-        this->EndExchange({});
-      }
-      this->Close("read: " + aError.message());
-    } catch (const std::exception& failure) {
-      this->Close(failure.what());
-    }
+    this->OnReadError(aError);
     return;
   }
   std::string_view bytes = aBytes;
@@ -269,7 +272,7 @@
     // The trailing bytes belong to no request and must not be taken for the
     // response to the next one.
     this->fault = ResponseFault::Trailing;
-  } else if (this->writing) {
+  } else if (this->writing || this->writeFailed) {
     // The server would read the next request as the rest of this one.
     this->fault = ResponseFault::Early;
   }
--- a/src/Http1/HttpClientConnection.h
+++ b/src/Http1/HttpClientConnection.h
@@ -14,7 +14,10 @@
 
 /// Result of an exchange on a client connection.
 struct ClientExchangeResult {
-  /// Whether a complete response arrived.
+  /// Whether a complete response arrived. A body with a length or chunks is
+  /// complete at its own end. One without ends with the connection: it is
+  /// complete only if the server closed orderly and the request had been
+  /// written to its end.
   bool complete = false;
   /// Whether any byte of the request was passed to the socket.
   bool sent = false;
@@ -97,6 +100,14 @@
   void Read();
   void OnRead(const asio::error_code& aError, std::string_view aBytes);
   void Finish(const ClientExchangeResult& aResult);
+  /// Handles the end of input; aError is `eof` or another error.
+  void OnReadError(const asio::error_code& aError);
+  /// Whether the end of input is an orderly close by the server. A failed write
+  /// takes the error of a reset from the socket, and the next read reports
+  /// `eof`.
+  bool IsOrderlyEnd(const asio::error_code& aError) const {
+    return aError == asio::error::eof && !this->writing && !this->writeFailed;
+  }
 
   asio::ip::tcp::socket socket;
   asio::steady_timer connectTimer;
@@ -116,6 +127,8 @@
   bool reading = false;
   /// Whether part of the request has not been written yet.
   bool writing = false;
+  /// Whether writing the request has failed.
+  bool writeFailed = false;
   bool paused = false;
   /// Whether the response allows reuse of the connection.
   bool keepAlive = false;
--- a/tests/Mesh/TargetPath.h
+++ b/tests/Mesh/TargetPath.h
@@ -25,10 +25,14 @@
   explicit TargetConnection(asio::ip::tcp::socket aSocket)
       : socket(std::move(aSocket)) {}
 
-  /// Calls aOnRequest for each request. Requests must not have a body.
+  /// Calls aOnRequest for each request. Requests must not have a body, unless
+  /// aBytes is set: then the call follows the first aBytes bytes of the body of
+  /// the first request, and no more is read.
   void Serve(
-      std::function<void(TargetConnection&, const std::string&)> aOnRequest) {
+      std::function<void(TargetConnection&, const std::string&)> aOnRequest,
+      size_t aBytes = 0) {
     this->onRequest = std::move(aOnRequest);
+    this->bodyBytes = aBytes;
     this->Read();
   }
   /// Writes bytes; aDone runs when all of them have been sent.
@@ -78,6 +82,10 @@
             return;
           }
           self->received.append(self->buffer.data(), aSize);
+          if (self->bodyBytes > 0) {
+            self->ReadBody();
+            return;
+          }
           if (self->received.ends_with("\r\n\r\n")) {
             self->onRequest(*self, std::exchange(self->received, {}));
           }
@@ -85,9 +93,21 @@
         });
   }
 
+  /// Continues to read until bodyBytes bytes of the body have arrived.
+  void ReadBody() {
+    const size_t head = this->received.find("\r\n\r\n");
+    if (head == std::string::npos ||
+        this->received.size() < head + 4 + this->bodyBytes) {
+      this->Read();
+    } else {
+      this->onRequest(*this, this->received);
+    }
+  }
+
   asio::ip::tcp::socket socket;
   asio::steady_timer timer{this->socket.get_executor()};
   std::function<void(TargetConnection&, const std::string&)> onRequest;
+  size_t bodyBytes = 0;
   std::string received;
   std::array<char, 4096> buffer{};
 };
@@ -189,6 +209,15 @@
     return aMethod + " " + aPath + " HTTP/" + aVersion +
            "\r\nHost: h\r\nX-Id: " + aId + "\r\n" + aFields + "\r\n";
   }
+  /// Makes connections to the target hold few bytes that the target has not
+  /// read: small segments limit the sender's buffer, a small buffer the
+  /// receiver's.
+  void UseSmallWindows() {
+    using MaxSegment =
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>;
+    this->acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+    this->acceptor.set_option(MaxSegment(1448));
+  }
   /// Opens a caller's connection that lives as long as this object.
   RawPeer& NewCaller() {
     RawPeer& caller = this->callerPeers.emplace_back(this->io);
@@ -210,6 +239,9 @@
   asio::io_context io{1};
   /// Whether the frame of each request is delivered twice.
   bool sendsTwice = false;
+  /// If not 0, the target is called after that many bytes of a request's body;
+  /// see TargetConnection::Serve.
+  size_t requestBytes = 0;
   /// Connections to the target, in the order in which they were opened.
   std::vector<std::shared_ptr<TargetConnection>> connections;
 
@@ -236,7 +268,7 @@
       aSocket.set_option(asio::ip::tcp::no_delay(true));
       this->connections.push_back(
           std::make_shared<TargetConnection>(std::move(aSocket)));
-      this->connections.back()->Serve(this->onRequest);
+      this->connections.back()->Serve(this->onRequest, this->requestBytes);
     });
   }
 
