Read the slots from a load header of more than three numbers

Cause: a probe took the last number of the load header for the slots. Targets whose machine tells its speed add a fourth number, so a node that started beside such a target gave it 100 slots until its next report.

Change: the slots are the third number; further ones are ignored.

--- a/src/Mesh/TargetProbe.cpp
+++ b/src/Mesh/TargetProbe.cpp
@@ -23,11 +23,16 @@
 }  // namespace
 
 std::optional<uint32_t> ParseSlots(std::string_view aText) {
-  const size_t last = aText.rfind(',');
-  if (last == std::string_view::npos || aText.find(',') == last) {
+  const size_t waiting = aText.find(',');
+  const size_t slotsAt = waiting == std::string_view::npos
+                             ? waiting
+                             : aText.find(',', waiting + 1);
+  if (slotsAt == std::string_view::npos) {
     return std::nullopt;
   }
-  const std::string_view digits = aText.substr(last + 1);
+  const std::string_view rest = aText.substr(slotsAt + 1);
+  // A fourth figure, the speed of the target's machine, may follow.
+  const std::string_view digits = rest.substr(0, rest.find(','));
   uint32_t slots = 0;
   const auto result =
       std::from_chars(digits.data(), digits.data() + digits.size(), slots);
--- a/src/Mesh/TargetProbe.h
+++ b/src/Mesh/TargetProbe.h
@@ -60,8 +60,8 @@
 };
 
 /// Parses the slots out of a load header, which lists running requests, waiting
-/// requests and slots, separated by commas. Returns nullopt if it is
-/// malformed.
+/// requests, slots and possibly further numbers, separated by commas. Returns
+/// nullopt if these are malformed.
 std::optional<uint32_t> ParseSlots(std::string_view aText);
 
 }  // namespace fescueline
--- a/tests/Mesh/TargetProbeTest.cpp
+++ b/tests/Mesh/TargetProbeTest.cpp
@@ -32,13 +32,16 @@
 }  // namespace
 
 // Guards against slots parsed from another value or from malformed text.
-TEST_CASE("slots are the last of three numbers") {
+TEST_CASE("slots are the third number of a load header") {
   struct Row {
     const char* text;
     std::optional<uint32_t> slots;
   };
   for (const Row& row : std::vector<Row>{{"3,0,8", 8},
                                          {"0,0,125", 125},
+                                         {"3,0,8,100", 8},
+                                         {"3,0,8,100,7", 8},
+                                         {"3,0,,100", std::nullopt},
                                          {"8", std::nullopt},
                                          {"3,8", std::nullopt},
                                          {"3,0,0", std::nullopt},
