--- a/tests/PlatformAdapter/MeshTestFleet.h
+++ b/tests/PlatformAdapter/MeshTestFleet.h
@@ -224,6 +224,9 @@
   /// Link to a target; only with faultyLinks.
   FaultyLink& Link(size_t aNode) { return *this->members[aNode].link; }
   TNode& Node(size_t aNode) { return *this->members[aNode].node; }
+  const MeshSettings& SettingsOf(size_t aNode) const {
+    return this->members[aNode].settings;
+  }
   uint16_t CallerPort(size_t aNode) const {
     return this->members[aNode].settings.listenCallers.port;
   }
--- a/tests/Process/ChildProcess.h
+++ b/tests/Process/ChildProcess.h
@@ -25,6 +25,8 @@
   ~ChildProcess() { this->Kill(); }
 
   bool IsRunning() const { return this->pid > 0; }
+  /// Id of the process; -1 if there is none.
+  pid_t Pid() const { return this->pid; }
   /// SIGKILL; also ends a frozen process.
   void Kill();
   /// SIGSTOP, and waits until the process has stopped.
--- a/tests/Process/ProcessNode.h
+++ b/tests/Process/ProcessNode.h
@@ -25,6 +25,7 @@
         ChildProcess("fescueline", {"mesh", "--settings", file}, this->log);
   }
 
+  pid_t Pid() const { return this->process.Pid(); }
   /// Begins a planned stop of the process.
   void Stop() { this->process.Terminate(); }
   /// Waits for the exit code, like ChildProcess.
