Bound the bytes and connections that listeners hold for callers

Seen: crowds of callers that send bodies up to their last byte, bodies over the limit, heads of many fields, or read no response took a node past its memory; idle connections used up its descriptors, and no ordinary caller was served.

Cause: nothing bounded what all connections of a listener hold together. A body over the limit was read before it was refused, and a released string kept its memory (an empty string assigned to it does not free it). A connection to the target kept the bytes of its last request while idle. The listener of the other nodes tried again without a pause when descriptors ran out.

Change: each listener and the node beside a target have a ByteBudget; ShedPolicy chooses what to give up (requests that are being received with 503, unread responses, idle connections) and never a request in progress. Limits derive from the new settings memory_limit and descriptor_limit; they are exported as gauges, a counter and a log line at the start and the end of a series. A body whose length is over the limit is refused with its head. Requests sent ahead are held up to 16 KiB. Handshakes of other nodes are bounded in number.

--- a/src/Http1/HttpClientConnection.cpp
+++ b/src/Http1/HttpClientConnection.cpp
@@ -101,7 +101,8 @@
 }
 
 void HttpClientConnection::Send(std::string aBytes, bool aNoBody,
-                                ClientExchangeEvents aEvents) {
+                                ClientExchangeEvents aEvents,
+                                std::string aBody) {
   assert(!this->busy && !this->writing);
   this->events = std::move(aEvents);
   this->busy = true;
@@ -113,12 +114,16 @@
   this->skipped = 0;
   this->hadHeadRequest = this->hadHeadRequest || aNoBody;
   this->reader.ExpectNoBody(aNoBody);
-  this->outgoing = std::move(aBytes);
+  this->outgoing = {std::move(aBytes), std::move(aBody)};
   this->writing = true;
-  asio::async_write(this->socket, asio::buffer(this->outgoing),
+  const std::array<asio::const_buffer, 2> buffers = {
+      asio::buffer(this->outgoing[0]), asio::buffer(this->outgoing[1])};
+  asio::async_write(this->socket, buffers,
                     [self = this->shared_from_this()](
                         const asio::error_code& aError, size_t) {
                       self->writing = false;
+                      // Assigning empty strings would keep their memory.
+                      std::array<std::string, 2>().swap(self->outgoing);
                       self->writeFailed = static_cast<bool>(aError);
                       // A server may respond before it has read the request
                       // and then close; the response can still be read.
--- a/src/Http1/HttpClientConnection.h
+++ b/src/Http1/HttpClientConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <asio.hpp>
 #include <functional>
 #include <memory>
@@ -59,8 +60,10 @@
   void Connect(const asio::ip::tcp::endpoint& aPeer, Duration aTimeout,
                std::function<void(const std::string&)> aDone);
   /// Sends a complete request and reports its response. The connection must be
-  /// idle. aNoBody: whether the response has no body, as for HEAD.
-  void Send(std::string aBytes, bool aNoBody, ClientExchangeEvents aEvents);
+  /// idle. aNoBody: whether the response has no body, as for HEAD. aBody is
+  /// sent after aBytes; both are released as soon as they are written.
+  void Send(std::string aBytes, bool aNoBody, ClientExchangeEvents aEvents,
+            std::string aBody = {});
   /// Pauses or resumes reading the response.
   void SetPaused(bool aPaused);
   /// Closes the connection; an exchange in progress ends with aReason.
@@ -114,7 +117,8 @@
   /// Limits the wait for trailing bytes.
   asio::steady_timer trailingTimer;
   HttpReader reader;
-  std::string outgoing;
+  /// Bytes of the request that is being written.
+  std::array<std::string, 2> outgoing;
   ClientExchangeEvents events;
   std::function<void()> onUnsolicited;
   SentRequestIds requestIds;
--- a/src/Http1/HttpReader.h
+++ b/src/Http1/HttpReader.h
@@ -90,6 +90,19 @@
   void ExpectNoBody(bool aNoBody) { this->noBody = aNoBody; }
   /// Whether a message has started and not ended.
   bool InMessage() const { return this->inMessage; }
+  /// Approximate memory of the current head in bytes: its text, and for each
+  /// field a pair of strings in a vector that grows by doubling. Trailers count
+  /// as part of it.
+  size_t HeadCost() const {
+    constexpr size_t kFieldCost = 2 * sizeof(HttpHeader);
+    return this->inMessage ? this->headBytes + this->fields * kFieldCost : 0;
+  }
+  /// Releases the memory of the current head, when no more bytes will be fed.
+  void DropHead() {
+    this->head = HttpHead{};
+    this->headBytes = 0;
+    this->fields = 0;
+  }
   /// Whether the headers of the current message are complete.
   bool HasHead() const { return this->hasHead; }
 
--- a/src/Http1/LoopHttpConnection.cpp
+++ b/src/Http1/LoopHttpConnection.cpp
@@ -1,6 +1,7 @@
 #include "Http1/LoopHttpConnection.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Core/Error.h"
 #include "Log/Log.h"
@@ -9,8 +10,9 @@
 namespace fescueline {
 
 namespace {
-/// Maximum number of unparsed bytes of later requests that are buffered.
-constexpr size_t kMaxInboxBytes = size_t{64} * 1024;
+/// Maximum number of unparsed bytes of later requests that are buffered. They
+/// cannot be given up while a request is in progress.
+constexpr size_t kMaxInboxBytes = size_t{16} * 1024;
 /// Time for the caller to read the last response before the close.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 /// Closes the connection if the caller reads none of a response for this long.
@@ -20,14 +22,20 @@
 constexpr int kContentTooLarge = 413;
 constexpr int kHeadTooLarge = 431;
 constexpr int kInternalServerError = 500;
+constexpr int kUnavailable = 503;
 
 class LoopHttpExchange final : public HttpExchange {
  public:
+  /// aHeadCost: memory of the head, bytes.
   LoopHttpExchange(std::shared_ptr<LoopHttpConnection> aConnection,
-                   uint64_t aNumber, HttpRequest aRequest)
+                   uint64_t aNumber, HttpRequest aRequest,
+                   std::shared_ptr<ByteBudget> aBudget, size_t aHeadCost)
       : connection(std::move(aConnection)),
         number(aNumber),
-        request(std::move(aRequest)) {}
+        request(std::move(aRequest)),
+        held(std::move(aBudget)) {
+    this->held.Set(this->request.body.capacity() + aHeadCost);
+  }
   LoopHttpExchange(const LoopHttpExchange&) = delete;
   LoopHttpExchange& operator=(const LoopHttpExchange&) = delete;
   ~LoopHttpExchange() override {
@@ -65,6 +73,7 @@
   std::shared_ptr<LoopHttpConnection> connection;
   uint64_t number;
   HttpRequest request;
+  HeldBytes held;
   bool responded = false;
 };
 }  // namespace
@@ -73,6 +82,7 @@
                                        asio::ip::tcp::socket aSocket)
     : server(aServer),
       socket(std::move(aSocket)),
+      held(aServer.budget),
       reader({.kind = HttpReaderKind::Request,
               .maxHeadBytes = aServer.Limits().maxHeadBytes,
               .events = this->ReaderEvents()}),
@@ -89,9 +99,51 @@
   asio::error_code ignored;
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   this->socket.non_blocking(true, ignored);
+  this->address = this->socket.remote_endpoint(ignored).address();
+  this->UpdateHeld();
   this->Read();
 }
 
+CallerLoad LoopHttpConnection::Load() const {
+  CallerPhase phase = CallerPhase::Idle;
+  if (this->lingering) {
+    phase = CallerPhase::Lingering;
+  } else if (this->busy) {
+    phase =
+        this->writes.empty() ? CallerPhase::InProgress : CallerPhase::Unread;
+  } else if (this->reader.InMessage() || !this->inbox.empty()) {
+    phase = CallerPhase::Receiving;
+  }
+  return {.phase = phase,
+          .held = this->held.Size(),
+          .lastProgress = this->lastProgress,
+          .address = this->address};
+}
+
+void LoopHttpConnection::UpdateHeld() {
+  const size_t head = this->reader.HasHead() ? 0 : this->reader.HeadCost();
+  const size_t bytes = LoopHttpServer::kConnectionBytes +
+                       this->inbox.capacity() + head + this->headCost +
+                       this->request.body.capacity() + this->unwritten;
+  const bool grows = bytes > this->held.Size();
+  this->held.Set(bytes);
+  const ByteBudget& budget = this->server.Budget();
+  if (grows && budget.IsExceededForLarge() &&
+      (budget.IsExceeded() || ByteBudget::IsLarge(bytes))) {
+    this->server.ScheduleShed();
+  }
+}
+
+void LoopHttpConnection::DropReceived() {
+  // Assigning an empty string would keep the memory of a long one.
+  const HttpRequest dropped = std::exchange(this->request, HttpRequest{});
+  std::string().swap(this->inbox);
+  this->headCost = 0;
+  this->reader.DropHead();
+}
+
+void LoopHttpConnection::Shed() { this->Reject(kUnavailable); }
+
 std::optional<TimePoint> LoopHttpConnection::Deadline() const {
   if (this->lingering) {
     return this->lastProgress + kLingerTime;
@@ -118,12 +170,15 @@
     return;
   }
   this->reading = true;
-  AsyncReadShared(this->socket,
-                  [self = this->shared_from_this()](
-                      const asio::error_code& aError, std::string_view aBytes) {
-                    self->reading = false;
-                    self->OnRead(aError, aBytes);
-                  });
+  const bool inBody = this->reader.InMessage() && this->reader.HasHead();
+  AsyncReadShared(
+      this->socket,
+      [self = this->shared_from_this()](const asio::error_code& aError,
+                                        std::string_view aBytes) {
+        self->reading = false;
+        self->OnRead(aError, aBytes);
+      },
+      inBody ? kSharedReadBytes : kMaxInboxBytes - this->inbox.size());
 }
 
 void LoopHttpConnection::OnRead(const asio::error_code& aError,
@@ -141,6 +196,9 @@
     if (!this->busy && this->reader.InMessage()) {
       this->lastProgress = SteadyClock().Now();
     }
+    if (!this->closed) {
+      this->UpdateHeld();
+    }
   }
   this->Read();
 }
@@ -178,6 +236,11 @@
   this->requestKeepAlive = aHead.keepAlive;
   this->acceptsChunked = aHead.acceptsChunked;
   this->isHeadRequest = this->request.method == "HEAD";
+  this->headCost = this->reader.HeadCost();
+  if (aHead.length.value_or(0) > this->server.Limits().maxBodyBytes) {
+    this->Reject(kContentTooLarge);
+    return false;
+  }
   if (FindHeader(this->request.headers, "expect")) {
     RemoveHeader(this->request.headers, "expect");
     this->Queue("HTTP/1.1 100 Continue\r\n\r\n", {});
@@ -186,6 +249,9 @@
 }
 
 void LoopHttpConnection::OnBody(std::string_view aPart) {
+  if (this->lingering || this->closed) {
+    return;
+  }
   if (this->request.body.size() + aPart.size() >
       this->server.Limits().maxBodyBytes) {
     this->Reject(kContentTooLarge);
@@ -198,6 +264,11 @@
   if (this->lingering || this->closed) {
     return;
   }
+  if (!this->server.HasRoomForRequest()) {
+    this->server.OnShed(ShedReason::RequestBytes);
+    this->Shed();
+    return;
+  }
   this->busy = true;
   this->responseState = ResponseState::None;
   this->chunked = false;
@@ -207,7 +278,8 @@
   this->closeAfterResponse = !this->requestKeepAlive;
   ++this->exchange;
   this->server.settings.onRequest(std::make_shared<LoopHttpExchange>(
-      this->shared_from_this(), this->exchange, std::move(this->request)));
+      this->shared_from_this(), this->exchange, std::move(this->request),
+      this->server.budget, std::exchange(this->headCost, 0)));
 }
 
 void LoopHttpConnection::Reject(int aStatus) {
@@ -215,6 +287,7 @@
     return;
   }
   this->lingering = true;
+  this->DropReceived();
   this->Queue(WriteResponseHead(aStatus, {}, {.length = 0, .close = true}),
               [this] { this->LingerAndClose(); });
 }
@@ -382,7 +455,8 @@
 void LoopHttpConnection::LingerAndClose() {
   this->lingering = true;
   this->lastProgress = SteadyClock().Now();
-  this->inbox.clear();
+  this->DropReceived();
+  this->UpdateHeld();
   if (this->bodyEndsAtClose) {
     this->SetResetOnClose(false);
   }
@@ -396,8 +470,10 @@
   if (this->closed) {
     return;
   }
+  this->unwritten += aBytes.size();
   this->writes.push_back(
       {.bytes = std::move(aBytes), .onWritten = std::move(aOnWritten)});
+  this->UpdateHeld();
   if (!this->writing) {
     this->WriteNext();
   }
@@ -418,8 +494,10 @@
           return;
         }
         const auto onWritten = std::move(self->writes.front().onWritten);
+        self->unwritten -= self->writes.front().bytes.size();
         self->writes.pop_front();
         self->writing = false;
+        self->UpdateHeld();
         self->lastProgress = SteadyClock().Now();
         if (onWritten) {
           onWritten();
@@ -441,6 +519,9 @@
   this->server.connections.erase(self);
   auto pending = std::move(this->writes);
   this->writes.clear();
+  this->unwritten = 0;
+  this->DropReceived();
+  this->held.Set(0);
   const auto onAbort = std::move(this->abort);
   this->abort = nullptr;
   this->busy = false;
--- a/src/Http1/LoopHttpConnection.h
+++ b/src/Http1/LoopHttpConnection.h
@@ -11,6 +11,7 @@
 #include "Http1/HttpReader.h"
 #include "Http1/HttpWriter.h"
 #include "Http1/LoopHttpServer.h"
+#include "Http1/ShedPolicy.h"
 
 namespace fescueline {
 
@@ -24,6 +25,10 @@
   void Start();
   /// Closes the connection and aborts its request.
   void Close();
+  /// Refuses the request that is being received, which then has not run, and
+  /// closes the connection.
+  void Shed();
+  CallerLoad Load() const;
 
   bool HasUnsentBytes() const { return !this->writes.empty(); }
   /// When the connection is closed unless it makes progress.
@@ -62,8 +67,13 @@
   void Read();
   void OnRead(const asio::error_code& aError, std::string_view aBytes);
   void Parse();
-  /// Responds to a request that is malformed or too long, then closes.
+  /// Responds to a request that is malformed or refused, drops what has
+  /// arrived, then closes.
   void Reject(int aStatus);
+  /// Releases the bytes of the request that is being received.
+  void DropReceived();
+  /// Reports the bytes held for the caller to the budget.
+  void UpdateHeld();
   void Queue(std::string aBytes, std::function<void()> aOnWritten);
   void WriteNext();
   /// Chooses the framing of a streamed response.
@@ -80,11 +90,14 @@
 
   LoopHttpServer& server;
   asio::ip::tcp::socket socket;
+  asio::ip::address address;
+  HeldBytes held;
   HttpReader reader;
   /// Received bytes that have not been parsed.
   std::string inbox;
-  /// Request that is being received.
+  /// Request that is being received, and the cost of its head in bytes.
   HttpRequest request;
+  size_t headCost = 0;
   /// Number of the current exchange.
   uint64_t exchange = 0;
   /// Whether an exchange is in progress.
@@ -107,6 +120,8 @@
   bool closed = false;
   std::function<void()> abort;
   std::deque<PendingWrite> writes;
+  /// Bytes in `writes`.
+  size_t unwritten = 0;
   bool writing = false;
   /// Last time that message bytes were transferred or a request ended.
   TimePoint lastProgress;
--- a/src/Http1/LoopHttpServer.h
+++ b/src/Http1/LoopHttpServer.h
@@ -4,8 +4,11 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_set>
 
+#include "Core/ByteBudget.h"
+#include "Core/EnumNames.h"
 #include "Core/Time.h"
 #include "Transport/HttpServer.h"
 
@@ -30,6 +33,24 @@
   Duration idleTimeout = std::chrono::seconds(15);
 };
 
+/// Why a listener gave up a connection or refused a request.
+enum class ShedReason : uint8_t {
+  /// Too many connections.
+  Connections,
+  /// Received bytes exceed the budget.
+  RequestBytes,
+  /// Bytes that the caller does not read exceed the budget.
+  UnreadBytes
+};
+
+template <>
+struct EnumNames<ShedReason> {
+  static constexpr std::array<EnumName<ShedReason>, 3> kNames{
+      {{ShedReason::Connections, "connections"},
+       {ShedReason::RequestBytes, "request-bytes"},
+       {ShedReason::UnreadBytes, "unread-bytes"}}};
+};
+
 /// HTTP/1.1 listener that runs on one event loop without threads of its own. A
 /// read is always outstanding, to detect that a caller disconnects while its
 /// request is in progress. Everything runs on the loop's thread.
@@ -42,10 +63,23 @@
     /// TCP port; 0 lets the kernel choose one.
     uint16_t port = 0;
     CallerLimits limits = {};
+    /// Bytes of requests and responses that the listener may hold. If they are
+    /// exceeded, connections are given up (ShedPolicy) and requests refused.
+    size_t maxHeldBytes = size_t{64} << 20;
+    /// Maximum number of open connections. A new one replaces another.
+    size_t maxConnections = 10'000;
+    /// Name of the listener in log lines.
+    std::string name = "http";
     /// Called for each request.
     std::function<void(HttpExchangePtr)> onRequest;
+    /// Called for each connection that is given up and each request that is
+    /// refused. Optional.
+    std::function<void(ShedReason)> onShed = {};
   };
 
+  /// Approximate memory of a connection without any request.
+  static constexpr size_t kConnectionBytes = size_t{4} * 1024;
+
   /// Binds the listener. Throws Error on failure.
   explicit LoopHttpServer(Settings aSettings);
   LoopHttpServer(const LoopHttpServer&) = delete;
@@ -70,20 +104,42 @@
   bool HasUnsentBytes() const;
   /// Number of open connections.
   size_t Connections() const { return this->connections.size(); }
+  /// Bytes held for callers.
+  const ByteBudget& Budget() const { return *this->budget; }
 
  private:
   friend class LoopHttpConnection;
   using ConnectionPtr = std::shared_ptr<LoopHttpConnection>;
 
   void Accept();
+  void AddConnection(asio::ip::tcp::socket aSocket);
+  /// Gives up a connection if there is no room for another one. False if none
+  /// can be given up.
+  bool MakeRoomForConnection();
+  /// Whether a complete request may be handled; gives up connections that are
+  /// still receiving theirs if the budget is exceeded.
+  bool HasRoomForRequest();
+  /// Gives up connections, after the current event, until the budget is kept.
+  void ScheduleShed();
+  void ShedForBytes();
+  /// Counts and, for the first of a series, logs what is given up.
+  void OnShed(ShedReason aReason);
+  /// Logs the end of a series.
+  void EndShedSeries();
   /// Closes connections whose deadline has passed, periodically.
   void Sweep();
 
   Settings settings;
   asio::ip::tcp::acceptor acceptor;
   asio::steady_timer sweepTimer;
+  std::shared_ptr<ByteBudget> budget;
   std::unordered_set<ConnectionPtr> connections;
   bool closing = false;
+  bool shedScheduled = false;
+  /// Number of connections given up and requests refused in the series that is
+  /// in progress, and the time of the last one.
+  uint64_t shedCount = 0;
+  TimePoint lastShed{};
 };
 
 }  // namespace fescueline
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -2,6 +2,7 @@
 
 #include "Log/Log.h"
 #include "Mesh/ConfigLog.h"
+#include "Mesh/ResourceBounds.h"
 
 namespace fescueline {
 
@@ -94,9 +95,11 @@
               .connectedNodes =
                   [this] { return this->peerServer->ConnectedNodes(); },
               .onIssuing = [this] { this->peerServer->PushState(); }}),
-      targetService({.context = this->context,
-                     .target = this->target,
-                     .fleetSecret = this->self.fleetSecret}),
+      targetService(
+          {.context = this->context,
+           .target = this->target,
+           .fleetSecret = this->self.fleetSecret,
+           .maxHeldBytes = ResourceBounds(this->settings).TargetBytes()}),
       probe({.io = this->io,
              .target = {asio::ip::make_address(this->settings.target.host),
                         this->settings.target.port},
@@ -139,34 +142,57 @@
 }
 
 void MeshNode::Listen() {
+  const ResourceBounds bounds(this->settings);
   this->peerServer = std::make_unique<PeerServer>(
       PeerServer::Settings{.io = this->io,
                            .self = this->self,
                            .host = this->settings.listenPeers.host,
                            .port = this->settings.listenPeers.port,
                            .sendsStateOnConnect = true,
+                           .maxHandshakes = bounds.PeerHandshakes(),
                            .handlers = this->PeerHandlers()});
-  const auto listen = [this](const SocketAddress& aAddress,
-                             std::function<void(HttpExchangePtr)> aHandler) {
+  this->callers = std::make_unique<LoopHttpServer>(LoopHttpServer::Settings{
+      .io = this->io,
+      .host = this->settings.listenCallers.host,
+      .port = this->settings.listenCallers.port,
+      .maxHeldBytes = bounds.CallerBytes(),
+      .maxConnections = bounds.CallerConnections(),
+      .name = "callers",
+      .onRequest =
+          [this](HttpExchangePtr aExchange) {
+            this->entryService.OnRequest(std::move(aExchange));
+          },
+      .onShed =
+          [this](ShedReason aReason) { this->CountShed("callers", aReason); }});
+  const auto listen = [this, &bounds](
+                          const SocketAddress& aAddress, const char* aName,
+                          std::function<void(HttpExchangePtr)> aHandler) {
     return std::make_unique<LoopHttpServer>(
         LoopHttpServer::Settings{.io = this->io,
                                  .host = aAddress.host,
                                  .port = aAddress.port,
-                                 .onRequest = std::move(aHandler)});
+                                 .limits = ResourceBounds::ControlLimits(),
+                                 .maxHeldBytes = ResourceBounds::kControlBytes,
+                                 .maxConnections = bounds.ControlConnections(),
+                                 .name = aName,
+                                 .onRequest = std::move(aHandler),
+                                 .onShed = [this, aName](ShedReason aReason) {
+                                   this->CountShed(aName, aReason);
+                                 }});
   };
-  this->callers =
-      listen(this->settings.listenCallers, [this](HttpExchangePtr aExchange) {
-        this->entryService.OnRequest(std::move(aExchange));
-      });
-  this->ready = listen(this->settings.listenReady,
+  this->ready = listen(this->settings.listenReady, "ready",
                        [this](const HttpExchangePtr& aExchange) {
                          this->OnReadyRequest(aExchange);
                        });
   this->reports = listen(
-      this->settings.listenReports,
+      this->settings.listenReports, "reports",
       [this](const HttpExchangePtr& aExchange) { this->OnReport(aExchange); });
 }
 
+void MeshNode::CountShed(std::string_view aListener, ShedReason aReason) {
+  this->metrics.CountShed(aListener, ToName(aReason));
+}
+
 PeerServer::Handlers MeshNode::PeerHandlers() {
   using Session = PeerServer::SessionPtr;
   return {.onRequest =
@@ -407,6 +433,13 @@
   this->publisher.Tick();
   this->tokens.Maintain();
   this->RemoveUnreachable();
+  this->metrics.SetGauge("caller_held_bytes",
+                         static_cast<double>(this->callers->Budget().Held()));
+  this->metrics.SetGauge("caller_connections",
+                         static_cast<double>(this->callers->Connections()));
+  this->metrics.SetGauge(
+      "target_held_bytes",
+      static_cast<double>(this->targetService.Budget().Held()));
   FlushLog();
 }
 
--- a/src/Mesh/MeshNode.h
+++ b/src/Mesh/MeshNode.h
@@ -44,6 +44,7 @@
 
  private:
   void Listen();
+  void CountShed(std::string_view aListener, ShedReason aReason);
   void RunEvery(Duration aPeriod, std::function<void()> aFunction);
   void OnReadyRequest(const HttpExchangePtr& aExchange);
   void OnReport(const HttpExchangePtr& aExchange);
--- a/src/Mesh/MeshSettings.cpp
+++ b/src/Mesh/MeshSettings.cpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "Core/Error.h"
@@ -13,6 +14,10 @@
 namespace fescueline {
 
 namespace {
+/// Least memory and descriptors with which a node can serve a small fleet.
+constexpr uint64_t kLeastMemory = uint64_t{32} << 20;
+constexpr uint64_t kLeastDescriptors = 64;
+
 /// A key of the file. `store` parses a value into the settings and returns
 /// false if it is malformed.
 struct KeyRule {
@@ -61,6 +66,27 @@
           }};
 }
 
+/// Whether the platform has not filled in the placeholder of a template, as it
+/// does not know the field.
+bool IsUnfilled(std::string_view aText) {
+  return aText.empty() || aText == "MiB" || aText.starts_with("{{");
+}
+
+/// A number with a default, which an unfilled placeholder keeps.
+KeyRule Whole(uint64_t MeshSettings::*aMember, uint64_t aLeast,
+              std::optional<uint64_t> (*aParse)(std::string_view)) {
+  return {false, [=](MeshSettings& aSettings, const std::string& aText) {
+            if (IsUnfilled(aText)) {
+              return true;
+            }
+            const auto value = aParse(aText);
+            if (value) {
+              aSettings.*aMember = *value;
+            }
+            return value.has_value() && *value >= aLeast;
+          }};
+}
+
 const std::map<std::string, KeyRule>& Rules() {
   static const std::map<std::string, KeyRule> sRules = {
       {"node", Text(&MeshSettings::node)},
@@ -80,7 +106,11 @@
       {"report_interval", Time(&MeshSettings::reportInterval)},
       {"retry.ratio", Number(&MeshSettings::retryRatio)},
       {"retry.floor", Number(&MeshSettings::retryFloor)},
-      {"retry.window", Time(&MeshSettings::retryWindow)}};
+      {"retry.window", Time(&MeshSettings::retryWindow)},
+      {"memory_limit",
+       Whole(&MeshSettings::memoryLimit, kLeastMemory, ParseSize)},
+      {"descriptor_limit", Whole(&MeshSettings::descriptorLimit,
+                                 kLeastDescriptors, ParseUnsigned)}};
   return sRules;
 }
 
--- a/src/Mesh/MeshSettings.h
+++ b/src/Mesh/MeshSettings.h
@@ -48,6 +48,12 @@
   double retryRatio = 0.2;
   double retryFloor = 50;
   Duration retryWindow = std::chrono::seconds(10);
+  /// `memory_limit`: memory of the machine, bytes. A quarter may be held for
+  /// callers, and as much for requests on their way to the local target.
+  uint64_t memoryLimit = uint64_t{160} << 20;
+  /// `descriptor_limit`: file descriptors that the process may use. Half of
+  /// them may be connections of callers. 0: the limit of the process.
+  uint64_t descriptorLimit = 0;
 };
 
 /// Loads the settings from a file. Throws Error with the file, line and key of
--- a/src/Mesh/TargetAttempt.cpp
+++ b/src/Mesh/TargetAttempt.cpp
@@ -34,6 +34,8 @@
 constexpr Duration kMaxConfirmTime = std::chrono::milliseconds(400);
 /// Time before the deadline that is left to deliver such a response.
 constexpr Duration kDeliveryTime = std::chrono::milliseconds(20);
+/// Approximate memory of an attempt without the request, bytes.
+constexpr size_t kAttemptCost = size_t{2} * 1024;
 constexpr std::string_view kRepeatedReason = "begun again within its body";
 constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
@@ -64,7 +66,13 @@
               .rootStart = SteadyClock().Now() - this->context.age,
               .deadline = aDeadline},
           this->frame.retries)),
-      timer(aService.dependencies.context.io) {
+      timer(aService.dependencies.context.io),
+      held(aService.budget) {
+  size_t fields = 0;
+  for (const HeaderWire& header : this->frame.headers) {
+    fields += sizeof(header) + header.name.size() + header.value.size();
+  }
+  this->held.Set(kAttemptCost + this->frame.body.size() + fields);
   const std::string& name =
       this->service.dependencies.context.headers.requestId;
   // The first such header counts, as at the entry node.
@@ -143,8 +151,9 @@
                                                    this->running);
   }
   const auto self = this->shared_from_this();
+  std::string head = this->RequestHead(now);
   this->connection->Send(
-      this->RequestBytes(now), this->frame.method == "HEAD",
+      std::move(head), this->frame.method == "HEAD",
       {.onHead =
            [self](HttpHead aHead) { return self->OnHead(std::move(aHead)); },
        .onBody = [self](std::string_view aPart) { self->OnBody(aPart); },
@@ -155,10 +164,11 @@
        .onDone =
            [self](const ClientExchangeResult& aResult) {
              self->OnDone(aResult);
-           }});
+           }},
+      std::move(this->frame.body));
 }
 
-std::string TargetAttempt::RequestBytes(TimePoint aNow) const {
+std::string TargetAttempt::RequestHead(TimePoint aNow) const {
   const HeaderNames& names = this->service.dependencies.context.headers;
   HttpHeaders headers;
   headers.reserve(this->frame.headers.size() + 2);
@@ -178,8 +188,7 @@
     framing.length = this->frame.body.size();
   }
   return WriteRequestHead(this->frame.method, this->frame.target, headers,
-                          framing) +
-         this->frame.body;
+                          framing);
 }
 
 ResponseVerdict TargetAttempt::OnHead(HttpHead aHead) {
@@ -197,6 +206,8 @@
          .usedBefore = this->connection->IsReused()});
     return match.verdict;
   }
+  // The target has read the request, or will not use the rest of it.
+  this->held.Set(kAttemptCost);
   this->status = aHead.status;
   this->bodyLeft = aHead.length;
   this->endsAtClose = aHead.endsAtClose;
@@ -494,6 +505,7 @@
   }
   const auto self = this->shared_from_this();
   this->state = State::Done;
+  this->held.Set(0);
   this->timer.cancel();
   this->service.dependencies.context.running.Remove(this->requestId,
                                                     this->running);
--- a/src/Mesh/TargetAttempt.h
+++ b/src/Mesh/TargetAttempt.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "Admission/AdmissionRequest.h"
+#include "Core/ByteBudget.h"
 #include "Http1/ConnectionPool.h"
 #include "Mesh/TargetService.h"
 #include "Node/RunningAttempt.h"
@@ -26,6 +27,8 @@
   const RequestContext& Context() const { return this->context; }
   const PeerServer::SessionPtr& Session() const { return this->session; }
   uint64_t Stream() const { return this->frame.stream; }
+  /// Bytes of the request.
+  size_t HeldSize() const { return this->held.Size(); }
 
   void SetQueued(AdmissionHandle aHandle) { this->handle = aHandle; }
   /// Sends the admitted request to the target.
@@ -40,7 +43,7 @@
   enum class State : uint8_t { Queued, Connecting, Running, Done };
 
   void SendTo(ConnectionPool::ConnectionPtr aConnection);
-  std::string RequestBytes(TimePoint aNow) const;
+  std::string RequestHead(TimePoint aNow) const;
   ResponseVerdict OnHead(HttpHead aHead);
   void OnBody(std::string_view aPart);
   void SendBody(std::string_view aPart);
@@ -91,6 +94,8 @@
   bool admitted = false;
   ConnectionPool::ConnectionPtr connection;
   asio::steady_timer timer;
+  /// Bytes of the request, until the target responds.
+  HeldBytes held;
   /// Whether the target declared that it did not run the request.
   bool declaredNotRun = false;
   /// Whether only the status implies "not run", for a non-idempotent request.
--- a/src/Mesh/TargetService.cpp
+++ b/src/Mesh/TargetService.cpp
@@ -38,6 +38,7 @@
 
 TargetService::TargetService(Dependencies aDependencies)
     : dependencies(std::move(aDependencies)),
+      budget(std::make_shared<ByteBudget>(this->dependencies.maxHeldBytes)),
       controller(Settings(), ThreadRandom().Next()),
       pool(std::make_unique<ConnectionPool>(ConnectionPool::Settings{
           .io = this->dependencies.context.io,
@@ -168,6 +169,13 @@
        this->dependencies.target.State() != TargetState::Ready)) {
     cause = Cause::Draining;
   }
+  // Small requests may use all of the budget, so that bodies that the target is
+  // slow to read do not block them.
+  const bool isLarge = ByteBudget::IsLarge(attempt->HeldSize());
+  if (cause == Cause::None && (isLarge ? this->budget->IsExceededForLarge()
+                                       : this->budget->IsExceeded())) {
+    cause = Cause::Overloaded;
+  }
   if (cause != Cause::None) {
     attempt->Refuse(cause, kDrainingRetryAfter);
     return;
--- a/src/Mesh/TargetService.h
+++ b/src/Mesh/TargetService.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "Admission/AdmissionController.h"
+#include "Core/ByteBudget.h"
 #include "Http1/ConnectionPool.h"
 #include "Http1/ResponseFault.h"
 #include "Mesh/LocalTargetState.h"
@@ -30,6 +31,8 @@
     MeshContext& context;
     LocalTargetState& target;
     std::string fleetSecret;
+    /// Bytes of requests that may wait for the target or be written to it.
+    size_t maxHeldBytes = size_t{64} << 20;
   };
 
   explicit TargetService(Dependencies aDependencies);
@@ -51,6 +54,7 @@
 
   /// State of the target, to send to peers.
   StateWire State() const;
+  const ByteBudget& Budget() const { return *this->budget; }
   /// Number of attempts that are queued or running.
   size_t Open() const { return this->open; }
 
@@ -89,6 +93,8 @@
   void Remove(const TargetAttempt& aAttempt);
 
   Dependencies dependencies;
+  /// Bytes of the requests of all attempts.
+  std::shared_ptr<ByteBudget> budget;
   Controller controller;
   std::unique_ptr<ConnectionPool> pool;
   /// Identifier of the target that the pooled connections lead to.
--- a/src/Node/Metrics.cpp
+++ b/src/Node/Metrics.cpp
@@ -64,6 +64,13 @@
               "Responses dropped and connections to the target closed because "
               "requests and responses did not match")
           .Register(this->registry);
+  prometheus::Family<prometheus::Counter>& shed =
+      prometheus::BuildCounter()
+          .Name("fescueline_callers_shed_total")
+          .Help(
+              "Connections given up and requests refused to keep a listener "
+              "within its limits")
+          .Register(this->registry);
   prometheus::Family<prometheus::Histogram>& latency =
       prometheus::BuildHistogram()
           .Name("fescueline_request_seconds")
@@ -129,6 +136,12 @@
   this->impl->responseFaults.Add({{"fault", Label(aFault)}}).Increment();
 }
 
+void Metrics::CountShed(std::string_view aListener, std::string_view aReason) {
+  this->impl->shed
+      .Add({{"listener", Label(aListener)}, {"reason", Label(aReason)}})
+      .Increment();
+}
+
 void Metrics::CountHandlerFailure() { this->impl->handlerFailures.Increment(); }
 
 void Metrics::SetGauge(const std::string& aName, double aValue) {
--- a/src/Node/Metrics.h
+++ b/src/Node/Metrics.h
@@ -33,6 +33,10 @@
   /// Counts a response that was dropped or whose connection was closed. aFault
   /// is a constant in the calling code.
   void CountResponseFault(std::string_view aFault);
+  /// Counts a connection that was given up or a request that was refused to
+  /// keep a listener within its limits. Both names are constants in the calling
+  /// code.
+  void CountShed(std::string_view aListener, std::string_view aReason);
   /// Counts an exception that left an event handler.
   void CountHandlerFailure();
   /// Sets a gauge; aName is a constant in the calling code.
--- a/src/Transport/PeerServer.cpp
+++ b/src/Transport/PeerServer.cpp
@@ -1,5 +1,7 @@
 #include "Transport/PeerServer.h"
 
+#include <map>
+
 #include "Core/Digest.h"
 #include "Core/RandomSource.h"
 #include "Transport/ListenOn.h"
@@ -14,6 +16,8 @@
 /// Twice the connect timeout of a dialling node, which covers the connection
 /// and the handshake.
 constexpr Duration kHandshakeTimeout = std::chrono::seconds(1);
+/// Delay after a failed accept, for example when file descriptors run out.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 std::atomic<uint64_t> sSessionCount{0};
 }  // namespace
 
@@ -130,7 +134,8 @@
 
 PeerServer::PeerServer(Settings aSettings)
     : settings(std::move(aSettings)),
-      acceptor(asio::make_strand(this->settings.io)) {
+      acceptor(asio::make_strand(this->settings.io)),
+      acceptTimer(this->acceptor.get_executor()) {
   ListenOn(this->acceptor, this->settings.host, this->settings.port,
            "peer.listen");
 }
@@ -146,31 +151,57 @@
 void PeerServer::Accept() {
   const Strand strand = asio::make_strand(this->settings.io);
   this->acceptor.async_accept(
-      strand, asio::bind_executor(
-                  this->acceptor.get_executor(),
-                  [this, strand](const asio::error_code& aError,
-                                 asio::ip::tcp::socket aSocket) {
-                    if (!this->acceptor.is_open()) {
-                      return;
-                    }
-                    if (!aError) {
-                      asio::error_code ignored;
-                      const auto remote = aSocket.remote_endpoint(ignored);
-                      auto session = std::make_shared<PeerSession>(
-                          *this,
-                          std::make_shared<FrameChannel>(FrameChannel::Settings{
-                              .socket = std::move(aSocket),
-                              .strand = strand,
-                              .peer = remote.address().to_string(),
-                              .maxFrameBytes = kMaxHandshakeFrameBytes}));
-                      {
-                        const std::lock_guard lock(this->mutex);
-                        this->sessions.insert(session);
-                      }
-                      session->Start();
-                    }
-                    this->Accept();
-                  }));
+      strand,
+      asio::bind_executor(this->acceptor.get_executor(),
+                          [this, strand](const asio::error_code& aError,
+                                         asio::ip::tcp::socket aSocket) {
+                            if (!this->acceptor.is_open()) {
+                              return;
+                            }
+                            if (!aError) {
+                              this->AddSession(std::move(aSocket), strand);
+                              this->Accept();
+                              return;
+                            }
+                            this->acceptTimer.expires_after(kAcceptPause);
+                            this->acceptTimer.async_wait([this](const auto&) {
+                              if (this->acceptor.is_open()) {
+                                this->Accept();
+                              }
+                            });
+                          }));
+}
+
+void PeerServer::AddSession(asio::ip::tcp::socket aSocket,
+                            const Strand& aStrand) {
+  asio::error_code ignored;
+  const auto remote = aSocket.remote_endpoint(ignored);
+  const auto session = std::make_shared<PeerSession>(
+      *this, std::make_shared<FrameChannel>(FrameChannel::Settings{
+                 .socket = std::move(aSocket),
+                 .strand = aStrand,
+                 .peer = remote.address().to_string(),
+                 .maxFrameBytes = kMaxHandshakeFrameBytes}));
+  {
+    const std::lock_guard lock(this->mutex);
+    this->sessions.insert(session);
+  }
+  session->Start();
+  this->BoundHandshakes();
+}
+
+void PeerServer::BoundHandshakes() {
+  std::map<uint64_t, SessionPtr> pending;
+  for (const SessionPtr& session : this->Sessions()) {
+    if (!session->IsReady()) {
+      pending.emplace(session->Number(), session);
+    }
+  }
+  // Numbers rise, so the first are the oldest.
+  while (pending.size() > this->settings.maxHandshakes) {
+    pending.begin()->second->Close("too many handshakes");
+    pending.erase(pending.begin());
+  }
 }
 
 std::set<PeerServer::SessionPtr> PeerServer::Sessions() {
--- a/src/Transport/PeerServer.h
+++ b/src/Transport/PeerServer.h
@@ -60,7 +60,7 @@
   std::string nonce;
   bool helloReceived = false;
   /// Whether the remote side has proved that it has the fleet secret.
-  bool ready = false;
+  std::atomic<bool> ready{false};
   asio::steady_timer handshakeTimer;
 };
 
@@ -102,6 +102,9 @@
     /// does not know the target drops the state, and would then prefer the
     /// targets that it happened to know.
     bool sendsStateOnConnect = false;
+    /// Maximum number of connections whose handshake is not done. A new one
+    /// replaces the oldest.
+    size_t maxHandshakes = 256;
     Handlers handlers;
   };
 
@@ -130,12 +133,16 @@
   friend class PeerSession;
 
   void Accept();
+  void AddSession(asio::ip::tcp::socket aSocket, const Strand& aStrand);
+  /// Closes the oldest connections without a handshake beyond the maximum.
+  void BoundHandshakes();
   StateWire StateFor(const std::string& aNode) const;
   void Remove(const SessionPtr& aSession);
   std::set<SessionPtr> Sessions();
 
   Settings settings;
   asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer acceptTimer;
   /// Guards `sessions`; no other lock is taken while it is held.
   std::mutex mutex;
   std::set<SessionPtr> sessions;
--- a/tests/PlatformAdapter/MeshTestFleet.h
+++ b/tests/PlatformAdapter/MeshTestFleet.h
@@ -75,6 +75,8 @@
     uint64_t seed = 1;
     /// Time limit of planned stops.
     Duration stopLimit = std::chrono::seconds(4);
+    /// Memory limit of the nodes, bytes.
+    uint64_t memoryLimit = MeshSettings().memoryLimit;
   };
 
   explicit MeshTestFleetOf(const Settings& aSettings)
@@ -82,7 +84,8 @@
         targetsReport(aSettings.targetsReport),
         faultyLinks(aSettings.faultyLinks),
         seed(aSettings.seed),
-        stopLimit(aSettings.stopLimit) {
+        stopLimit(aSettings.stopLimit),
+        memoryLimit(aSettings.memoryLimit) {
     DisableLog();
     this->PutConfig(1);
     for (size_t i = 0; i < aSettings.fronts; ++i) {
@@ -293,6 +296,7 @@
     }
     settings.freshnessLimit = std::chrono::seconds(3);
     settings.stopLimit = this->stopLimit;
+    settings.memoryLimit = this->memoryLimit;
     member.node = std::make_unique<TNode>(this->io, settings);
     member.target = std::make_unique<PlatformTarget>(PlatformTarget::Settings{
         .io = this->io,
@@ -333,6 +337,7 @@
   bool faultyLinks;
   uint64_t seed;
   Duration stopLimit;
+  uint64_t memoryLimit;
   /// Bound sockets that hold the chosen ports; none of them listens.
   std::vector<asio::ip::tcp::acceptor> reservations;
   std::vector<Member> members;
--- a/tests/Process/CrowdTest.cpp
+++ b/tests/Process/CrowdTest.cpp
@@ -17,7 +17,7 @@
 
 /// Highest resident set of the node, bytes. It has about 15 MB without load.
 constexpr size_t kMaxResidentBytes = size_t{64} << 20;
-/// Bytes that a node may hold for callers, from the test's settings.
+/// Body of legal size.
 constexpr size_t kBodyBytes = 1'000'000;
 /// Callers with bodies of kBodyBytes.
 constexpr size_t kCrowd = 96;
@@ -35,7 +35,10 @@
 /// One node with one target.
 constexpr size_t kNode = 0;
 Fleet::Settings OneNode() {
-  return {.fronts = 1, .deeps = 0, .frontCalls = false};
+  return {.fronts = 1,
+          .deeps = 0,
+          .frontCalls = false,
+          .memoryLimit = size_t{32} << 20};
 }
 
 /// Sets the descriptor limit that processes started by this one inherit.
@@ -87,7 +90,11 @@
   CAPTURE(peak);
   CHECK(peak > 0);
   CHECK(peak <= kMaxResidentBytes);
+  const std::string metrics = aFleet.MetricsPage(kNode);
   const MeshAnswer answer = aFleet.Call(kNode, "GET", "/lookup/");
+  if (answer.status != 200) {
+    MESSAGE(metrics);
+  }
   CHECK(answer.status == 200);
   CHECK(answer.complete);
 }
--- a/tests/Process/ProcessNode.h
+++ b/tests/Process/ProcessNode.h
@@ -57,14 +57,14 @@
         "node: {}\ndata_centre: {}\nregion: {}\nservice: {}\ntarget: {}\n"
         "listen:\n  callers: {}\n  peers: {}\n  ready: {}\n  reports: {}\n"
         "fleet_secret: {}\nstore: {}\nfreshness_limit: {}ms\n"
-        "stop_limit: {}ms\n",
+        "stop_limit: {}ms\nmemory_limit: {}\n",
         aSettings.node, aSettings.dataCentre, aSettings.region,
         aSettings.service, aSettings.target.ToString(),
         aSettings.listenCallers.ToString(), aSettings.listenPeers.ToString(),
         aSettings.listenReady.ToString(), aSettings.listenReports.ToString(),
         aSettings.fleetSecret, aSettings.store.ToString(),
         Milliseconds(aSettings.freshnessLimit),
-        Milliseconds(aSettings.stopLimit));
+        Milliseconds(aSettings.stopLimit), aSettings.memoryLimit);
   }
   static int64_t Milliseconds(Duration aTime) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
