Bound the requests per second that reach a cold target

Cause: the remaining warm-up in a target's report was decoded and not used. The ramp of each sender does not bound the sum over all senders.

Change: while the target is cold, by its report or its health check, the node beside it starts no more requests per second than the configuration allows for a cold target, plus two (AdmissionCore::SetStartRate). Its queue holds two then, others are refused as not run, and the state for peers names fewer slots.

Deployments without such a rate are served as before.

--- a/src/Admission/AdmissionCore.cpp
+++ b/src/Admission/AdmissionCore.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace fescueline {
 
@@ -10,6 +11,9 @@
 constexpr double kMeanTimeGain = 0.05;
 /// Retry-after time as a multiple of the expected time to drain the queue.
 constexpr int kRetryAfterFactor = 4;
+/// Queue capacity while starts are bounded. Another target is faster than a
+/// longer queue for a few starts per second.
+constexpr uint32_t kQueuedWhileBounded = 2;
 }  // namespace
 
 AdmissionCore::AdmissionCore(const AdmissionSettings& aSettings, uint64_t aSeed)
@@ -79,11 +83,14 @@
     ++(expired ? this->counters.expired : this->counters.waitExceeded);
     this->Drop(item, expired ? Cause::DeadlineExpired : Cause::Overloaded);
   }
-  while (this->MayStart()) {
+  while (this->MayStart(aNow)) {
     const std::optional<QueuedItem> item = this->queue.PopBest();
     if (!item) {
       break;
     }
+    if (this->startRate > 0) {
+      this->startTokens.TrySpend(aNow);
+    }
     Entry& entry = this->entries[item->slot];
     entry.state = State::Running;
     entry.children = 0;
@@ -157,6 +164,31 @@
   this->limit.SetDeclaredLimits(aSlots, aConnections);
 }
 
+void AdmissionCore::SetStartRate(double aPerSecond, TimePoint aNow) {
+  if (aPerSecond == this->startRate) {
+    return;
+  }
+  this->startRate = aPerSecond;
+  this->startTokens.Clear(aNow);
+  if (aPerSecond > 0) {
+    const auto tokens = [](double aCount) {
+      return static_cast<MicroTokens>(aCount * kMicroTokensPerToken);
+    };
+    this->startTokens.Add(
+        {.rate = tokens(aPerSecond), .capacity = tokens(kStartBurst)},
+        kMicroTokensPerToken, aNow);
+  }
+}
+
+uint32_t AdmissionCore::UsableSlots() const {
+  const uint32_t ceiling = this->limit.Ceiling();
+  if (this->startRate == 0) {
+    return ceiling;
+  }
+  const double busy = std::ceil(this->startRate * this->meanTime);
+  return std::clamp(static_cast<uint32_t>(busy), 1U, std::max(1U, ceiling));
+}
+
 void AdmissionCore::SetWeight(std::string_view aOrganisation, double aWeight) {
   this->shares.SetWeight(this->shares.IndexOf(aOrganisation), aWeight);
 }
@@ -193,9 +225,11 @@
   return found ? &entry : nullptr;
 }
 
-bool AdmissionCore::MayStart() const {
-  return this->inFlight < this->limit.Ceiling() &&
-         this->Active() < this->limit.Limit();
+bool AdmissionCore::MayStart(TimePoint aNow) {
+  const bool hasSlot = this->inFlight < this->limit.Ceiling() &&
+                       this->Active() < this->limit.Limit();
+  return hasSlot && (this->startRate == 0 ||
+                     this->startTokens.Tokens(aNow) >= kMicroTokensPerToken);
 }
 
 void AdmissionCore::Drop(const QueuedItem& aItem, Cause aCause) {
@@ -206,10 +240,14 @@
 
 double AdmissionCore::DrainRate() const {
   const double parallelism = std::max(1.0, static_cast<double>(this->inFlight));
-  return this->meanTime > 0 ? parallelism / this->meanTime : 1e9;
+  const double rate = this->meanTime > 0 ? parallelism / this->meanTime : 1e9;
+  return this->startRate > 0 ? std::min(rate, this->startRate) : rate;
 }
 
 uint32_t AdmissionCore::QueueCapacity(uint32_t aDepth) const {
+  if (this->startRate > 0) {
+    return kQueuedWhileBounded;
+  }
   if (this->meanTime == 0) {
     return this->settings.maxQueued;
   }
--- a/src/Admission/AdmissionCore.h
+++ b/src/Admission/AdmissionCore.h
@@ -10,6 +10,7 @@
 #include "Admission/OrganisationShares.h"
 #include "Admission/ThresholdControl.h"
 #include "Core/RandomSource.h"
+#include "Limits/TokenBucket.h"
 
 namespace fescueline {
 
@@ -71,6 +72,9 @@
 /// Not thread-safe.
 class AdmissionCore {
  public:
+  /// Starts that may exceed the rate of SetStartRate within a second.
+  static constexpr double kStartBurst = 2;
+
   AdmissionCore(const AdmissionSettings& aSettings, uint64_t aSeed);
   AdmissionCore(const AdmissionCore&) = delete;
   AdmissionCore& operator=(const AdmissionCore&) = delete;
@@ -93,6 +97,13 @@
   /// Sets the limits that the target declares.
   void SetDeclaredLimits(std::optional<uint32_t> aSlots,
                          std::optional<uint32_t> aConnections);
+  /// Bounds the starts per second, for a target that has just started and
+  /// cannot take its usual load yet; 0 ends the bound. Within any second at
+  /// most kStartBurst more requests start than the rate allows.
+  void SetStartRate(double aPerSecond, TimePoint aNow);
+  /// Number of requests that the target can run now: the ceiling of the limit,
+  /// or what the bound on starts keeps busy.
+  uint32_t UsableSlots() const;
   void SetWeight(std::string_view aOrganisation, double aWeight);
 
   /// Threshold of one organisation.
@@ -129,7 +140,7 @@
   }
   /// Running requests that are not waiting for child calls.
   uint32_t Active() const { return this->inFlight - this->waiting; }
-  bool MayStart() const;
+  bool MayStart(TimePoint aNow);
   /// Marks a dequeued request as dropped, to be reported by Dispatch().
   void Drop(const QueuedItem& aItem, Cause aCause);
   /// Expected completions per second while the target is busy.
@@ -153,6 +164,10 @@
   std::vector<QueuedItem> expiredItems;
   AdmissionCounters counters;
 
+  /// Bound on the starts per second; 0 if there is none.
+  double startRate = 0;
+  TokenBucket startTokens;
+
   uint32_t inFlight = 0;
   /// Running requests that are waiting for child calls.
   uint32_t waiting = 0;
--- a/src/Mesh/HeaderNames.h
+++ b/src/Mesh/HeaderNames.h
@@ -28,6 +28,9 @@
   std::string targetId;
   /// From the target: number of running requests, waiting requests and slots.
   std::string load;
+  /// From the target, in response to a health check: remaining warm-up time,
+  /// milliseconds.
+  std::string coldTime;
 };
 
 }  // namespace fescueline
--- a/src/Mesh/LocalTargetState.cpp
+++ b/src/Mesh/LocalTargetState.cpp
@@ -68,7 +68,10 @@
                                      TimePoint aNow) {
   const bool sameProcess =
       aReport.id == this->id && aReport.startedAt == this->startedAt;
-  const bool changed = !sameProcess || this->slots != aReport.slots;
+  const bool turnsCold =
+      aReport.coldFor > Duration::zero() && !this->IsCold(aNow);
+  const bool changed =
+      !sameProcess || this->slots != aReport.slots || turnsCold;
   if (!sameProcess) {
     this->id = aReport.id;
     this->startedAt = aReport.startedAt;
@@ -79,6 +82,7 @@
   this->sequence = aReport.sequence;
   this->slots = aReport.slots;
   this->lastReport = aNow;
+  this->coldUntil = aNow + aReport.coldFor;
 
   const TargetState before = this->state;
   this->draining = this->draining || aReport.draining;
@@ -132,7 +136,8 @@
 }
 
 bool LocalTargetState::OnProbe(const std::string& aId,
-                               std::optional<uint32_t> aSlots, TimePoint aNow) {
+                               std::optional<uint32_t> aSlots,
+                               Duration aColdFor, TimePoint aNow) {
   if (this->unconfirmed && this->unconfirmed->lastReport.id == aId) {
     const TargetReportMessage report = this->unconfirmed->lastReport;
     this->Apply(report, aNow);
@@ -146,6 +151,7 @@
   this->startedAt = 0;
   this->slots = *aSlots;
   this->lastReport = aNow;
+  this->coldUntil = aNow + aColdFor;
   this->state = TargetState::Ready;
   this->confirmed = true;
   return true;
--- a/src/Mesh/LocalTargetState.h
+++ b/src/Mesh/LocalTargetState.h
@@ -23,8 +23,7 @@
   /// Number of requests that the target handles concurrently.
   uint32_t slots = 0;
   bool draining = false;
-  /// Remaining warm-up time, during which the target is slow. Not used: peers
-  /// ramp up the traffic to a new target in any case.
+  /// Remaining warm-up time, during which the target takes few requests.
   Duration coldFor{};
 };
 
@@ -75,7 +74,7 @@
   /// itself is valid until the first report, or as long as a report would be;
   /// it must then state the slots. Returns whether the state changed.
   bool OnProbe(const std::string& aId, std::optional<uint32_t> aSlots,
-               TimePoint aNow);
+               Duration aColdFor, TimePoint aNow);
   /// Whether a probe can confirm or identify the target.
   bool NeedsProbe() const {
     return this->id.empty() || this->unconfirmed.has_value();
@@ -88,6 +87,8 @@
   const std::string& Id() const { return this->id; }
   const std::string& Service() const { return this->settings.service; }
   uint32_t Slots() const { return this->slots; }
+  /// Whether the target is warming up, by its last report or probe.
+  bool IsCold(TimePoint aNow) const { return aNow < this->coldUntil; }
 
   /// Whether requests may still be sent to the target.
   bool AcceptsRequests(TimePoint aNow) const;
@@ -119,6 +120,9 @@
   uint32_t slots = 0;
   TargetState state = TargetState::Starting;
   TimePoint lastReport{};
+  /// End of the target's warm-up. The remaining time counts from the arrival of
+  /// the report, so that a late one makes the warm-up longer, not shorter.
+  TimePoint coldUntil{};
 
   /// When the target announced its departure.
   TimePoint leavingSince{};
--- a/src/Mesh/MeshConfig.h
+++ b/src/Mesh/MeshConfig.h
@@ -53,6 +53,9 @@
   uint32_t maxConnections = 0;
   /// Path of a target's health check; empty if it has none.
   std::string healthPath;
+  /// Requests per second that a cold target takes without failing; 0 if there
+  /// is no bound.
+  double coldRate = 0;
 };
 
 /// An organisation, its API keys and its rate limit.
--- a/src/Mesh/MeshNode.cpp
+++ b/src/Mesh/MeshNode.cpp
@@ -108,6 +108,7 @@
              .onReady =
                  [this](const ProbeResult& aAnswer) {
                    if (this->target.OnProbe(aAnswer.id, aAnswer.slots,
+                                            aAnswer.coldFor,
                                             SteadyClock().Now())) {
                      Log(LogLevel::Info, "target ready by a probe",
                          {{"target", aAnswer.id},
--- a/src/Mesh/TargetProbe.cpp
+++ b/src/Mesh/TargetProbe.cpp
@@ -43,6 +43,18 @@
   return slots;
 }
 
+Duration ParseColdTime(std::string_view aText) {
+  constexpr uint32_t kMillisecondsPerDay = 24 * 3600 * 1000;
+  uint32_t milliseconds = 0;
+  const auto result =
+      std::from_chars(aText.data(), aText.data() + aText.size(), milliseconds);
+  // A fraction of a millisecond is ignored.
+  if (result.ec != std::errc() || milliseconds > kMillisecondsPerDay) {
+    return Duration::zero();
+  }
+  return std::chrono::milliseconds(milliseconds);
+}
+
 void TargetProbe::Start(const std::string& aPath) {
   if (this->sentProbes >= kMaxProbes || aPath.empty()) {
     return;
@@ -121,8 +133,10 @@
          {"status", std::to_string(aHead.status)}});
     return std::nullopt;
   }
+  const auto cold = FindHeader(aHead.headers, names.coldTime);
   return ProbeResult{.id = std::string(*id),
-                     .slots = load ? ParseSlots(*load) : std::nullopt};
+                     .slots = load ? ParseSlots(*load) : std::nullopt,
+                     .coldFor = ParseColdTime(cold.value_or(""))};
 }
 
 }  // namespace fescueline
--- a/src/Mesh/TargetProbe.h
+++ b/src/Mesh/TargetProbe.h
@@ -20,6 +20,8 @@
   /// Number of requests that the target handles concurrently; nothing if the
   /// target does not tell its load.
   std::optional<uint32_t> slots;
+  /// Remaining warm-up time.
+  Duration coldFor{};
 };
 
 /// Queries the health of the local target, so that a node that starts beside a
@@ -64,4 +66,8 @@
 /// nullopt if these are malformed.
 std::optional<uint32_t> ParseSlots(std::string_view aText);
 
+/// Parses a remaining warm-up time in milliseconds; zero if it is malformed or
+/// longer than a day.
+Duration ParseColdTime(std::string_view aText);
+
 }  // namespace fescueline
--- a/src/Mesh/TargetService.cpp
+++ b/src/Mesh/TargetService.cpp
@@ -1,5 +1,7 @@
 #include "Mesh/TargetService.h"
 
+#include <fmt/format.h>
+
 #include <cmath>
 #include <utility>
 
@@ -77,9 +79,7 @@
 
 void TargetService::ApplyBounds() {
   const LocalTargetState& target = this->dependencies.target;
-  const MeshConfigPtr& config = this->dependencies.context.config.Current();
-  const MeshService* service =
-      config ? config->FindService(target.Service()) : nullptr;
+  const MeshService* service = this->Service();
   std::optional<uint32_t> connections;
   if (service != nullptr && service->maxConnections > 0) {
     connections = service->maxConnections;
@@ -92,6 +92,29 @@
   this->Pump();
 }
 
+const MeshService* TargetService::Service() const {
+  const MeshConfigPtr& config = this->dependencies.context.config.Current();
+  return config ? config->FindService(this->dependencies.target.Service())
+                : nullptr;
+}
+
+void TargetService::ApplyColdRate(TimePoint aNow) {
+  const bool cold = this->dependencies.target.IsCold(aNow);
+  if (!cold && this->coldRate == 0) {
+    return;
+  }
+  const MeshService* service = cold ? this->Service() : nullptr;
+  const double rate = service != nullptr ? service->coldRate : 0;
+  if (rate == this->coldRate) {
+    return;
+  }
+  this->coldRate = rate;
+  this->controller.Core().SetStartRate(rate, aNow);
+  Log(LogLevel::Info, rate > 0 ? "target cold" : "target warm",
+      {{"target", this->dependencies.target.Id()},
+       {"starts_per_second", fmt::format("{:.1f}", rate)}});
+}
+
 void TargetService::Stop() { this->stopping = true; }
 
 StateWire TargetService::State() const {
@@ -106,7 +129,7 @@
   return {.service = target.Service(),
           .state = static_cast<uint8_t>(state),
           .load = static_cast<uint32_t>(core.Queued()) + core.InFlight(),
-          .limit = core.Limit().Ceiling(),
+          .limit = core.UsableSlots(),
           .thresholds = {},
           .configVersion = context.config.Version(),
           .configAge =
@@ -206,8 +229,10 @@
   this->pumping = true;
   do {
     this->pumpAgain = false;
+    const TimePoint now = SteadyClock().Now();
+    this->ApplyColdRate(now);
     Controller::Batch batch;
-    this->controller.Dispatch(SteadyClock().Now(), batch);
+    this->controller.Dispatch(now, batch);
     for (auto& started : batch.started) {
       started.ticket->Run(started.handle);
     }
--- a/src/Mesh/TargetService.h
+++ b/src/Mesh/TargetService.h
@@ -81,6 +81,10 @@
   void ReportFault(const FaultReport& aReport);
   /// Applies the limits on slots and connections to the admission controller.
   void ApplyBounds();
+  /// Bounds the starts per second while the target is cold.
+  void ApplyColdRate(TimePoint aNow);
+  /// Service of the target in the current configuration; null if unknown.
+  const MeshService* Service() const;
   /// Starts queued attempts that are admitted, and drops expired ones.
   void Pump();
   void SchedulePump();
@@ -107,6 +111,8 @@
   bool pumping = false;
   bool pumpAgain = false;
   bool stopping = false;
+  /// Bound on the starts per second in force; 0 if there is none.
+  double coldRate = 0;
   /// Attempts by session number and stream.
   std::unordered_map<uint64_t, std::unordered_map<uint64_t, AttemptPtr>>
       attempts;
--- a/tests/Mesh/LocalTargetStateTest.cpp
+++ b/tests/Mesh/LocalTargetStateTest.cpp
@@ -28,7 +28,8 @@
   }
   bool Probe(const std::string& aId,
              std::optional<uint32_t> aSlots = std::nullopt) {
-    return this->state.OnProbe(aId, aSlots, this->clock.Now());
+    return this->state.OnProbe(aId, aSlots, Duration::zero(),
+                               this->clock.Now());
   }
   /// Applies the first report of a target whose health check succeeds.
   void Start(const TargetReportMessage& aReport) {
@@ -273,3 +274,35 @@
   CHECK(fixture.Take(Report("a", 100, 10)) == ReportResult::Outdated);
   CHECK(fixture.state.State() == TargetState::Ready);
 }
+
+// Guards against the usual load for a target that is still warming up, or that
+// has turned cold again.
+TEST_CASE("a target is cold for the time that it reports") {
+  Fixture fixture;
+  TargetReportMessage report = Report("a", 100, 1);
+  report.coldFor = 3s;
+  fixture.Start(report);
+  CHECK(fixture.state.IsCold(fixture.clock.Now()));
+  fixture.clock.now += 2s;
+  CHECK(fixture.state.IsCold(fixture.clock.Now()));
+  fixture.clock.now += 2s;
+  CHECK_FALSE(fixture.state.IsCold(fixture.clock.Now()));
+  report.sequence = 2;
+  CHECK(fixture.Take(report) == ReportResult::Changed);
+  CHECK(fixture.state.IsCold(fixture.clock.Now()));
+  // A report that was sent before changes nothing.
+  CHECK(fixture.Take(Report("a", 100, 1)) == ReportResult::Outdated);
+  CHECK(fixture.state.IsCold(fixture.clock.Now()));
+  CHECK(fixture.Take(Report("a", 100, 3)) == ReportResult::Unchanged);
+  CHECK_FALSE(fixture.state.IsCold(fixture.clock.Now()));
+}
+
+// Guards against the usual load for a cold target beside a node that has just
+// started and knows it by its health check only.
+TEST_CASE("a target that a probe finds cold is cold") {
+  Fixture fixture;
+  REQUIRE(fixture.state.OnProbe("a", 10, 2s, fixture.clock.Now()));
+  CHECK(fixture.state.IsCold(fixture.clock.Now()));
+  fixture.clock.now += 3s;
+  CHECK_FALSE(fixture.state.IsCold(fixture.clock.Now()));
+}
--- a/tests/Mesh/TargetPath.h
+++ b/tests/Mesh/TargetPath.h
@@ -184,7 +184,8 @@
                            .service = "fees",
                            .slots = 50},
                           SteadyClock().Now());
-    REQUIRE(this->target.OnProbe("t1", std::nullopt, SteadyClock().Now()));
+    REQUIRE(this->target.OnProbe("t1", std::nullopt, Duration::zero(),
+                                 SteadyClock().Now()));
     this->targets.OnTargetChanged();
     this->peers.Start();
     this->entry.AddMember("n1", this->peers.Port());
