Allow more handshakes of other nodes; drop a request behind a refused one

Cause: by reading the change. 64 handshakes are fewer than the nodes of a large fleet, all of which connect to a restarted one at the same moment. A request that arrives in the same read as one that is refused was stored until the close.

Change: a quarter of the descriptors may be handshakes; heads that arrive after a refusal are skipped.

--- a/src/Http1/LoopHttpConnection.cpp
+++ b/src/Http1/LoopHttpConnection.cpp
@@ -229,6 +229,9 @@
 }
 
 bool LoopHttpConnection::OnHead(HttpHead aHead) {
+  if (this->lingering || this->closed) {
+    return false;
+  }
   this->request = HttpRequest{.method = std::move(aHead.method),
                               .target = std::move(aHead.target),
                               .headers = std::move(aHead.headers),
--- a/src/Mesh/ResourceBounds.h
+++ b/src/Mesh/ResourceBounds.h
@@ -27,8 +27,9 @@
   /// Connections to the listeners for readiness and reports, for each. The
   /// platform and the target need one each.
   size_t ControlConnections() const;
-  /// Connections of other nodes whose handshake is not done.
-  size_t PeerHandshakes() const { return this->ControlConnections(); }
+  /// Connections of other nodes whose handshake is not done. After a restart of
+  /// the fleet, each node connects at the same moment.
+  size_t PeerHandshakes() const { return this->descriptors / 4; }
   /// Bytes held for each of the listeners for readiness and reports.
   static constexpr size_t kControlBytes = size_t{2} << 20;
   /// Limits of requests to these listeners: a health check has no body, a
--- a/src/Transport/PeerServer.h
+++ b/src/Transport/PeerServer.h
@@ -104,7 +104,7 @@
     bool sendsStateOnConnect = false;
     /// Maximum number of connections whose handshake is not done. A new one
     /// replaces the oldest.
-    size_t maxHandshakes = 256;
+    size_t maxHandshakes = 1024;
     Handlers handlers;
   };
 
