Take no early response of an unfinished request for complete with libcurl

Cause: libcurl reports success if it reads the end of the connection before its next write sees the reset.

Change: such a response is complete only if the whole request was sent, unless its status has no body.

--- a/src/Transport/HttpClient.cpp
+++ b/src/Transport/HttpClient.cpp
@@ -75,8 +75,9 @@
 
   void Finish(CURLcode aCode) {
     HttpTransferResult result;
-    // libcurl also reports success if the connection closes within the head.
-    if (aCode == CURLE_OK && this->head.IsComplete()) {
+    // libcurl also reports success if the connection closes within the head, or
+    // before the whole request was sent.
+    if (aCode == CURLE_OK && this->head.IsComplete() && this->IsBodyWhole()) {
       this->ReportHead();
       result.complete = true;
       result.mayHaveBeenSent = true;
@@ -182,6 +183,8 @@
       return 0;
     }
     if (self->head.IsComplete()) {
+      self->endsAtClose = !FindHeader(self->headers, "content-length") &&
+                          !FindHeader(self->headers, "transfer-encoding");
       return self->CheckRequestId() ? line.size() : 0;
     }
     self->AddHeaderLine(line);
@@ -237,6 +240,17 @@
     return true;
   }
 
+  /// Whether the body is whole although only the close of the connection ended
+  /// it: after an unfinished request the close may have been a reset.
+  bool IsBodyWhole() const {
+    long status = 0;
+    curl_off_t sent = 0;
+    curl_easy_getinfo(this->easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(this->easy.get(), CURLINFO_SIZE_UPLOAD_T, &sent);
+    return !this->endsAtClose || IsBodiless(static_cast<int>(status)) ||
+           sent >= static_cast<curl_off_t>(this->request.body.size());
+  }
+
   static size_t OnBody(char* aData, size_t aSize, size_t aCount, void* aSelf) {
     auto* self = static_cast<Transfer*>(aSelf);
     const size_t bytes = aSize * aCount;
@@ -287,7 +301,7 @@
     if (!this->failure.empty()) {
       return this->failure;
     }
-    return aCode == CURLE_OK ? "connection closed within the head"
+    return aCode == CURLE_OK ? "connection closed before the end"
                              : curl_easy_strerror(aCode);
   }
 
@@ -309,6 +323,8 @@
   /// Detects a second copy of the response within the body; none if the request
   /// has no id header.
   std::optional<RepeatedHeadScanner> scanner;
+  /// Whether the body ends with the connection.
+  bool endsAtClose = false;
   /// Whether onHead was called.
   bool headReported = false;
   /// Error of the callback that ended the transfer; empty if none did.
